--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+PACKAGES = ./...
+
+.PHONY: build test lint fmt vet staticcheck unit bench quickstart fuzz
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/... ./internal/standin/cmd/...
+
+fmt:
+	@out="$$(gofmt -l $$(git ls-files '*.go'))"; if [ -n "$$out" ]; then echo "gofmt would change:"; echo "$$out"; exit 1; fi
+
+vet:
+	$(GO) vet $(PACKAGES)
+
+staticcheck:
+	$(GO) tool staticcheck $(PACKAGES)
+
+lint: fmt vet staticcheck
+
+unit:
+	$(GO) test -race -timeout 9m $(PACKAGES)
+
+test: lint unit
--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,48 @@
+// Package admin serves liveness, readiness, metrics and the state dump of a process.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// Source provides what the admin endpoints show.
+type Source interface {
+	// Ready returns nil if the process should receive traffic, else the reason why not.
+	Ready() error
+	// Dump returns the state as a value that can be encoded as JSON. It contains nothing that derives from the content of
+	// requests bound to home regions.
+	Dump() any
+}
+
+// NewHandler returns the handler for /livez, /readyz, /metrics and /dump.
+func NewHandler(source Source, metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		serveReady(w, source)
+	})
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		serveDump(w, source)
+	})
+	mux.Handle("GET /metrics", metrics)
+	return mux
+}
+
+func serveReady(w http.ResponseWriter, source Source) {
+	if err := source.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func serveDump(w http.ResponseWriter, source Source) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	// A write error means that the reader is gone.
+	_ = encoder.Encode(source.Dump())
+}
--- /dev/null
+++ b/pkg/finding/finding.go
@@ -0,0 +1,106 @@
+// Package finding collects the problems of an input with their places, so that all of them are reported together.
+package finding
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// Severity tells whether a finding rejects the input.
+type Severity int
+
+const (
+	// Error rejects the input.
+	Error Severity = iota
+	// Warning is reported; the input is accepted.
+	Warning
+)
+
+// String implements fmt.Stringer.
+func (s Severity) String() string {
+	if s == Warning {
+		return "warning"
+	}
+	return "error"
+}
+
+// Place is a position in a file. Line and Column count from 1; zero means unknown.
+type Place struct {
+	File   string
+	Line   int
+	Column int
+}
+
+// String implements fmt.Stringer in the usual file:line:column form.
+func (p Place) String() string {
+	return fmt.Sprintf("%s:%d:%d", p.File, p.Line, p.Column)
+}
+
+// Finding is one problem: where, what is wrong and what is allowed.
+type Finding struct {
+	Severity Severity
+	Place    Place
+	Path     string
+	Message  string
+	Allowed  string
+}
+
+// String implements fmt.Stringer.
+func (f Finding) String() string {
+	text := fmt.Sprintf("%s: %s: %s: %s", f.Place, f.Severity, f.Path, f.Message)
+	if f.Allowed != "" {
+		text += " (allowed: " + f.Allowed + ")"
+	}
+	return text
+}
+
+// List is a collection of findings. A nil list is empty.
+type List []Finding
+
+// Add appends a finding.
+func (l *List) Add(f Finding) {
+	*l = append(*l, f)
+}
+
+// Errors returns the number of findings that reject the input.
+func (l List) Errors() int {
+	n := 0
+	for _, f := range l {
+		if f.Severity == Error {
+			n++
+		}
+	}
+	return n
+}
+
+// Sort orders findings by place.
+func (l List) Sort() {
+	sort.SliceStable(l, func(i, j int) bool {
+		a, b := l[i].Place, l[j].Place
+		if a.File != b.File {
+			return a.File < b.File
+		}
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+}
+
+// Error implements error with one finding per line.
+func (l List) Error() string {
+	lines := make([]string, len(l))
+	for i, f := range l {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the list as an error if it holds at least one error, else nil.
+func (l List) Err() error {
+	if l.Errors() == 0 {
+		return nil
+	}
+	return l
+}
--- /dev/null
+++ b/pkg/wire/types.go
@@ -0,0 +1,42 @@
+package wire
+
+// Frame types. The numbers are part of the protocol and never change their meaning.
+const (
+	TypeHello             Type = 1
+	TypeError             Type = 2
+	TypeHeartbeat         Type = 10
+	TypeHeartbeatReply    Type = 11
+	TypeAnnounceTerm      Type = 12
+	TypeAnnounceTermReply Type = 13
+	TypeWitness           Type = 14
+	TypeWitnessReply      Type = 15
+	TypeFetchConfig       Type = 16
+	TypeConfigReply       Type = 17
+	TypeFetchTable        Type = 18
+	TypeTableReply        Type = 19
+	TypeStatus            Type = 20
+	TypeStatusReply       Type = 21
+	TypeRequest           Type = 30
+	TypeBody              Type = 31
+	TypeEnd               Type = 32
+	TypeResponse          Type = 33
+	TypeMirrorClaim       Type = 40
+	TypeMirrorClaimReply  Type = 41
+	TypeFetchClaims       Type = 42
+	TypeClaimsReply       Type = 43
+	TypeSuspects          Type = 44
+	TypeSuspectsReply     Type = 45
+)
+
+// Hello opens a connection in both directions.
+type Hello struct {
+	MinVersion uint8  `msgpack:"min"`
+	MaxVersion uint8  `msgpack:"max"`
+	VM         string `msgpack:"vm"`
+}
+
+// Error refuses a call.
+type Error struct {
+	Code    string `msgpack:"code"`
+	Message string `msgpack:"msg"`
+}
