--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,10 @@
 	$(GO) test -race -timeout 9m $(PACKAGES)
 
 test: lint unit
+
+FUZZTIME ?= 20s
+
+fuzz:
+	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzBodyData$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzDecodeMessages$$' -fuzztime $(FUZZTIME)
--- /dev/null
+++ b/pkg/wire/body.go
@@ -0,0 +1,83 @@
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// bodyPrefix is the start of an encoded Body: a map with the single field "d", whose value is a byte string with a
+// 4-byte length.
+var bodyPrefix = [4]byte{0x81, 0xa1, 'd', 0xc6}
+
+// BodyHeaderBytes is the room that a body frame needs in front of its data.
+const BodyHeaderBytes = headerBytes + len(bodyPrefix) + 4
+
+// PutBodyHeader writes the header of a body frame into the first BodyHeaderBytes bytes of frame. The data follows there
+// already, so that a chunk is sent without copying it.
+func PutBodyHeader(frame []byte, version uint8) {
+	data := len(frame) - BodyHeaderBytes
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
+	frame[4] = version
+	frame[5] = uint8(TypeBody)
+	copy(frame[headerBytes:], bodyPrefix[:])
+	binary.BigEndian.PutUint32(frame[headerBytes+len(bodyPrefix):], uint32(data))
+}
+
+// BodyData returns the data of a body frame. The result may share memory with the payload.
+func (f Frame) BodyData() ([]byte, error) {
+	p := f.Payload
+	const start = len(bodyPrefix) + 4
+	if len(p) >= start && [4]byte(p[:4]) == bodyPrefix {
+		if int(binary.BigEndian.Uint32(p[4:])) == len(p)-start {
+			return p[start:], nil
+		}
+	}
+	// Another version may encode the message differently or add fields.
+	var body Body
+	if err := f.Decode(&body); err != nil {
+		return nil, err
+	}
+	return body.Data, nil
+}
+
+// AppendMessage appends the frame of a message to buf.
+func AppendMessage(buf []byte, version uint8, t Type, message any) ([]byte, error) {
+	payload, err := msgpack.Marshal(message)
+	if err != nil {
+		return buf, err
+	}
+	n := len(payload) + 2
+	if n > MaxFrameBytes {
+		return buf, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, n)
+	}
+	buf = binary.BigEndian.AppendUint32(buf, uint32(n))
+	buf = append(buf, version, uint8(t))
+	return append(buf, payload...), nil
+}
+
+// ReadFrameInto reads a frame like ReadFrame and uses the memory that alloc returns for the payload. alloc is called once
+// the length is known and returns a slice of exactly that length.
+func ReadFrameInto(r io.Reader, alloc func(n int) []byte) (Frame, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(r, header[:4]); err != nil {
+		return Frame{}, err
+	}
+	n := binary.BigEndian.Uint32(header[:4])
+	if n > MaxFrameBytes {
+		return Frame{}, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, n)
+	}
+	if n < 2 {
+		return Frame{}, ErrFrameTooShort
+	}
+	if _, err := io.ReadFull(r, header[4:]); err != nil {
+		return Frame{}, unexpectedEOF(err)
+	}
+	payload := alloc(int(n - 2))
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return Frame{}, unexpectedEOF(err)
+	}
+	return Frame{Version: header[4], Type: Type(header[5]), Payload: payload}, nil
+}
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -60,25 +60,9 @@
 
 // ReadFrame reads a frame.
 func ReadFrame(r io.Reader) (Frame, error) {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:4]); err != nil {
-		return Frame{}, err
-	}
-	n := binary.BigEndian.Uint32(header[:4])
-	if n > MaxFrameBytes {
-		return Frame{}, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, n)
-	}
-	if n < 2 {
-		return Frame{}, ErrFrameTooShort
-	}
-	if _, err := io.ReadFull(r, header[4:]); err != nil {
-		return Frame{}, unexpectedEOF(err)
-	}
-	payload := make([]byte, n-2)
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return Frame{}, unexpectedEOF(err)
-	}
-	return Frame{Version: header[4], Type: Type(header[5]), Payload: payload}, nil
+	return ReadFrameInto(r, func(n int) []byte {
+		return make([]byte, n)
+	})
 }
 
 func unexpectedEOF(err error) error {
--- /dev/null
+++ b/pkg/wire/frame_test.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Guards against a reader that panics, allocates beyond the bound or changes a frame on malformed input.
+func FuzzReadFrame(f *testing.F) {
+	var valid bytes.Buffer
+	if err := WriteMessage(&valid, TypeHello, Hello{MinVersion: 1, MaxVersion: 2, VM: "vm-1"}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(valid.Bytes())
+	f.Add([]byte{})
+	f.Add([]byte{0, 0, 0, 1, 1})
+	f.Add([]byte{0, 0, 0, 2, 1, 1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1, 1})
+	f.Add([]byte{0, 0, 0, 9, 1, 31, 0x81})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, err := ReadFrame(bytes.NewReader(data))
+		if err != nil {
+			return
+		}
+		var out bytes.Buffer
+		if err := WriteFrame(&out, frame.Version, frame.Type, frame.Payload); err != nil {
+			t.Fatalf("writing a frame that was read: %v", err)
+		}
+		if !bytes.HasPrefix(data, out.Bytes()) {
+			t.Fatalf("frame %x was read as %x", data, out.Bytes())
+		}
+	})
+}
+
+// Guards against a decoder of body chunks that panics or disagrees with the msgpack library.
+func FuzzBodyData(f *testing.F) {
+	for _, data := range [][]byte{nil, []byte("x"), bytes.Repeat([]byte("y"), 300)} {
+		payload, err := msgpack.Marshal(Body{Data: data})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+		f.Add(bodyFrame(data)[headerBytes:])
+	}
+	f.Add([]byte{0x81, 0xa1, 'd', 0xc6, 0, 0, 0, 9})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		got, err := Frame{Type: TypeBody, Payload: payload}.BodyData()
+		var want Body
+		wantErr := msgpack.Unmarshal(payload, &want)
+		if (err == nil) != (wantErr == nil) || err == nil && !bytes.Equal(got, want.Data) {
+			t.Fatalf("payload %x: got %x, %v; want %x, %v", payload, got, err, want.Data, wantErr)
+		}
+	})
+}
+
+// Guards against a message decoder that panics on malformed input from another process.
+func FuzzDecodeMessages(f *testing.F) {
+	for _, message := range []any{Request{ID: "1", Headers: []Header{{"a", "b"}}}, Response{ID: "1", Status: 200}, End{Complete: true}, Heartbeat{Cell: "c"}} {
+		payload, err := msgpack.Marshal(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(payload)
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		for _, message := range []any{&Request{}, &Response{}, &End{}, &Heartbeat{}, &HeartbeatReply{}, &Hello{}} {
+			_ = Frame{Payload: payload}.Decode(message)
+		}
+	})
+}
+
+func bodyFrame(data []byte) []byte {
+	frame := append(make([]byte, BodyHeaderBytes), data...)
+	PutBodyHeader(frame, Version)
+	return frame
+}
+
+// Guards against a hand-encoded body chunk that other readers of the protocol can't decode.
+func TestBodyFrameDecodesAsMessage(t *testing.T) {
+	frame, err := ReadFrame(bytes.NewReader(bodyFrame([]byte("chunk"))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var body Body
+	if err := frame.Decode(&body); err != nil {
+		t.Fatal(err)
+	}
+	if frame.Type != TypeBody || string(body.Data) != "chunk" {
+		t.Errorf("type %d, data %q", frame.Type, body.Data)
+	}
+}
+
+// Guards against taking a frame that was cut off for a complete one or for a regular end of the stream.
+func TestTruncatedFrame(t *testing.T) {
+	whole := bodyFrame([]byte("chunk"))
+	for n := 4; n < len(whole); n++ {
+		if _, err := ReadFrame(bytes.NewReader(whole[:n])); !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("first %d bytes: %v", n, err)
+		}
+	}
+}
+
+// nextRequest is Request as a later release might define it: one field more, one field less.
+type nextRequest struct {
+	ID       string   `msgpack:"id"`
+	Method   string   `msgpack:"method"`
+	Headers  []Header `msgpack:"headers"`
+	Priority int      `msgpack:"priority"`
+	Trace    struct {
+		Parent []byte `msgpack:"parent"`
+	} `msgpack:"trace"`
+}
+
+// Guards against adjacent releases that can't read each other's messages.
+func TestAdjacentMessageVersions(t *testing.T) {
+	next := nextRequest{ID: "7", Method: "GET", Headers: []Header{{"a", "b"}}, Priority: 3}
+	next.Trace.Parent = []byte{1}
+	payload, err := msgpack.Marshal(next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var old Request
+	if err := (Frame{Payload: payload}).Decode(&old); err != nil {
+		t.Fatalf("the older release can't read the newer message: %v", err)
+	}
+	if old.ID != "7" || old.Method != "GET" || len(old.Headers) != 1 || old.Path != "" || old.Idempotent {
+		t.Errorf("decoded %+v", old)
+	}
+	payload, err = msgpack.Marshal(Request{ID: "8", Path: "/x", Idempotent: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var newer nextRequest
+	if err := (Frame{Payload: payload}).Decode(&newer); err != nil {
+		t.Fatalf("the newer release can't read the older message: %v", err)
+	}
+	if newer.ID != "8" || newer.Priority != 0 || newer.Trace.Parent != nil {
+		t.Errorf("decoded %+v", newer)
+	}
+}
