Add strict decoding, settings and configuration parsing

Cause: every process and operator tool needs static settings and the dynamic configuration, and others wait for settings.Load and config.Parse.

Change: pkg/jsonc decodes JSON with comments against Go types and reports unknown fields, duplicate keys, wrong types and numbers out of range together, each with file:line:column. pkg/check has the checks of single values. pkg/settings loads and validates Router, Controller and Store. pkg/config parses, validates across pools, routes, tenants and regions, marshals deterministically, clones and compares by name.

Ruled out: encoding/json with DisallowUnknownFields stops at the first problem, accepts duplicate keys and other case, and gives byte offsets only. null for a list is refused, since it reads like "not set" and like "empty"; Marshal therefore writes [] for nil lists. The parser is recursive, so nesting beyond 100 levels is refused before parsing.

--- /dev/null
+++ b/pkg/jsonc/index.go
@@ -0,0 +1,91 @@
+package jsonc
+
+import (
+	"bytes"
+	"sort"
+	"unicode/utf8"
+
+	"github.com/bronzelever/bronzelever/pkg/finding"
+)
+
+// Index knows where the values of a document stand. Paths look like pools[2].targets[0].address.
+type Index struct {
+	file    string
+	data    []byte
+	lines   []int
+	offsets map[string]int
+	// rejected holds the paths of values that couldn't be decoded.
+	rejected map[string]bool
+}
+
+func newIndex(data []byte, file string) *Index {
+	x := &Index{file: file, data: data, lines: []int{0}, offsets: map[string]int{}, rejected: map[string]bool{}}
+	for i := 0; ; {
+		n := bytes.IndexByte(data[i:], '\n')
+		if n < 0 {
+			return x
+		}
+		i += n + 1
+		x.lines = append(x.lines, i)
+	}
+}
+
+// Has tells whether the document contains a value at the path.
+func (x *Index) Has(path string) bool {
+	_, ok := x.offsets[path]
+	return ok
+}
+
+// Place returns the place of the value at the path, or of the nearest enclosing value that the document contains.
+func (x *Index) Place(path string) finding.Place {
+	for p := path; ; p = parent(p) {
+		if offset, ok := x.offsets[p]; ok {
+			return x.place(offset)
+		}
+		if p == RootPath {
+			return finding.Place{File: x.file, Line: 1, Column: 1}
+		}
+	}
+}
+
+// Locate fills in the places of findings that have only a path.
+func (x *Index) Locate(list finding.List) finding.List {
+	for i := range list {
+		if list[i].Place == (finding.Place{}) {
+			list[i].Place = x.Place(list[i].Path)
+		}
+	}
+	return list
+}
+
+// place converts a byte offset. Columns count characters.
+func (x *Index) place(offset int) finding.Place {
+	line := sort.SearchInts(x.lines, offset+1)
+	start := x.lines[line-1]
+	return finding.Place{File: x.file, Line: line, Column: 1 + utf8.RuneCount(x.data[start:offset])}
+}
+
+// Merge adds the findings of a check to those of the decoder, located and sorted. A check's finding about a value that the
+// decoder has already rejected is left out: the check saw only its zero value.
+func (x *Index) Merge(decoded, checked finding.List) finding.List {
+	merged := append(finding.List(nil), decoded...)
+	for _, f := range x.Locate(checked) {
+		if !x.Rejected(f.Path) {
+			merged.Add(f)
+		}
+	}
+	merged.Sort()
+	return merged
+}
+
+// Rejected tells whether the value at the path, or an enclosing one, couldn't be decoded.
+func (x *Index) Rejected(path string) bool {
+	for p := path; ; p = parent(p) {
+		if x.rejected[p] {
+			return true
+		}
+		if p == RootPath {
+			return false
+		}
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -1,2 +1,48 @@
-// Package settings loads the static settings of a process: JSON with comments, read once at start.
+// Package settings loads the static settings of a process: JSON with comments, read once at start. docs/settings.md
+// describes every field.
 package settings
+
+import (
+	"os"
+
+	"github.com/bronzelever/bronzelever/pkg/finding"
+	"github.com/bronzelever/bronzelever/pkg/jsonc"
+)
+
+// Validator is implemented by settings that can check their own values. Findings carry paths; Parse adds the places.
+type Validator interface {
+	Validate() finding.List
+}
+
+// Load reads a settings file. The value is usable only if the findings contain no error (finding.List.Err).
+func Load[T any](path string) (T, finding.List) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		var zero T
+		return zero, finding.List{{
+			Place:   finding.Place{File: path},
+			Path:    jsonc.RootPath,
+			Message: "cannot read the file: " + err.Error(),
+			Allowed: "a readable file",
+		}}
+	}
+	return Parse[T](data, path)
+}
+
+// Parse decodes and validates settings, and reports all findings together.
+func Parse[T any](data []byte, file string) (T, finding.List) {
+	value, index, decoded := jsonc.Decode[T](data, file)
+	if d, ok := any(&value).(Defaulter); ok {
+		d.SetDefaults()
+	}
+	v, ok := any(value).(Validator)
+	if !ok {
+		return value, decoded
+	}
+	return value, index.Merge(decoded, v.Validate())
+}
+
+// Defaulter is implemented by settings with defaults for fields that the file leaves out.
+type Defaulter interface {
+	SetDefaults()
+}
