--- /dev/null
+++ b/pkg/controller/groups.go
@@ -0,0 +1,326 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/lease"
+	"github.com/bronzelever/bronzelever/pkg/placement"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+	"github.com/bronzelever/bronzelever/pkg/witness"
+)
+
+const (
+	// groupMoveInterval is the least time between two planned moves of groups.
+	groupMoveInterval = 2 * time.Second
+	// missingAfter is how long a holder that has the table of its grant may fail to report the group.
+	missingAfter = time.Second
+)
+
+// groupState is the state of a group at the controller.
+type groupState int
+
+const (
+	// groupFree: nobody holds the group.
+	groupFree groupState = iota
+	// groupHeld: the holder is published, or has reported the group after a change of term.
+	groupHeld
+	// groupRevoking: the holder isn't published any more, but may still act for the group.
+	groupRevoking
+)
+
+// group is a target group.
+//
+// Invariant: holder may act for the group only in the states held and revoking. The state becomes free only by
+// holderGone, and a free group has no holder in the cell.
+type group struct {
+	info   topology.Group
+	state  groupState
+	holder identity
+	epoch  topology.Epoch
+	// shown is the first table that shows the grant; zero while it isn't published.
+	shown topology.Version
+	// missingSince is when the holder first failed to report a group that it must know of; 0 if it reports it.
+	missingSince clock.Instant
+	// fence is the first table without the holder; zero while it isn't published. known counts who has that table.
+	fence topology.Version
+	known *witness.Acceptance
+	// goneAt is when the last holder ended without a report: its requests may be running for the longest deadline.
+	goneAt clock.Instant
+	// freeSince is when the group last became free.
+	freeSince clock.Instant
+}
+
+// adoptHeld takes in what a router reports to hold.
+func (s *State) adoptHeld(now clock.Instant, r *router, held []wire.Held) {
+	l := s.lead
+	r.held = make(map[topology.GroupID]wire.Held, len(held))
+	for _, h := range held {
+		r.held[h.Group] = h
+		g, ok := l.groups[h.Group]
+		if !ok && l.collected {
+			// Not configured; the router gives the group up when it gets the table.
+			continue
+		}
+		if !ok {
+			g = &group{info: topology.Group{ID: h.Group}}
+			l.groups[h.Group] = g
+		}
+		if h.State == wire.HoldReleased {
+			l.onReleased(now, g, r, h)
+			continue
+		}
+		l.adopt(g, r, h)
+	}
+}
+
+// adopt records a holder from before the term. Within the term only this controller grants, and it raises the epoch each
+// time, so that an older report can't replace a newer grant.
+func (l *leadership) adopt(g *group, r *router, h wire.Held) {
+	if l.collected || h.Epoch <= g.epoch || h.Epoch >= topology.NewGroupEpoch(l.term, 0) {
+		return
+	}
+	g.state = groupHeld
+	g.holder = identityOf(r.member)
+	g.epoch = h.Epoch
+	l.dirty = true
+}
+
+// onReleased frees a group when its holder reports that nothing is in flight.
+func (l *leadership) onReleased(now clock.Instant, g *group, r *router, h wire.Held) {
+	if g.state == groupFree || g.holder != identityOf(r.member) || g.epoch != h.Epoch {
+		return
+	}
+	l.free(now, g)
+}
+
+func (l *leadership) free(now clock.Instant, g *group) {
+	g.state = groupFree
+	g.holder = identity{}
+	g.shown, g.fence = topology.Version{}, topology.Version{}
+	g.known = nil
+	g.missingSince = 0
+	g.freeSince = now
+	l.dirty = true
+	l.s.o.Log.Emit(event.GroupFreed, "group", string(g.info.ID), "epoch", uint64(g.epoch))
+}
+
+// revoke takes a group from its holder: the next table doesn't show it any more.
+func (l *leadership) revoke(g *group, reason string) {
+	if g.state != groupHeld {
+		return
+	}
+	g.state = groupRevoking
+	g.fence = topology.Version{}
+	g.known = nil
+	l.dirty = true
+	l.s.o.Log.Emit(event.GroupRevoked, "group", string(g.info.ID), "router", g.holder.vm, "reason", reason)
+}
+
+// tickGroups revokes, frees and grants groups.
+func (l *leadership) tickGroups(now clock.Instant) {
+	for _, id := range l.groupIDs() {
+		g := l.groups[id]
+		switch g.state {
+		case groupHeld:
+			l.checkHolder(now, g)
+		case groupRevoking:
+			if l.holderGone(now, g) {
+				l.free(now, g)
+			}
+		case groupFree:
+			if len(g.info.Targets) == 0 {
+				delete(l.groups, id)
+			}
+		}
+	}
+	l.grantFree(now)
+	l.rebalance(now)
+}
+
+// groupIDs returns the IDs in order, so that decisions can be replayed.
+func (l *leadership) groupIDs() []topology.GroupID {
+	ids := make([]topology.GroupID, 0, len(l.groups))
+	for id := range l.groups {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (l *leadership) checkHolder(now clock.Instant, g *group) {
+	r := l.routers[g.holder]
+	switch {
+	case r == nil || !r.live(now):
+		l.revoke(g, "silent")
+	case r.leaving:
+		l.revoke(g, "leaving")
+	case len(g.info.Targets) == 0:
+		l.revoke(g, "not configured")
+	case l.missing(now, g, r):
+		l.revoke(g, "not reported")
+	}
+}
+
+// missing tells whether a holder that knows of its grant doesn't report the group: it has lost its authority meanwhile
+// and doesn't take the group up by itself again.
+func (l *leadership) missing(now clock.Instant, g *group, r *router) bool {
+	_, reported := r.held[g.info.ID]
+	knows := g.shown != topology.Version{} && !r.table.Less(g.shown)
+	if reported || !knows {
+		g.missingSince = 0
+		return false
+	}
+	if g.missingSince == 0 {
+		g.missingSince = now
+	}
+	return now.Sub(g.missingSince) >= missingAfter
+}
+
+// holderGone tells whether the holder of a group that is being revoked can't act for it any more:
+//   - it has the table without itself and reports the group no more, or
+//   - its lease has ended, and so has any authority by the roster rule: at least half of each roster has known the table
+//     for TTL, and doesn't confirm a router with an older table.
+//
+// For a pool whose targets check grants the second condition isn't needed, because the targets refuse the older group
+// epoch.
+func (l *leadership) holderGone(now clock.Instant, g *group) bool {
+	if g.fence == (topology.Version{}) {
+		return false
+	}
+	r := l.routers[g.holder]
+	if r != nil && !r.table.Less(g.fence) {
+		_, reported := r.held[g.info.ID]
+		if !reported {
+			return true
+		}
+	}
+	if r != nil && now < r.leaseEnd {
+		return false
+	}
+	if l.s.o.unconfirmed {
+		g.goneAt = now
+		return true
+	}
+	known, ok := g.known.Half()
+	if ok && now >= lease.GrantorEnd(known, lease.TTL) {
+		g.goneAt = now
+		return true
+	}
+	if l.checked(g.info.ID) && now >= lease.GrantorEnd(l.silentSince(g), lease.TTL+lease.GrantTTL) {
+		g.goneAt = now
+		return true
+	}
+	return false
+}
+
+// silentSince returns when the holder of a group was last heard of in this term.
+func (l *leadership) silentSince(g *group) clock.Instant {
+	r := l.routers[g.holder]
+	if r == nil || r.lastSeen == 0 {
+		return l.since
+	}
+	return r.lastSeen
+}
+
+func (l *leadership) checked(id topology.GroupID) bool {
+	p, ok := l.s.cfg.Pool(id.Pool())
+	return ok && p.GrantsChecked
+}
+
+// noteTable records which tables a router knows.
+func (l *leadership) noteTable(now clock.Instant, r *router) {
+	for _, g := range l.groups {
+		if g.known != nil && !r.table.Less(g.fence) {
+			g.known.Accept(r.member, now)
+		}
+	}
+	for _, p := range l.pools {
+		p.noteTable(now, r)
+	}
+}
+
+// candidates are the routers that may be granted a group: live, staying, recorded in the current roster with this
+// incarnation, and knowing the rosters that bind them.
+func (l *leadership) candidates(now clock.Instant) []placement.Router {
+	var out []placement.Router
+	for _, m := range l.s.record.Roster.Members {
+		r, ok := l.routers[identityOf(m)]
+		if !ok || !r.live(now) || r.leaving || r.rosterVersion < l.rosterBase || l.rosterBase == 0 {
+			continue
+		}
+		out = append(out, placement.Router{VM: m.VM, Domain: m.Domain, Out: l.routerOut(m)})
+	}
+	return out
+}
+
+func (l *leadership) routerOut(m wire.Member) bool {
+	return l.s.cfg.DomainOut(m.Domain) || slices.Contains(l.s.cfg.Out.VMs, m.VM)
+}
+
+func (l *leadership) groupLoads() []placement.GroupLoad {
+	var out []placement.GroupLoad
+	for _, id := range l.groupIDs() {
+		g := l.groups[id]
+		if len(g.info.Targets) == 0 {
+			continue
+		}
+		p, _ := l.s.cfg.Pool(id.Pool())
+		load := placement.GroupLoad{ID: id, Keyed: p != nil && p.Keyed, Gateway: g.holder.vm}
+		load.Fixed = g.state == groupRevoking
+		out = append(out, load)
+	}
+	return out
+}
+
+func (l *leadership) grantFree(now clock.Instant) {
+	for _, m := range placement.AssignGroups(l.groupLoads(), l.candidates(now)) {
+		l.grant(now, l.groups[m.Group], m.To)
+	}
+}
+
+func (l *leadership) grant(now clock.Instant, g *group, vm string) {
+	r := l.recorded(vm)
+	if g.state != groupFree || r == nil {
+		return
+	}
+	l.epochs++
+	g.state = groupHeld
+	g.holder = identityOf(r.member)
+	g.epoch = topology.NewGroupEpoch(l.term, l.epochs)
+	g.shown = topology.Version{}
+	g.missingSince = 0
+	l.dirty = true
+	l.s.o.Log.Emit(event.GroupGranted, "group", string(g.info.ID), "router", vm, "epoch", uint64(g.epoch))
+}
+
+// recorded returns the router process that the current roster records for a VM.
+func (l *leadership) recorded(vm string) *router {
+	for _, m := range l.s.record.Roster.Members {
+		if m.VM == vm {
+			return l.routers[identityOf(m)]
+		}
+	}
+	return nil
+}
+
+// rebalance moves one group to a better router when nothing else is going on.
+func (l *leadership) rebalance(now clock.Instant) {
+	if now < l.nextMove {
+		return
+	}
+	for _, g := range l.groups {
+		if g.state != groupHeld && len(g.info.Targets) > 0 {
+			return
+		}
+	}
+	move, ok := placement.RebalanceGroup(l.groupLoads(), l.candidates(now))
+	if !ok {
+		return
+	}
+	l.nextMove = now.Add(groupMoveInterval)
+	l.revoke(l.groups[move.Group], "better placement")
+}
--- /dev/null
+++ b/pkg/controller/record.go
@@ -0,0 +1,79 @@
+package controller
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// headKey is the row that names the configuration in force.
+const headKey = "config/head"
+
+func termKey(cell string) string {
+	return fmt.Sprintf("cells/%s/term", cell)
+}
+
+func slicesKey(cell, pool string) string {
+	return fmt.Sprintf("cells/%s/slices/%s", cell, pool)
+}
+
+func configKey(version uint64) string {
+	return fmt.Sprintf("config/%d", version)
+}
+
+// TermRecord is the value of a cell's term row.
+type TermRecord struct {
+	Term uint64 `json:"term"`
+	// Holder is the VM of the controller, Address its listen address.
+	Holder  string `json:"holder"`
+	Address string `json:"address"`
+	// Released tells that the holder has given up the term: it grants nothing more, and a candidate needn't wait.
+	Released bool        `json:"released"`
+	Roster   wire.Roster `json:"roster"`
+	// Previous is the roster before, as long as some possible holder hasn't confirmed Roster.
+	Previous *wire.Roster `json:"previous,omitempty"`
+}
+
+// Former is an owner whose requests may still be running.
+type Former struct {
+	Owner string         `json:"owner"`
+	Epoch topology.Epoch `json:"epoch"`
+}
+
+// SliceRecord is the durable assignment of a slice.
+type SliceRecord struct {
+	Low        uint64         `json:"low"`
+	High       uint64         `json:"high"`
+	Owner      string         `json:"owner"`
+	Epoch      topology.Epoch `json:"epoch"`
+	Successors []string       `json:"successors"`
+	// Former lists the owners that are not yet known to have released the slice. Owner takes over once all have.
+	Former []Former `json:"former,omitempty"`
+}
+
+// SlicesRecord is the value of the row of a pool's slices in a cell.
+type SlicesRecord struct {
+	// Term is the term of the controller that wrote the row. Each new controller writes the row once before it relies on
+	// it, so that a late write of an older controller fails its condition.
+	Term   uint64        `json:"term"`
+	Slices []SliceRecord `json:"slices"`
+}
+
+func encode(v any) []byte {
+	// The records hold only strings, numbers, slices and structs, so that encoding can't fail.
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func toRecords(all []topology.Slice) []SliceRecord {
+	out := make([]SliceRecord, len(all))
+	for i, s := range all {
+		out[i] = SliceRecord{Low: s.Low, High: s.High, Owner: s.Owner, Epoch: s.Epoch, Successors: s.Successors}
+	}
+	return out
+}
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -164,6 +164,9 @@
 	Member        Member `msgpack:"member"`
 	Term          uint64 `msgpack:"term"`
 	ConfigVersion uint64 `msgpack:"config"`
+	// TableVersion is the newest table of the cell that the router has. An asker with an older table doesn't count the
+	// answer: the controller of the same term may have granted the asker's groups again.
+	TableVersion topology.Version `msgpack:"table"`
 	// Leader is the controller address that the router knows.
 	Leader string `msgpack:"leader"`
 }
