Run the controller's state and add blcontroller

Cause: routers need a process that answers heartbeats, grants groups and slices and publishes tables and configuration.

Change: controller.Controller runs the state in one goroutine; connections and effects send it typed messages. blcontroller reads its settings, serves peers and the admin endpoints, and gives the term back on SIGTERM. topology.Group carries the incarnation of its gateway, so that a restarted process doesn't take up the groups of its predecessor. A virtual-time world of candidates, routers and a faulty store checks that no group and no slice has two holders after each event.

Ruled out: dropping a router's authority as soon as it accepts a newer term. What a majority confirmed now stays confirmed until TTL after it was asked, which is what the successor waits for.

--- /dev/null
+++ b/cmd/blcontroller/main.go
@@ -0,0 +1,187 @@
+// Command blcontroller is a candidate for the controller of its VM's cell.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+
+	"github.com/bronzelever/bronzelever/pkg/admin"
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/controller"
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/metric"
+	"github.com/bronzelever/bronzelever/pkg/peer"
+	"github.com/bronzelever/bronzelever/pkg/settings"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// stopTimeout bounds the graceful stop: the mark in the term row and the calls in progress.
+const stopTimeout = 3 * time.Second
+
+type arguments struct {
+	Settings string           `arg:"" type:"path" help:"File with the static settings: JSON with comments."`
+	Check    bool             `help:"Check the settings and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("blcontroller"),
+		kong.Description("Candidate for the controller of a bronzelever cell."),
+		kong.Vars{"version": version()})
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+func run(args arguments) error {
+	static, findings := settings.Load[settings.Controller](args.Settings)
+	if err := findings.Err(); err != nil {
+		return err
+	}
+	if args.Check {
+		for _, f := range findings {
+			fmt.Println(f)
+		}
+		return nil
+	}
+	level, err := log.ParseLevel(static.LogLevel)
+	if err != nil {
+		return err
+	}
+	logger := event.NewLogger(os.Stderr, level, "process", "blcontroller", "vm", static.VM, "cell", static.Cell)
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	if err := serve(ctx, static, logger); err != nil {
+		logger.Emit(event.ProcessFailed, "error", err.Error())
+		return err
+	}
+	return nil
+}
+
+// process holds what runs until the stop.
+type process struct {
+	controller *controller.Controller
+	server     *peer.Server
+	admin      *http.Server
+	log        *event.Logger
+	failed     chan error
+}
+
+func serve(ctx context.Context, static settings.Controller, logger *event.Logger) error {
+	st, err := openStore(static.Store)
+	if err != nil {
+		return err
+	}
+	registry := metric.NewRegistry("bronzelever_controller")
+	defer func() { _ = registry.Close() }()
+	client := peer.NewClient(static.VM)
+	defer client.Close()
+	p := &process{
+		controller: controller.NewController(options(static, logger), clock.Boottime{}, st, client, registry.Scope()),
+		server:     peer.NewServer(static.VM),
+		log:        logger,
+		failed:     make(chan error, 2),
+	}
+	p.controller.Register(p.server)
+	p.admin = &http.Server{Handler: admin.NewHandler(p.controller, registry.Handler()), ReadHeaderTimeout: stopTimeout}
+	if err := p.listen(static); err != nil {
+		return err
+	}
+	own, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.controller.Run(own)
+	logger.Emit(event.ProcessStarted, "listen", static.Listen, "admin", static.AdminListen)
+	select {
+	case err = <-p.failed:
+		logger.Emit(event.ListenerFailed, "error", err.Error())
+	case <-ctx.Done():
+	}
+	p.stop()
+	return err
+}
+
+func (p *process) listen(static settings.Controller) error {
+	peers, err := net.Listen("tcp", static.Listen)
+	if err != nil {
+		return err
+	}
+	admins, err := net.Listen("tcp", static.AdminListen)
+	if err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	go func() {
+		if err := p.server.Serve(peers); err != nil {
+			p.failed <- err
+		}
+	}()
+	go func() {
+		if err := p.admin.Serve(admins); !errors.Is(err, http.ErrServerClosed) {
+			p.failed <- err
+		}
+	}()
+	return nil
+}
+
+// stop gives the term back first, so that another candidate takes over while this process ends.
+func (p *process) stop() {
+	p.log.Emit(event.ProcessDraining)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := errors.Join(p.controller.Stop(ctx), p.server.Shutdown(ctx), p.admin.Shutdown(ctx))
+	if err != nil {
+		p.log.Emit(event.ProcessStopped, "error", err.Error())
+		return
+	}
+	p.log.Emit(event.ProcessStopped)
+}
+
+func options(static settings.Controller, logger *event.Logger) controller.Options {
+	o := controller.Options{
+		VM:          static.VM,
+		Cell:        static.Cell,
+		Region:      static.Region,
+		Domain:      static.Domain,
+		Address:     advertised(static),
+		Incarnation: wire.Incarnation(rand.Uint64()),
+		Parse:       config.Parse,
+		Log:         logger,
+	}
+	for _, peer := range static.Peers {
+		o.Peers = append(o.Peers, controller.Peer{VM: peer.VM, Cell: peer.Cell, Address: peer.Controller})
+	}
+	return o
+}
+
+// advertised returns the address that routers are told: the one that the list of peers names for this VM, else the
+// listen address.
+func advertised(static settings.Controller) string {
+	for _, peer := range static.Peers {
+		if peer.VM == static.VM && peer.Controller != "" {
+			return peer.Controller
+		}
+	}
+	return static.Listen
+}
--- a/pkg/controller/balance.go
+++ b/pkg/controller/balance.go
@@ -6,9 +6,6 @@
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
-// balancing is the state of a pool's rebalancing.
-type balancing struct{}
-
 // onLoads takes in the request rates of slices.
 func (l *leadership) onLoads(clock.Instant, []wire.SliceLoad) {}
 
--- a/pkg/controller/configure.go
+++ b/pkg/controller/configure.go
@@ -159,7 +159,7 @@
 	t := s.others[request.Cell]
 	if request.Cell == s.o.Cell {
 		t = nil
-		if s.lead != nil && now < s.authority() {
+		if s.lead != nil && now < s.authority(now) {
 			t = s.lead.table
 		}
 	}
--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -156,6 +156,8 @@
 	switch {
 	case r == nil || !r.live(now):
 		l.revoke(g, "silent")
+	case l.restarted(g.holder):
+		l.revoke(g, "restarted")
 	case r.leaving:
 		l.revoke(g, "leaving")
 	case len(g.info.Targets) == 0:
@@ -165,6 +167,17 @@
 	}
 }
 
+// restarted tells whether a newer process of the holder's VM has reported.
+func (l *leadership) restarted(holder identity) bool {
+	r := l.routers[holder]
+	for id, other := range l.routers {
+		if id.vm == holder.vm && id != holder && r != nil && other.firstSeen > r.lastSeen {
+			return true
+		}
+	}
+	return false
+}
+
 // missing tells whether a holder that knows of its grant doesn't report the group: it has lost its authority meanwhile
 // and doesn't take the group up by itself again.
 func (l *leadership) missing(now clock.Instant, g *group, r *router) bool {
--- a/pkg/controller/leader.go
+++ b/pkg/controller/leader.go
@@ -144,7 +144,7 @@
 }
 
 func (l *leadership) checkAuthority(now clock.Instant) bool {
-	valid := now < l.s.authority()
+	valid := now < l.s.authority(now)
 	if valid == l.lapsed {
 		l.lapsed = !valid
 		if l.lapsed {
--- a/pkg/controller/routers.go
+++ b/pkg/controller/routers.go
@@ -77,7 +77,7 @@
 }
 
 func (l *leadership) reply(now clock.Instant, r *router, hb *wire.Heartbeat) *wire.HeartbeatReply {
-	ttl := lease.Clamp(lease.TTL, now, l.s.authority()).Truncate(time.Millisecond)
+	ttl := lease.Clamp(lease.TTL, now, l.s.authority(now)).Truncate(time.Millisecond)
 	r.leaseEnd = max(r.leaseEnd, lease.GrantorEnd(now, ttl))
 	reply := &wire.HeartbeatReply{
 		Active:        true,
--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -117,7 +117,6 @@
 
 	nextStep  clock.Instant
 	changedAt clock.Instant
-	balance   balancing
 }
 
 // configurePools follows the keyed pools of the configuration.
--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -79,6 +79,8 @@
 	tokens uint64
 	// writes and reads count store operations.
 	writes, reads uint64
+	// reportedWrites and reportedReads are already in the metrics.
+	reportedWrites, reportedReads uint64
 
 	term row
 	// record is the decoded term row.
--- a/pkg/controller/table.go
+++ b/pkg/controller/table.go
@@ -47,6 +47,7 @@
 			g.shown = version
 		}
 		shown.Gateway = g.holder.vm
+		shown.GatewayIncarnation = uint64(g.holder.incarnation)
 		if r := l.routers[g.holder]; r != nil {
 			shown.GatewayAddress = r.member.Address
 		}
@@ -105,7 +106,7 @@
 		reply.Leader = s.record.Address
 	}
 	l := s.lead
-	if l == nil || now >= s.authority() || s.stopping {
+	if l == nil || now >= s.authority(now) || s.stopping {
 		return reply
 	}
 	reply.Active = true
--- a/pkg/controller/term.go
+++ b/pkg/controller/term.go
@@ -134,11 +134,12 @@
 // By the store, nobody else has taken the term before storeUntil. By the roster rule, no successor can have been accepted
 // by half of the roster before the questions were asked; leases are clamped to this end, so that they end at most TTL
 // after that.
-func (s *State) authority() clock.Instant {
+func (s *State) authority(now clock.Instant) clock.Instant {
 	if s.lead == nil {
 		return 0
 	}
-	return max(s.lead.storeUntil, s.lead.rule.Until(s.position()))
+	position := s.position()
+	return max(s.lead.storeUntil, s.lead.rule.Until(now, position, position))
 }
 
 // renew writes the term row each second.
--- /dev/null
+++ b/pkg/controller/world_test.go
@@ -0,0 +1,609 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/lease"
+	"github.com/bronzelever/bronzelever/pkg/store"
+	"github.com/bronzelever/bronzelever/pkg/store/memstore"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+	"github.com/bronzelever/bronzelever/pkg/witness"
+)
+
+// world runs candidates and routers of one cell in virtual time: real controller states, a memstore, and a model of
+// routers that follows the design's rules for holders. Messages have random delays; links can be cut, processes paused.
+type world struct {
+	rng     *rand.Rand
+	now     time.Duration
+	seq     int
+	queue   []occurrence
+	store   *memstore.Store
+	storeOK bool
+	cands   []*candidate
+	routers []*fakeRouter
+	cut     map[string]bool
+	lost    map[string]bool
+	cfg     *config.Config
+	// violation is the first broken invariant.
+	violation string
+	// seenConfig is the newest version that each process has shown.
+	seenConfig map[string]uint64
+	maxDelay   time.Duration
+}
+
+type occurrence struct {
+	at  time.Duration
+	seq int
+	who *process
+	run func()
+}
+
+// process is what candidates and routers share: a clock with its own rate, pauses and loss.
+type process struct {
+	name   string
+	rate   float64
+	paused bool
+	dead   bool
+	held   []func()
+}
+
+func (p *process) clock(w *world) clock.Instant {
+	return clock.Instant(float64(w.now)*p.rate) + clock.Instant(time.Hour)
+}
+
+type candidate struct {
+	process
+	w     *world
+	state *State
+}
+
+func (w *world) after(d time.Duration, who *process, run func()) {
+	w.seq++
+	e := occurrence{at: w.now + d, seq: w.seq, who: who, run: run}
+	i := sort.Search(len(w.queue), func(i int) bool { return w.queue[i].at > e.at })
+	w.queue = append(w.queue, occurrence{})
+	copy(w.queue[i+1:], w.queue[i:])
+	w.queue[i] = e
+}
+
+func (w *world) delay() time.Duration {
+	return time.Duration(w.rng.Int63n(int64(w.maxDelay))) + 100*time.Microsecond
+}
+
+// run lets virtual time pass and checks the invariants after each event.
+func (w *world) run(d time.Duration) {
+	end := w.now + d
+	for len(w.queue) > 0 && w.queue[0].at <= end && w.violation == "" {
+		e := w.queue[0]
+		w.queue = w.queue[1:]
+		w.now = e.at
+		switch {
+		case e.who != nil && e.who.dead:
+		case e.who != nil && e.who.paused:
+			e.who.held = append(e.who.held, e.run)
+		default:
+			e.run()
+			w.check()
+		}
+	}
+	w.now = end
+}
+
+func (w *world) linked(a, b string) bool {
+	return !w.cut[a] && !w.cut[b] && !w.cut[a+"|"+b] && !w.cut[b+"|"+a]
+}
+
+func newWorld(seed int64, routers int, cfg *config.Config) *world {
+	w := &world{rng: rand.New(rand.NewSource(seed)), store: memstore.New(), storeOK: true, cut: map[string]bool{},
+		lost: map[string]bool{}, seenConfig: map[string]uint64{}, cfg: cfg, maxDelay: 4 * time.Millisecond}
+	w.putConfig(cfg)
+	for i := range 3 {
+		w.addCandidate(fmt.Sprintf("c%d", i))
+	}
+	for i := range routers {
+		domain := cfg.Regions[0].Domains[i%len(cfg.Regions[0].Domains)]
+		w.addRouter(fmt.Sprintf("r%d", i), domain)
+	}
+	return w
+}
+
+func (w *world) rate() float64 { return 0.996 + 0.008*w.rng.Float64() }
+
+func (w *world) addCandidate(name string) *candidate {
+	c := &candidate{process: process{name: name, rate: w.rate()}, w: w}
+	o := Options{VM: name, Cell: "north", Region: "north", Domain: "north-a", Address: name, Incarnation: wire.Incarnation(w.rng.Uint64()),
+		Parse: config.Parse}
+	c.state = New(o, c.clock(w))
+	w.cands = append(w.cands, c)
+	w.after(w.delay(), &c.process, c.tick)
+	return c
+}
+
+func (c *candidate) tick() {
+	c.state.Tick(c.clock(c.w))
+	c.perform()
+	c.w.after(TickInterval, &c.process, c.tick)
+}
+
+func (c *candidate) perform() {
+	for _, e := range c.state.Effects() {
+		c.effect(e)
+	}
+}
+
+func (c *candidate) deliver(d time.Duration, result func() Result) {
+	c.w.after(d, &c.process, func() {
+		c.state.Handle(c.clock(c.w), result())
+		c.perform()
+	})
+}
+
+func (c *candidate) effect(e Effect) {
+	w := c.w
+	if call, ok := e.(Call); ok {
+		c.call(call)
+		return
+	}
+	if !w.linked(c.name, "store") {
+		c.deliver(200*time.Millisecond, func() Result { return storeFailure(e) })
+		return
+	}
+	w.after(w.delay(), nil, func() {
+		result := w.perform(e)
+		c.deliver(w.delay(), func() Result { return result })
+	})
+}
+
+func storeFailure(e Effect) Result {
+	switch e := e.(type) {
+	case ReadRow:
+		return RowRead{ReadRow: e, Err: store.ErrUnavailable}
+	case WriteRow:
+		return RowWritten{WriteRow: e, Err: store.ErrUnavailable}
+	case ReadObject:
+		return ObjectRead{ReadObject: e, Err: store.ErrUnavailable}
+	}
+	return nil
+}
+
+func (w *world) perform(e Effect) Result {
+	switch e := e.(type) {
+	case ReadRow:
+		row, err := w.store.Get(context.Background(), e.Key)
+		return RowRead{ReadRow: e, Row: row, Err: err}
+	case WriteRow:
+		rev, err := w.store.Put(context.Background(), e.Key, e.Value, e.Expected, e.Token)
+		return RowWritten{WriteRow: e, Revision: rev, Err: err}
+	case ReadObject:
+		body, err := w.store.GetObject(context.Background(), e.Key)
+		return ObjectRead{ReadObject: e, Body: body, Err: err}
+	}
+	return nil
+}
+
+func (c *candidate) call(call Call) {
+	w := c.w
+	r := w.router(call.Address)
+	if r == nil || !w.linked(c.name, r.name) {
+		c.deliver(callTimeout, func() Result { return Called{Call: call, Err: store.ErrUnavailable} })
+		return
+	}
+	w.after(w.delay(), &r.process, func() {
+		reply := r.answer(call.Request)
+		if w.linked(c.name, r.name) {
+			c.deliver(w.delay(), func() Result { return Called{Call: call, Reply: reply} })
+		}
+	})
+}
+
+func (w *world) router(name string) *fakeRouter {
+	for _, r := range w.routers {
+		if r.name == name && !r.dead {
+			return r
+		}
+	}
+	return nil
+}
+
+// fakeRouter follows the holder's side of the design.
+type fakeRouter struct {
+	process
+	w          *world
+	member     wire.Member
+	lease      lease.Holder
+	leaseTerm  uint64
+	term       uint64
+	table      *topology.Table
+	roster     wire.Roster
+	previous   *wire.Roster
+	rule       *witness.Rule
+	config     uint64
+	leader     string
+	next       int
+	leaving    bool
+	groups     map[topology.GroupID]*heldGroup
+	serving    map[uint64]served
+	reports    []wire.SliceReport
+	residue    []residue
+	lapseCount int
+}
+
+type heldGroup struct {
+	epoch topology.Epoch
+	state wire.HoldState
+	until time.Duration
+}
+
+// served is a slice that the router executes at a target.
+type served struct {
+	slice    topology.Slice
+	draining bool
+	until    time.Duration
+}
+
+// residue is a request that runs on after its router lost authority.
+type residue struct {
+	low   uint64
+	owner string
+	until time.Duration
+}
+
+func (w *world) addRouter(name, domain string) *fakeRouter {
+	r := &fakeRouter{process: process{name: name, rate: w.rate()}, w: w, groups: map[topology.GroupID]*heldGroup{},
+		serving: map[uint64]served{}}
+	r.member = wire.Member{VM: name, Incarnation: wire.Incarnation(w.rng.Uint64()), Address: name, Domain: domain}
+	r.rule = witness.NewRule(r.member)
+	w.routers = append(w.routers, r)
+	w.after(w.delay(), &r.process, r.beat)
+	w.after(w.delay(), &r.process, r.ask)
+	return r
+}
+
+func (r *fakeRouter) position() witness.Position {
+	p := witness.Position{Term: r.leaseTerm, Config: r.config}
+	if r.table != nil {
+		p.Table = r.table.Version
+	}
+	return p
+}
+
+// until returns the end of the authority, by the lease or by the roster rule.
+func (r *fakeRouter) until() clock.Instant {
+	position := r.position()
+	known := position
+	known.Term = r.term
+	return max(r.lease.End(), r.rule.Until(r.clock(r.w), position, known))
+}
+
+func (r *fakeRouter) valid() bool { return r.clock(r.w) < r.until() }
+
+// lapse drops everything once the authority has ended; requests in flight run on.
+func (r *fakeRouter) lapse() {
+	if r.valid() || len(r.groups) == 0 {
+		return
+	}
+	for low, s := range r.serving {
+		r.residue = append(r.residue, residue{low: low, owner: s.slice.Owner, until: r.w.now + r.w.drain()})
+	}
+	r.lapseCount++
+	r.groups = map[topology.GroupID]*heldGroup{}
+	r.serving = map[uint64]served{}
+}
+
+func (w *world) drain() time.Duration {
+	longest := w.cfg.Pools[0].MaxDeadline.Duration()
+	return time.Duration(w.rng.Int63n(int64(longest)))
+}
+
+func (r *fakeRouter) answer(request any) any {
+	r.lapse()
+	switch m := request.(type) {
+	case *wire.AnnounceTerm:
+		if m.Term >= r.term {
+			r.term = m.Term
+			r.leader = m.Address
+		}
+		return &wire.AnnounceTermReply{Term: r.term, Member: r.member, Held: r.heldReport()}
+	case *wire.Witness:
+		return r.witness()
+	case *wire.FetchTable:
+		return &wire.TableReply{Table: r.table}
+	case *wire.FetchConfig:
+		return &wire.ConfigReply{}
+	}
+	return nil
+}
+
+func (r *fakeRouter) witness() *wire.WitnessReply {
+	reply := &wire.WitnessReply{Member: r.member, Term: r.term, ConfigVersion: r.config}
+	if r.table != nil {
+		reply.TableVersion = r.table.Version
+	}
+	return reply
+}
+
+func (r *fakeRouter) heldReport() []wire.Held {
+	var out []wire.Held
+	for id, h := range r.groups {
+		out = append(out, wire.Held{Group: id, Epoch: h.epoch, State: h.state})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Group < out[j].Group })
+	return out
+}
+
+// ask sends a round of witness questions.
+func (r *fakeRouter) ask() {
+	r.lapse()
+	w := r.w
+	asked := r.clock(w)
+	for _, m := range r.rule.Members() {
+		other := w.router(m.VM)
+		if other == nil || !w.linked(r.name, other.name) {
+			continue
+		}
+		w.after(w.delay(), &other.process, func() {
+			other.lapse()
+			reply := *other.witness()
+			if w.linked(r.name, other.name) {
+				w.after(w.delay(), &r.process, func() {
+					r.lapse()
+					r.rule.Record(asked, reply)
+				})
+			}
+		})
+	}
+	w.after(witness.Interval, &r.process, r.ask)
+}
+
+// beat sends a heartbeat to the known leader, else to the candidates in turn.
+func (r *fakeRouter) beat() {
+	r.lapse()
+	r.advance()
+	w := r.w
+	w.after(250*time.Millisecond, &r.process, r.beat)
+	asked := r.clock(w)
+	hb := r.heartbeat()
+	to := w.cands[r.next%len(w.cands)]
+	for _, c := range w.cands {
+		if c.name == r.leader {
+			to = c
+		}
+	}
+	r.next++
+	if !w.linked(r.name, to.name) || to.dead || to.paused {
+		r.leader = ""
+	}
+	if !w.linked(r.name, to.name) {
+		return
+	}
+	w.after(w.delay(), &to.process, func() {
+		reply := to.state.Heartbeat(to.clock(w), hb)
+		to.perform()
+		if w.linked(r.name, to.name) {
+			w.after(w.delay(), &r.process, func() { r.onReply(asked, reply) })
+		}
+	})
+}
+
+func (r *fakeRouter) heartbeat() *wire.Heartbeat {
+	hb := &wire.Heartbeat{Cell: "north", Member: r.member, Term: r.term, ConfigVersion: r.config, RosterVersion: r.roster.Version,
+		Held: r.heldReport(), Slices: r.reports, Leaving: r.leaving}
+	if r.table != nil {
+		hb.TableVersion = r.table.Version
+		for _, g := range r.table.Groups {
+			if r.groups[g.ID] == nil {
+				continue
+			}
+			for _, t := range g.Targets {
+				state := wire.TargetServing
+				if r.w.lost[t] {
+					state = wire.TargetLost
+				}
+				hb.Targets = append(hb.Targets, wire.TargetReport{Target: t, State: state})
+			}
+		}
+	}
+	return hb
+}
+
+func (r *fakeRouter) onReply(asked clock.Instant, reply *wire.HeartbeatReply) {
+	r.lapse()
+	if !reply.Active {
+		if reply.Leader != "" && r.leader == "" {
+			r.leader = reply.Leader
+		}
+		return
+	}
+	if reply.Term < r.term {
+		return
+	}
+	r.term = reply.Term
+	r.leaseTerm = reply.Term
+	r.leader = reply.Leader
+	r.lease.Extend(asked, time.Duration(reply.LeaseMillis)*time.Millisecond)
+	if reply.Roster != nil && reply.Roster.Version >= r.roster.Version {
+		r.roster, r.previous = *reply.Roster, reply.Previous
+		r.rule.SetRosters(r.roster, r.previous)
+	}
+	if reply.ConfigVersion > r.config {
+		r.config = reply.ConfigVersion
+	}
+	if reply.ConfigVersion < r.w.seenConfig[r.name] && reply.ConfigVersion != 0 {
+		r.w.fail("configuration went back at %s: %d after %d", r.name, reply.ConfigVersion, r.w.seenConfig[r.name])
+	}
+	r.w.seenConfig[r.name] = max(r.w.seenConfig[r.name], reply.ConfigVersion)
+	if reply.Table != nil && (r.table == nil || r.table.Version.Less(reply.Table.Version)) {
+		r.table = reply.Table
+	}
+	r.advance()
+}
+
+// advance takes up and gives up groups and slices as the table says.
+func (r *fakeRouter) advance() {
+	if r.table == nil || !r.valid() {
+		return
+	}
+	mine := map[topology.GroupID]topology.Group{}
+	for _, g := range r.table.Groups {
+		if g.Gateway == r.name && g.GatewayIncarnation == uint64(r.member.Incarnation) {
+			mine[g.ID] = g
+		}
+	}
+	for id, h := range r.groups {
+		g, ok := mine[id]
+		switch {
+		case h.state == wire.HoldDraining && r.w.now >= h.until:
+			delete(r.groups, id)
+		case h.state == wire.HoldActive && (!ok || g.Epoch != h.epoch) && r.table.Version.Term >= r.leaseTerm:
+			h.state = wire.HoldDraining
+			h.until = r.w.now + r.w.drain()/4
+		}
+	}
+	for id, g := range mine {
+		if r.groups[id] == nil {
+			r.groups[id] = &heldGroup{epoch: g.Epoch, state: wire.HoldActive}
+		}
+	}
+	r.advanceSlices()
+}
+
+func (r *fakeRouter) advanceSlices() {
+	owned := map[uint64]topology.Slice{}
+	for _, s := range r.table.Slices {
+		g, ok := r.table.GroupOfTarget(s.Owner)
+		if ok && r.groups[g.ID] != nil && r.groups[g.ID].state == wire.HoldActive {
+			owned[s.Low] = s
+		}
+	}
+	for low, s := range r.serving {
+		now, ok := owned[low]
+		same := ok && now.Owner == s.slice.Owner
+		switch {
+		case s.draining && r.w.now >= s.until:
+			delete(r.serving, low)
+			r.reports = append(r.reports, wire.SliceReport{Pool: s.slice.Pool, Low: low, High: s.slice.High,
+				Epoch: s.slice.Epoch, Owner: s.slice.Owner, State: wire.SliceReleased})
+		case !s.draining && !same:
+			s.draining = true
+			s.until = r.w.now + r.w.drain()/4
+			r.serving[low] = s
+		case !s.draining:
+			s.slice = now
+			r.serving[low] = s
+		}
+	}
+	for low, s := range owned {
+		if _, ok := r.serving[low]; !ok {
+			r.serving[low] = served{slice: s}
+		}
+	}
+	r.reports = r.reports[max(0, len(r.reports)-64):]
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf("at %v: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+// check verifies that no group has two holders and no slice two owners whose authority is valid at this instant.
+func (w *world) check() {
+	holders := map[topology.GroupID]string{}
+	owners := map[uint64]string{}
+	own := func(low uint64, owner, router string) {
+		if other, ok := owners[low]; ok && other != owner {
+			w.fail("slice %d is executed by %s and %s (%s)", low, other, owner, router)
+		}
+		owners[low] = owner
+	}
+	for _, r := range w.routers {
+		for _, x := range r.residue {
+			if w.now < x.until {
+				own(x.low, x.owner, r.name)
+			}
+		}
+		if r.dead || !r.valid() {
+			continue
+		}
+		for id := range r.groups {
+			if other, ok := holders[id]; ok {
+				w.fail("group %s is held by %s and %s", id, other, r.name)
+			}
+			holders[id] = r.name
+		}
+		for low, s := range r.serving {
+			own(low, s.slice.Owner, r.name)
+		}
+	}
+}
+
+func (w *world) putConfig(cfg *config.Config) {
+	w.cfg = cfg
+	body, err := config.Marshal(cfg)
+	if err != nil {
+		panic(err)
+	}
+	_ = w.store.CreateObject(context.Background(), configKey(cfg.Version), body)
+	row, _ := w.store.Get(context.Background(), headKey)
+	_, err = w.store.Put(context.Background(), headKey, encode(Head{Version: cfg.Version}), row.Revision, fmt.Sprint(cfg.Version))
+	if err != nil {
+		panic(err)
+	}
+}
+
+// leader returns the state that is active.
+func (w *world) leader() *State {
+	for _, c := range w.cands {
+		if !c.dead && c.state.lead != nil && c.clock(w) < c.state.authority(c.clock(w)) && !c.state.stopping {
+			return c.state
+		}
+	}
+	return nil
+}
+
+// served tells whether every group has a gateway and every slice an owner in the leader's table.
+func (w *world) complete() bool {
+	s := w.leader()
+	if s == nil || s.lead.table == nil || len(s.lead.table.Groups) == 0 {
+		return false
+	}
+	for _, g := range s.lead.table.Groups {
+		r := w.router(g.Gateway)
+		if r == nil || r.groups[g.ID] == nil || !r.valid() {
+			return false
+		}
+	}
+	for _, sl := range s.lead.table.Slices {
+		if sl.Owner == "" || w.lost[sl.Owner] {
+			return false
+		}
+	}
+	return true
+}
+
+// await runs until a condition holds and returns how long that took; it fails after limit.
+func (w *world) await(limit time.Duration, ok func() bool) (time.Duration, bool) {
+	start := w.now
+	for w.now-start < limit && w.violation == "" {
+		if ok() {
+			return w.now - start, true
+		}
+		w.run(10 * time.Millisecond)
+	}
+	return w.now - start, ok()
+}
+
+func (w *world) describe() string {
+	s := w.leader()
+	if s == nil {
+		return "no leader"
+	}
+	return string(encode(s.Dump(0)))
+}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -68,7 +68,10 @@
 	Gateway string `msgpack:"gw" json:"gateway"`
 	// GatewayAddress is the gateway's peer address, host:port.
 	GatewayAddress string `msgpack:"addr" json:"gateway_address"`
-	Epoch          Epoch  `msgpack:"epoch" json:"epoch"`
+	// GatewayIncarnation is the process of the gateway that the group was granted to. A restarted process of the same VM
+	// doesn't hold the group.
+	GatewayIncarnation uint64 `msgpack:"inc" json:"gateway_incarnation"`
+	Epoch              Epoch  `msgpack:"epoch" json:"epoch"`
 }
 
 // Slice is a range of key hashes with one owner.
--- a/pkg/witness/witness.go
+++ b/pkg/witness/witness.go
@@ -32,7 +32,11 @@
 // The table version matters when the controller of the same term has taken a group from a router that it can't reach:
 // it grants the group again once at least half of the roster has the table without the former gateway.
 func (p Position) Confirms(answer wire.WitnessReply) bool {
-	return answer.Term <= p.Term && !p.Table.Less(answer.TableVersion) && answer.ConfigVersion <= p.Config
+	return p.covers(Position{Term: answer.Term, Table: answer.TableVersion, Config: answer.ConfigVersion})
+}
+
+func (p Position) covers(o Position) bool {
+	return o.Term <= p.Term && !p.Table.Less(o.Table) && o.Config <= p.Config
 }
 
 type identity struct {
@@ -54,6 +58,8 @@
 	self    wire.Member
 	rosters []wire.Roster
 	answers map[identity]answer
+	// end is the latest end of authority so far.
+	end clock.Instant
 }
 
 // NewRule returns the rule of a process. self is the zero Member for a process that isn't part of rosters.
@@ -119,38 +125,44 @@
 	return p
 }
 
-// Until returns the instant at which authority by the roster rule ends, 0 if there is none.
-func (r *Rule) Until(p Position) clock.Instant {
+// Until returns the instant at which authority by the roster rule ends; it may have passed.
+//
+// position.Term is the term of the process's newest lease, not the newest term that it has heard of: a router that has
+// accepted a new controller's term but has no lease from it yet is not known to that controller as a holder. known is
+// everything that the process has heard of; it counts for itself only as long as that doesn't exceed the position.
+//
+// The result never decreases: what the members confirmed at one time stays confirmed until TTL after they were asked. The
+// process calls Until before it takes in anything newer than its position.
+func (r *Rule) Until(now clock.Instant, position, known Position) clock.Instant {
 	if len(r.rosters) == 0 {
-		return 0
+		return r.end
 	}
-	end := clock.Instant(1<<63 - 1)
+	end := lease.HolderEnd(now, lease.TTL)
 	for _, roster := range r.rosters {
-		end = min(end, r.untilIn(roster, p))
+		end = min(end, r.untilIn(roster, now, position, known))
 	}
-	return end
+	r.end = max(r.end, end)
+	return r.end
 }
 
-func (r *Rule) untilIn(roster wire.Roster, p Position) clock.Instant {
+func (r *Rule) untilIn(roster wire.Roster, now clock.Instant, position, known Position) clock.Instant {
 	var asked []clock.Instant
-	confirmed := 0
 	for _, m := range roster.Members {
 		if identityOf(m) == identityOf(r.self) {
-			confirmed++
+			if position.covers(known) {
+				asked = append(asked, now)
+			}
 			continue
 		}
 		a, ok := r.answers[identityOf(m)]
-		if ok && p.Confirms(a.reply) {
+		if ok && position.Confirms(a.reply) {
 			asked = append(asked, a.asked)
 		}
 	}
-	need := Keeps(len(roster.Members)) - confirmed
-	if len(asked) < need || len(roster.Members) == 0 {
+	need := Keeps(len(roster.Members))
+	if len(asked) < need {
 		return 0
 	}
-	if need <= 0 {
-		return clock.Instant(1<<63 - 1)
-	}
 	slices.Sort(asked)
 	return lease.HolderEnd(asked[len(asked)-need], lease.TTL)
 }
