Add the gateway of target groups

Cause: the router needs the part that owns a target group: queue, limits, forwarding, grants and the hand-over of groups and slices.

Change: pkg/gateway implements exchange.Handler and exchange.Holdings. Each exchange runs over a connection of the gateway's own pool with http.Request.Write and http.ReadResponse. A cancelled exchange closes the sending direction and keeps the slot until the target has closed its side or the deadline has passed.

Ruled out: http.Transport for requests. It sends a request again on another connection when it counts as replayable (an Idempotency-Key is enough), dials in the background beyond the count of connections, and hides which connection carried an exchange. It is used for grants and health polls only.

Open: claims, suspects, claims of former holders, measurements.

--- /dev/null
+++ b/pkg/gateway/exchange.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+const headerRequestID = "X-Request-Id"
+
+// errCrossed means that the target answered another request.
+var errCrossed = errors.New("the answer belongs to another request")
+
+// ending tells how an exchange with a target ended.
+type ending int
+
+const (
+	// endedClean means that the complete answer arrived.
+	endedClean ending = iota
+	// endedUnsent means that no byte of the request was written.
+	endedUnsent
+	// endedCancelled means that the deadline passed or the caller gave up.
+	endedCancelled
+	// endedBroken means that the connection broke or the target violated the protocol.
+	endedBroken
+	// endedByCaller means that the request's body could not be read to its end.
+	endedByCaller
+)
+
+// attempt is one exchange over a connection.
+type attempt struct {
+	conn     *conn
+	pool     *connPool
+	request  *http.Request
+	deadline time.Time
+	// onEnd is called once, before the last read of the body returns. The slot stays occupied until conn.ended if the
+	// ending isn't clean or unsent.
+	onEnd    func(ending, *conn)
+	endOnce  sync.Once
+	stop     func() bool
+	written  chan struct{}
+	writeErr error
+	// callerBroke tells that the request's body could not be read to its announced end.
+	callerBroke atomic.Bool
+}
+
+// callerBody hides the caller's Close: the body belongs to the caller of Handle.
+type callerBody struct {
+	io.Reader
+}
+
+// Close implements io.Closer.
+func (callerBody) Close() error {
+	return nil
+}
+
+// run sends the request and reads the answer's head. After an error the exchange has ended.
+func (a *attempt) run(ctx context.Context, guard func() error) (*http.Response, error) {
+	a.conn.begin(guard)
+	a.written = make(chan struct{})
+	a.stop = context.AfterFunc(ctx, func() {
+		a.conn.cancel(a.deadline)
+	})
+	if a.request.Body == http.NoBody {
+		a.write()
+	} else {
+		// The answer may arrive before the body has been sent.
+		go a.write()
+	}
+	response, err := a.readHead()
+	if err == nil {
+		err = checkRequestID(a.request, response)
+	}
+	if err != nil {
+		return nil, a.fail(ctx, err)
+	}
+	return response, nil
+}
+
+func (a *attempt) write() {
+	defer close(a.written)
+	err := a.request.Write(a.conn.writer)
+	if err == nil {
+		err = a.conn.writer.Flush()
+	}
+	a.writeErr = err
+	if err == nil {
+		return
+	}
+	sent, connErr := a.conn.sent()
+	if connErr == nil {
+		a.callerBroke.Store(true)
+	}
+	// A target may answer and close before it has read the whole body: a failed write alone doesn't end the exchange.
+	if sent == 0 || connErr == nil {
+		a.conn.cancel(a.deadline)
+	}
+}
+
+func (a *attempt) readHead() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(a.conn.reader, a.request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= 200 {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("the target switched protocols")
+		}
+	}
+}
+
+// checkRequestID detects an answer that belongs to another request, from targets that echo the request's ID.
+func checkRequestID(request *http.Request, response *http.Response) error {
+	echoed := response.Header.Get(headerRequestID)
+	if echoed != "" && echoed != request.Header.Get(headerRequestID) {
+		return errCrossed
+	}
+	return nil
+}
+
+// fail ends the exchange after an error and returns the refusal for the caller.
+func (a *attempt) fail(ctx context.Context, cause error) error {
+	a.conn.cancel(a.deadline)
+	sent, connErr := a.conn.sent()
+	if sent == 0 {
+		a.end(endedUnsent)
+		return a.unsent(ctx, connErr)
+	}
+	switch {
+	case a.callerBroke.Load():
+		a.end(endedByCaller)
+		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.Unknown, "the request body broke off")
+	case ctx.Err() != nil:
+		a.end(endedCancelled)
+		return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.Unknown,
+			"the target did not answer before the deadline")
+	default:
+		a.end(endedBroken)
+		return problem.New(http.StatusBadGateway, problem.CodeTargetFailed, problem.Unknown,
+			"the target failed: "+cause.Error())
+	}
+}
+
+func (a *attempt) unsent(ctx context.Context, connErr error) error {
+	var refusal *problem.Error
+	switch {
+	case errors.As(connErr, &refusal):
+		return refusal
+	case a.callerBroke.Load():
+		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.NotRun, "the request body broke off")
+	case ctx.Err() != nil:
+		return deadlineNotRun()
+	default:
+		return errUnsent
+	}
+}
+
+// errUnsent means that a connection broke before the first byte of the request was written.
+var errUnsent = errors.New("the connection broke before the request was sent")
+
+func deadlineNotRun() *problem.Error {
+	return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.NotRun,
+		"the deadline passed before the request was sent")
+}
+
+func (a *attempt) end(how ending) {
+	a.endOnce.Do(func() {
+		a.stop()
+		if how == endedClean {
+			a.recycle()
+		} else {
+			a.conn.cancel(a.deadline)
+		}
+		a.onEnd(how, a.conn)
+	})
+}
+
+// recycle makes the connection available again if the exchange left nothing on it.
+func (a *attempt) recycle() {
+	reusable := false
+	select {
+	case <-a.written:
+		reusable = a.writeErr == nil
+	default:
+	}
+	if !reusable || a.request.Close || a.conn.reader.Buffered() > 0 {
+		a.conn.discard()
+		return
+	}
+	a.pool.put(a.conn)
+}
+
+// answerBody streams the target's answer. The end of the exchange is settled before the last Read returns.
+type answerBody struct {
+	inner   io.ReadCloser
+	attempt *attempt
+	ctx     context.Context
+	release context.CancelFunc
+	// close tells that the connection ends with this answer.
+	close bool
+}
+
+// Read implements io.Reader. Every failure but the deadline is reported as io.ErrUnexpectedEOF.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.inner.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		b.finish()
+		return n, io.EOF
+	case b.ctx.Err() != nil:
+		b.attempt.end(endedCancelled)
+	default:
+		b.attempt.end(endedBroken)
+	}
+	return n, io.ErrUnexpectedEOF
+}
+
+func (b *answerBody) finish() {
+	if b.close {
+		b.attempt.request.Close = true
+	}
+	b.attempt.end(endedClean)
+}
+
+// Close implements io.Closer. Closing before the end cancels the exchange.
+func (b *answerBody) Close() error {
+	b.attempt.end(endedCancelled)
+	b.release()
+	return nil
+}
+
+// hopByHop are the header fields of one connection (RFC 9110, section 7.6.1).
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Expect":              true,
+}
+
+// answerHeaders returns the end-to-end header fields of an answer.
+func answerHeaders(h http.Header) []wire.Header {
+	dropped := connectionOptions(h.Values("Connection"))
+	headers := make([]wire.Header, 0, len(h))
+	for name, values := range h {
+		if hopByHop[name] || dropped[name] {
+			continue
+		}
+		for _, value := range values {
+			headers = append(headers, wire.Header{Name: name, Value: value})
+		}
+	}
+	return headers
+}
--- /dev/null
+++ b/pkg/gateway/grants.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+const (
+	grantTTL      = time.Second
+	grantInterval = 250 * time.Millisecond
+	// grantTimeout bounds one renewal, so that three fit into the lifetime of a grant.
+	grantTimeout = 300 * time.Millisecond
+	// grantFailuresLost is the number of consecutive failed renewals after which a target counts as lost: about 1 s.
+	grantFailuresLost = 3
+
+	maxGrantAnswerBytes = 4 << 10
+)
+
+// grant is what a checked target has been told. The group's mutex guards it.
+type grant struct {
+	// wake asks for a renewal at once.
+	wake chan struct{}
+	// validUntil is how long the gateway may rely on the last confirmed grant, counted from before it was sent.
+	validUntil clock.Instant
+	// lapsesAt is how long the target may believe in any grant that was sent.
+	lapsesAt clock.Instant
+	failures int
+}
+
+// mayHold tells whether the target may still believe in a grant.
+func (g *grant) mayHold(now clock.Instant) bool {
+	return now < g.lapsesAt
+}
+
+// grantBody is the body of PUT /bronzelever/grants. Numbers of 64 bits are decimal strings.
+type grantBody struct {
+	GroupEpoch string       `json:"group_epoch"`
+	TTLMillis  int64        `json:"ttl_ms"`
+	Slices     []grantSlice `json:"slices"`
+}
+
+type grantSlice struct {
+	Low   string `json:"low"`
+	High  string `json:"high"`
+	Epoch string `json:"epoch"`
+}
+
+// grantRefusal is the body of a 409 answer.
+type grantRefusal struct {
+	GroupEpoch string `json:"group_epoch"`
+}
+
+func newControlClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxConnsPerHost:     reservedConnections,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}}
+}
+
+func decimal(n uint64) string {
+	return strconv.FormatUint(n, 10)
+}
+
+// wakeGrant asks the target's loop for a renewal at once.
+func (g *group) wakeGrant(t *target) {
+	select {
+	case t.grant.wake <- struct{}{}:
+	default:
+	}
+}
+
+// grantLoop renews the grant of a checked target until the group or target is gone.
+func (g *group) grantLoop(t *target) {
+	for {
+		g.renewGrant(t)
+		select {
+		case <-g.done:
+			return
+		case <-t.gone:
+			return
+		case <-t.grant.wake:
+		case <-g.clock.After(grantInterval):
+		}
+	}
+}
+
+// renewal is one PUT of a grant.
+type renewal struct {
+	body     grantBody
+	slices   []*heldSlice
+	revoking bool
+	sentAt   clock.Instant
+}
+
+func (g *group) renewGrant(t *target) {
+	r, ok := g.prepareGrant(t)
+	if !ok {
+		return
+	}
+	g.metrics.grants.Inc(1)
+	status, newest, err := g.putGrant(t, &r)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	switch {
+	case err != nil || status >= http.StatusInternalServerError:
+		g.grantFailed(t, &r, now)
+	case status == http.StatusConflict:
+		g.grantRefused(t, newest)
+	case status == http.StatusOK:
+		g.grantConfirmed(t, &r, now)
+	}
+	g.settle()
+	g.pump()
+}
+
+// prepareGrant collects what the target is granted next. It returns false if nothing may or need be sent.
+func (g *group) prepareGrant(t *target) (renewal, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	if !g.pool.GrantsChecked || g.superseded || !g.startable(now) || !g.gateway.authorized(now) {
+		return renewal{}, false
+	}
+	r := renewal{sentAt: now, revoking: g.state != wire.HoldActive}
+	if r.revoking && !t.grant.mayHold(now) {
+		return renewal{}, false
+	}
+	if r.revoking && len(t.tickets) > 0 {
+		// Requests in flight end under the grant.
+		r.revoking = false
+	}
+	r.body = grantBody{GroupEpoch: decimal(uint64(g.epoch)), TTLMillis: grantTTL.Milliseconds(), Slices: []grantSlice{}}
+	if r.revoking {
+		return r, true
+	}
+	g.collectSlices(t, &r)
+	// Until an answer arrives, the grant may be in force from any moment after the sending.
+	t.grant.lapsesAt = maxInstant(t.grant.lapsesAt, now.Add(clock.WithDrift(grantTTL)+grantTimeout))
+	for _, s := range r.slices {
+		s.included = true
+		s.lapsesAt = t.grant.lapsesAt
+	}
+	return r, true
+}
+
+func (g *group) collectSlices(t *target, r *renewal) {
+	if !g.pool.Keyed {
+		r.body.Slices = append(r.body.Slices, grantSlice{Low: "0", High: decimal(fullRange), Epoch: decimal(uint64(g.epoch))})
+		return
+	}
+	for _, s := range g.slices {
+		if s.target != t || !s.inForce() {
+			continue
+		}
+		r.slices = append(r.slices, s)
+		r.body.Slices = append(r.body.Slices, grantSlice{
+			Low: decimal(s.Low), High: decimal(s.High), Epoch: decimal(uint64(s.Epoch)),
+		})
+	}
+}
+
+// inForce tells whether the target should have the slice: while it serves, and until the last request in flight has ended.
+func (s *heldSlice) inForce() bool {
+	return s.phase == sliceActive || s.phase == sliceReleasing && s.running > 0 && s.granted
+}
+
+func (g *group) putGrant(t *target, r *renewal) (status int, newest topology.Epoch, err error) {
+	payload, err := json.Marshal(r.body)
+	if err != nil {
+		return 0, 0, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/bronzelever/grants", t.address)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(payload))
+	if err != nil {
+		return 0, 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := g.gateway.control.Do(request)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxGrantAnswerBytes))
+	if err != nil {
+		return 0, 0, err
+	}
+	if answer.StatusCode == http.StatusConflict {
+		newest = refusedEpoch(body)
+	}
+	return answer.StatusCode, newest, nil
+}
+
+func refusedEpoch(body []byte) topology.Epoch {
+	var refusal grantRefusal
+	if json.Unmarshal(body, &refusal) != nil {
+		return 0
+	}
+	n, err := strconv.ParseUint(refusal.GroupEpoch, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return topology.Epoch(n)
+}
+
+func (g *group) grantFailed(t *target, r *renewal, now clock.Instant) {
+	end := now.Add(clock.WithDrift(grantTTL))
+	if !r.revoking {
+		t.grant.lapsesAt = maxInstant(t.grant.lapsesAt, end)
+	}
+	for _, s := range r.slices {
+		s.uncertain = true
+		s.lapsesAt = maxInstant(s.lapsesAt, end)
+	}
+	t.grant.failures++
+	if t.grant.failures >= grantFailuresLost {
+		g.lose(t)
+	}
+}
+
+func (g *group) grantRefused(t *target, newest topology.Epoch) {
+	g.gateway.Log.Emit(event.GrantRefused, "group", g.id, "target", t.id, "epoch", g.epoch, "newest", newest)
+	if newest > g.epoch {
+		g.superseded = true
+		g.gateway.wakeControl()
+	}
+}
+
+func (g *group) grantConfirmed(t *target, r *renewal, now clock.Instant) {
+	t.grant.failures = 0
+	t.answeredAt = now
+	if t.lost {
+		g.recover(t)
+	}
+	if r.revoking {
+		t.grant.lapsesAt = now
+		t.grant.validUntil = 0
+	} else {
+		t.grant.validUntil = r.sentAt.Add(grantTTL - (clock.WithDrift(grantTTL) - grantTTL))
+		t.grant.lapsesAt = now.Add(clock.WithDrift(grantTTL))
+	}
+	g.confirmSlices(t, r, now)
+}
+
+// confirmSlices marks what the target has confirmed. A slice that the confirmed grant leaves out is revoked, unless a
+// former grant was never answered and may still arrive.
+func (g *group) confirmSlices(t *target, r *renewal, now clock.Instant) {
+	for _, s := range g.slices {
+		if s.target != t {
+			continue
+		}
+		if !s.inForce() && s.uncertain && now >= s.lapsesAt {
+			s.uncertain = false
+		}
+		s.granted = false
+		if s.included && !s.uncertain {
+			s.lapsesAt = now
+		}
+	}
+	for _, s := range r.slices {
+		s.granted = true
+		s.lapsesAt = t.grant.lapsesAt
+	}
+}
+
+func maxInstant(a, b clock.Instant) clock.Instant {
+	return max(a, b)
+}
--- /dev/null
+++ b/pkg/gateway/target.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// reservedConnections are kept free at each target for grants and health polls.
+const reservedConnections = 2
+
+// target is a back end of a group. The group's mutex guards it.
+type target struct {
+	group *group
+	id    string
+	// address is host:port.
+	address string
+	conns   *connPool
+	ramp    ramp
+	// tickets are the slots in use, including exchanges whose end at the target is still awaited.
+	tickets map[*ticket]struct{}
+	// alone is set while a suspect has the target to itself, or waits for it to become idle.
+	alone *waiter
+	// queue holds the waiters of a keyed pool.
+	queue queue
+	// out is set by the configuration; an unkeyed target gets no new work then.
+	out  bool
+	lost bool
+	// lostAt is when the target was noticed to be lost.
+	lostAt clock.Instant
+	// draining tells that the target announced its leave; drainingAt when this was noticed.
+	draining   bool
+	drainingAt clock.Instant
+	// shedUntil pauses new work after the target has refused some.
+	shedUntil clock.Instant
+	// probesFailed counts consecutive failed probes without an answer in between.
+	probesFailed int
+	// answeredAt is when the target last answered anything.
+	answeredAt     clock.Instant
+	slowProbe      clock.Instant
+	answered       int64
+	answeredBefore int64
+	probeWake      chan struct{}
+	rate           float64
+	reported       wire.TargetState
+	grant          grant
+	// gone is closed when the target leaves the group.
+	gone chan struct{}
+}
+
+func newTarget(g *group, c config.Target) *target {
+	return &target{
+		group:     g,
+		id:        c.ID,
+		address:   c.Address,
+		conns:     newConnPool(c.Address),
+		ramp:      newRamp(g.pool.Slots, g.pool.ColdConcurrency),
+		tickets:   make(map[*ticket]struct{}),
+		grant:     grant{wake: make(chan struct{}, 1)},
+		gone:      make(chan struct{}),
+		probeWake: make(chan struct{}, 1),
+	}
+}
+
+// limit returns the concurrency that the target gets at the moment.
+func (t *target) limit() int {
+	limit := min(t.ramp.limit, max(1, t.group.pool.Slots))
+	if c := t.group.pool.Connections; c > 0 {
+		limit = min(limit, max(1, c-reservedConnections))
+	}
+	return limit
+}
+
+// open tells whether the target may get new work.
+func (t *target) open(now clock.Instant) bool {
+	if t.lost || now < t.shedUntil {
+		return false
+	}
+	if t.group.pool.Keyed {
+		return !t.draining || now.Sub(t.drainingAt) < keyedDrainGrace
+	}
+	return !t.draining && !t.out
+}
+
+// free returns the number of requests that may be sent now.
+func (t *target) free(now clock.Instant) int {
+	if t.alone != nil || !t.open(now) {
+		return 0
+	}
+	return max(0, t.limit()-len(t.tickets))
+}
+
+// oldest returns the age of the oldest exchange that has not been answered yet.
+func (t *target) oldest(now clock.Instant) time.Duration {
+	var age time.Duration
+	for k := range t.tickets {
+		if !k.answered {
+			age = max(age, now.Sub(k.started))
+		}
+	}
+	return age
+}
+
+// expected returns the latency that the next request is likely to see. A request in flight that is older than the
+// smoothed latency proves that the target has become slower.
+func (t *target) expected(now clock.Instant) time.Duration {
+	return max(t.ramp.latency, t.oldest(now))
+}
+
+// state returns the state for reports.
+func (t *target) state(now clock.Instant, median time.Duration) wire.TargetState {
+	switch {
+	case t.lost:
+		return wire.TargetLost
+	case t.draining:
+		return wire.TargetDraining
+	case median > 0 && t.expected(now) > slowBound(median):
+		return wire.TargetSlow
+	case !t.ramp.warm():
+		return wire.TargetCold
+	default:
+		return wire.TargetServing
+	}
+}
+
+// medianLatency returns the median of the targets' expected latencies, 0 if none is known.
+func medianLatency(targets []*target) time.Duration {
+	var buf [16]time.Duration
+	known := buf[:0]
+	for _, t := range targets {
+		if t.ramp.latency > 0 && !t.lost {
+			known = append(known, t.ramp.latency)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	// The lower middle: half of the targets may be slow.
+	return known[(len(known)-1)/2]
+}
