Add the filter chain of the callers' side

Cause: the router needs to check, bind and dispatch callers' requests before a gateway sees them.

Change: pkg/filter with one folder per filter.

--- /dev/null
+++ b/pkg/filter/inputcheck/inputcheck.go
@@ -0,0 +1,104 @@
+package inputcheck
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/filter"
+	"github.com/bronzelever/bronzelever/pkg/problem"
+)
+
+const (
+	// MaxHeaderBytes bounds the header fields of a request together, so that the request fits in a frame.
+	MaxHeaderBytes = 64 << 10
+	maxHeaders     = 200
+	maxKeyBytes    = 1024
+	// defaultMaxBody applies to routes without a bound.
+	defaultMaxBody = 1 << 30
+)
+
+// Filter sets Exchange.Key and Exchange.Body.
+type Filter struct{}
+
+// Handle implements filter.Filter.
+func (*Filter) Handle(ctx context.Context, x *filter.Exchange, next filter.Next) (*exchange.Response, error) {
+	if err := checkHeaders(x.Request); err != nil {
+		return nil, err
+	}
+	limit := x.Route.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	if x.Request.ContentLength > limit {
+		detail := "the announced body exceeds the route's bound"
+		return nil, problem.New(http.StatusRequestEntityTooLarge, problem.CodeBodyTooLarge, problem.NotRun, detail)
+	}
+	key, err := readKey(x.Request, x.Route.Key)
+	if err != nil {
+		return nil, err
+	}
+	if x.Pool.Keyed && key == "" {
+		return nil, problem.New(http.StatusBadRequest, problem.CodeNoKey, problem.NotRun, "the request has no key")
+	}
+	x.Key = key
+	x.Body = filter.NewBody(x.Request.Body, x.Request.ContentLength, limit)
+	return next(ctx, x)
+}
+
+func checkHeaders(r *http.Request) error {
+	count, size := 0, len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			count++
+			size += len(name) + len(v)
+		}
+	}
+	if count > maxHeaders || size > MaxHeaderBytes {
+		detail := "the header fields exceed the bound"
+		return problem.New(http.StatusRequestHeaderFieldsTooLarge, problem.CodeBadRequest, problem.NotRun, detail)
+	}
+	return nil
+}
+
+func readKey(r *http.Request, source config.KeySource) (string, error) {
+	var key string
+	var ok bool
+	switch source.Place {
+	case config.KeyInHeader:
+		key, ok = filter.Single(r.Header, source.Name)
+	case config.KeyInQuery:
+		key, ok = single(r.URL, source.Name)
+	case config.KeyInPath:
+		key, ok = segment(r.URL, source.Segment)
+	default:
+		return "", nil
+	}
+	if !ok {
+		return "", filter.BadRequest("the request has conflicting or malformed keys")
+	}
+	if len(key) > maxKeyBytes {
+		return "", filter.BadRequest("the key is too long")
+	}
+	return key, nil
+}
+
+func single(u *url.URL, name string) (string, bool) {
+	query, err := url.ParseQuery(u.RawQuery)
+	if err != nil {
+		return "", false
+	}
+	return filter.Single(http.Header{http.CanonicalHeaderKey(name): query[name]}, name)
+}
+
+func segment(u *url.URL, index int) (string, bool) {
+	segments := strings.Split(strings.TrimPrefix(u.EscapedPath(), "/"), "/")
+	if index < 0 || index >= len(segments) {
+		return "", true
+	}
+	s, err := url.PathUnescape(segments[index])
+	return s, err == nil
+}
--- /dev/null
+++ b/pkg/filter/requestid/setup.go
@@ -0,0 +1,7 @@
+// Package requestid gives every request an ID.
+package requestid
+
+// New returns the filter.
+func New() *Filter {
+	return &Filter{}
+}
--- /dev/null
+++ b/pkg/filter/route/setup.go
@@ -0,0 +1,7 @@
+// Package route finds the route and pool of a request.
+package route
+
+// New returns the filter.
+func New() *Filter {
+	return &Filter{}
+}
