Add the agent and the wiring of the router

Cause: the router needs its side of control and a process around the filter chain.

Ruled out: taking a term heard from another router as a reason to keep authority under the roster rule. Only a lease of that term shows that the new controller knows what this router holds.

--- /dev/null
+++ b/pkg/event/agent.go
@@ -0,0 +1,16 @@
+package event
+
+import "github.com/charmbracelet/log"
+
+// Events of the router's side of control: 500 to 599.
+var (
+	AuthorityGained  = define(500, log.InfoLevel, "authority gained")
+	AuthorityLost    = define(501, log.WarnLevel, "authority lost, groups dropped")
+	ControllerFound  = define(502, log.InfoLevel, "controller found")
+	ControllerLost   = define(503, log.WarnLevel, "controller lost")
+	TermAccepted     = define(504, log.InfoLevel, "term accepted")
+	ConfigInForce    = define(505, log.InfoLevel, "configuration in force")
+	ConfigUnusable   = define(506, log.ErrorLevel, "configuration can't be used")
+	AgentLeaving     = define(507, log.InfoLevel, "router leaves its cell")
+	VMListUnreadable = define(508, log.WarnLevel, "list of VMs can't be read")
+)
--- a/pkg/filter/body.go
+++ b/pkg/filter/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 
 	"github.com/bronzelever/bronzelever/pkg/problem"
@@ -145,6 +146,8 @@
 		return nil
 	case errors.Is(b.err, errBodyTooLarge):
 		return problem.New(http.StatusRequestEntityTooLarge, problem.CodeBodyTooLarge, outcome, b.err.Error())
+	case errors.Is(b.err, os.ErrDeadlineExceeded):
+		return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, outcome, "the deadline passed before the body arrived")
 	default:
 		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, outcome, b.err.Error())
 	}
--- a/pkg/filter/deadline/deadline.go
+++ b/pkg/filter/deadline/deadline.go
@@ -10,7 +10,6 @@
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/filter"
-	"github.com/bronzelever/bronzelever/pkg/problem"
 )
 
 // fallback applies where neither route nor pool has a deadline.
@@ -34,12 +33,20 @@
 		limit = min(limit, asked)
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
+	stop := func() bool { return false }
+	if x.Interrupt != nil {
+		stop = context.AfterFunc(ctx, x.Interrupt)
+	}
+	end := func() {
+		stop()
+		cancel()
+	}
 	response, nextErr := next(ctx, x)
 	if nextErr != nil {
-		cancel()
+		end()
 		return nil, nextErr
 	}
-	response.Body = filter.OnClose(response.Body, cancel)
+	response.Body = filter.OnClose(response.Body, end)
 	return response, nil
 }
 
@@ -70,8 +77,3 @@
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
-
-// Passed returns the refusal of a request whose deadline has passed before it was sent.
-func Passed() *problem.Error {
-	return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.NotRun, "the deadline passed before the request was sent")
-}
--- a/pkg/filter/dispatch/anywhere.go
+++ b/pkg/filter/dispatch/anywhere.go
@@ -34,6 +34,8 @@
 	results    chan result
 	cancels    []context.CancelFunc
 	running    int
+	// hedged is the index of the hedge, 0 if there is none.
+	hedged int
 }
 
 // anywhere sends an unkeyed idempotent request to one of two random groups, the less loaded one. It hedges after the
@@ -156,7 +158,7 @@
 func (r *race) won(res result) *exchange.Response {
 	// The time of a request whose first attempt lost is a lower bound of that attempt's time.
 	r.f.latencies.record(r.x.Route.Name, time.Since(r.started))
-	if res.index > 0 {
+	if res.index > 0 && res.index == r.hedged {
 		r.f.m.hedgesWon.Inc(1)
 	}
 	for i, cancel := range r.cancels {
@@ -186,6 +188,7 @@
 		return
 	}
 	if r.start() {
+		r.hedged = len(r.cancels) - 1
 		r.f.m.hedges.Inc(1)
 	}
 }
--- a/pkg/filter/filter.go
+++ b/pkg/filter/filter.go
@@ -30,6 +30,9 @@
 	Request *http.Request
 	// Header receives header fields for the answer, whatever it is.
 	Header http.Header
+	// Interrupt ends reads of the caller's body and, shortly after, writes to the caller. It is called when the deadline
+	// passes, because neither ends by the context. Nil if there is nothing to interrupt.
+	Interrupt func()
 
 	// ID is set by requestid.
 	ID string
--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -169,6 +169,9 @@
 	TableVersion topology.Version `msgpack:"table"`
 	// Leader is the controller address that the router knows.
 	Leader string `msgpack:"leader"`
+	// AuthorityMillis is the remaining authority of the router's own lease or roster rule, 0 if it has none. A router
+	// without any lease serves callers as long as one with authority confirms its configuration.
+	AuthorityMillis int64 `msgpack:"auth"`
 }
 
 // FetchConfig asks a controller or router for a configuration version or newer.
