Wire the gateway into the router

Cause: the gateway of the target groups exists now.

Change: pkg/router builds it and carries its messages to the other routers of the cell. The peer protocol doesn't expect a body in answers to HEAD, 204 and 304.

Ruled out: changing the announced length of an answer to HEAD (callers need it).

--- a/pkg/event/router.go
+++ b/pkg/event/router.go
@@ -4,9 +4,10 @@
 
 // Events of the callers' side of the router: 200 to 299.
 var (
-	RouterListening   = define(200, log.InfoLevel, "router listens")
-	RouterDrainStep   = define(201, log.InfoLevel, "graceful shutdown proceeds")
-	RouterDrainFailed = define(202, log.ErrorLevel, "graceful shutdown ended with exchanges in flight")
-	AnswerBroken      = define(203, log.WarnLevel, "answer broke off, caller's connection aborted")
-	HTTPServerMessage = define(204, log.WarnLevel, "HTTP server reports")
+	RouterListening     = define(200, log.InfoLevel, "router listens")
+	RouterDrainStep     = define(201, log.InfoLevel, "graceful shutdown proceeds")
+	RouterDrainFailed   = define(202, log.ErrorLevel, "graceful shutdown ended with exchanges in flight")
+	AnswerBroken        = define(203, log.WarnLevel, "answer broke off, caller's connection aborted")
+	HTTPServerMessage   = define(204, log.WarnLevel, "HTTP server reports")
+	SuspectsUnconfirmed = define(205, log.WarnLevel, "router hasn't confirmed suspects")
 )
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -388,7 +388,7 @@
 	if head.ID != request.ID {
 		return nil, unknown(ctx, errors.New("the answer belongs to another request"))
 	}
-	x.length = head.ContentLength
+	x.length = bodyLength(request, &head)
 	if head.Code != "" {
 		// The connection can be used again if End follows.
 		x.length = -1
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -180,6 +181,15 @@
 	return wire.AppendMessage(buf, version, wire.TypeEnd, wire.End{Complete: true})
 }
 
+// bodyLength returns the length of an answer's body, -1 if unknown. The content length of an answer without body tells how
+// long the body would have been (RFC 9110, 8.6).
+func bodyLength(request *wire.Request, head *wire.Response) int64 {
+	if request.Method == http.MethodHead || head.Status == http.StatusNoContent || head.Status == http.StatusNotModified {
+		return 0
+	}
+	return head.ContentLength
+}
+
 // notRun reports a request of which no byte can have been processed.
 func notRun(err error) *problem.Error {
 	return problem.New(503, problem.CodeGatewayLost, problem.NotRun, err.Error())
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -207,6 +207,21 @@
 	}
 }
 
+// Guards against taking the missing body of an answer to HEAD for a broken transfer.
+func TestHeadAnswer(t *testing.T) {
+	l := serve(t, newServer(func(context.Context, *wire.Request, io.Reader) (*exchange.Response, error) {
+		return answer(strings.NewReader(""), 1234), nil
+	}))
+	c := newClient(t)
+	response, err := c.Handler(l.Addr().String()).Handle(testContext(t), &wire.Request{ID: "a", Method: "HEAD"}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, n, err := checksum(response.Body); n != 0 || err != nil || response.Head.ContentLength != 1234 {
+		t.Errorf("%d bytes, %v, length %d", n, err, response.Head.ContentLength)
+	}
+}
+
 // Guards against an answer that broke half-way and is delivered as if it were complete.
 func TestTruncatedAnswer(t *testing.T) {
 	for _, size := range []int64{100, 100 << 10} {
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -349,12 +349,12 @@
 	if response.Head.ID == "" {
 		response.Head.ID = request.ID
 	}
-	length := response.Head.ContentLength
+	length := bodyLength(request, &response.Head)
 	if response.Head.Code != "" {
 		return c.sendSmall(&response.Head, nil) == nil
 	}
 	if length >= 0 && length <= wire.BodyChunkBytes {
-		return c.answerSmall(response)
+		return c.answerSmall(response, int(length))
 	}
 	if err := c.send(wire.TypeResponse, &response.Head); err != nil {
 		return false
@@ -364,10 +364,9 @@
 }
 
 // answerSmall sends a short answer in one write, which saves the client two wake-ups.
-func (c *serverConn) answerSmall(response *exchange.Response) bool {
+func (c *serverConn) answerSmall(response *exchange.Response, length int) bool {
 	chunk := chunks.Get().(*[]byte)
 	defer chunks.Put(chunk)
-	length := int(response.Head.ContentLength)
 	// One more byte than announced detects a body that is too long.
 	n, err := io.ReadFull(response.Body, (*chunk)[:length+1])
 	if n == length && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)) {
--- /dev/null
+++ b/pkg/router/cell.go
@@ -0,0 +1,93 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/gateway"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// suspectTimeout bounds the wait for a router that doesn't confirm suspects; the callers of the requests wait for it.
+const suspectTimeout = 300 * time.Millisecond
+
+// cell sends the gateway's messages to the other routers of the cell.
+type cell struct {
+	r *Router
+}
+
+var _ gateway.Cell = cell{}
+
+// Members implements gateway.Cell.
+func (c cell) Members() []wire.Member {
+	return c.r.agent.Members()
+}
+
+func (c cell) address(vm string) (string, error) {
+	for _, m := range c.r.agent.Members() {
+		if m.VM == vm {
+			return m.Address, nil
+		}
+	}
+	return "", fmt.Errorf("router %s is not in the roster", vm)
+}
+
+// MirrorClaim implements gateway.Cell.
+func (c cell) MirrorClaim(ctx context.Context, vm string, message *wire.MirrorClaim) (*wire.MirrorClaimReply, error) {
+	address, err := c.address(vm)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.MirrorClaimReply{}
+	err = c.r.client.Call(ctx, address, wire.TypeMirrorClaim, message, wire.TypeMirrorClaimReply, reply)
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// FetchClaims implements gateway.Cell.
+func (c cell) FetchClaims(ctx context.Context, vm string, message *wire.FetchClaims) (*wire.ClaimsReply, error) {
+	address, err := c.address(vm)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.ClaimsReply{}
+	err = c.r.client.Call(ctx, address, wire.TypeFetchClaims, message, wire.TypeClaimsReply, reply)
+	if err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// SendSuspects implements gateway.Cell.
+func (c cell) SendSuspects(ctx context.Context, message *wire.Suspects) {
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, m := range c.Members() {
+		wait.Go(func() {
+			var reply wire.SuspectsReply
+			err := c.r.client.Call(ctx, m.Address, wire.TypeSuspects, message, wire.TypeSuspectsReply, &reply)
+			if err != nil {
+				c.r.o.Log.Emit(event.SuspectsUnconfirmed, "router", m.VM, "error", err.Error())
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// newGateway builds the gateway of pkg/gateway.
+func newGateway(r *Router) Gateway {
+	return gateway.New(gateway.Options{
+		Authority:           r.agent,
+		Clock:               r.o.Clock,
+		Log:                 r.o.Log,
+		Scope:               r.o.Metrics.Scope(),
+		Cell:                cell{r},
+		ControllerReachable: r.agent.ControllerReachable,
+	})
+}
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -98,6 +98,9 @@
 		Holdings:   holdings,
 		Log:        o.Log,
 	})
+	if o.NewGateway == nil {
+		o.NewGateway = newGateway
+	}
 	r.gateway = o.NewGateway(r)
 	holdings.Holdings = r.gateway
 	r.agent.Register(r.peers)
