--- a/pkg/jsonc/decoder.go
+++ b/pkg/jsonc/decoder.go
@@ -15,6 +15,17 @@
 type decoder struct {
 	index    *Index
 	findings finding.List
+	// fields caches fieldsOf.
+	fields map[reflect.Type]map[string][]int
+}
+
+func (d *decoder) fieldsOf(t reflect.Type) map[string][]int {
+	fields, ok := d.fields[t]
+	if !ok {
+		fields = fieldsOf(t)
+		d.fields[t] = fields
+	}
+	return fields
 }
 
 func (d *decoder) add(path string, offset int, message, allowed string) {
@@ -68,7 +79,7 @@
 		d.wrongType(path, v, "an object")
 		return
 	}
-	fields := fieldsOf(target.Type())
+	fields := d.fieldsOf(target.Type())
 	d.members(path, object, func(name, memberPath string, m *hujson.ObjectMember) {
 		index, known := fields[name]
 		if !known {
--- a/pkg/jsonc/jsonc.go
+++ b/pkg/jsonc/jsonc.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 
 	"github.com/bronzelever/bronzelever/pkg/finding"
@@ -25,7 +26,7 @@
 // Decode reads data into a T. The index gives the places of the values for later findings; it is never nil.
 func Decode[T any](data []byte, file string) (T, *Index, finding.List) {
 	var value T
-	d := &decoder{index: newIndex(data, file)}
+	d := &decoder{index: newIndex(data, file), fields: map[reflect.Type]map[string][]int{}}
 	root, ok := d.parse(data)
 	if ok {
 		d.value(RootPath, root, reflect.ValueOf(&value).Elem())
@@ -82,7 +83,7 @@
 
 // Element appends an index to a path.
 func Element(path string, i int) string {
-	return fmt.Sprintf("%s[%d]", path, i)
+	return path + "[" + strconv.Itoa(i) + "]"
 }
 
 // parent returns the path of the enclosing value.
--- /dev/null
+++ b/pkg/questionnaire/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package questionnaire
+
+const raceFactor = 1
