--- a/internal/standin/cmd/targetstandin/main.go
+++ b/internal/standin/cmd/targetstandin/main.go
@@ -19,22 +19,22 @@
 
 const (
 	crashStatus = 3
-	// memoryLimit keeps a target below 15 MB resident, so that tests can run dozens of them.
-	memoryLimit = 10 << 20
+	// gcPercent keeps a target below 15 MB resident, so that tests can run dozens of them.
+	gcPercent   = 25
 	stopTimeout = 30 * time.Second
 )
 
 type cli struct {
 	Listen        string `required:"" placeholder:"HOST:PORT" help:"Address for routers."`
 	ControlListen string `placeholder:"HOST:PORT" help:"Further address for control and record, whose connections don't count."`
-	RecordLimit   int    `default:"16384" help:"Executions that the record holds."`
+	RecordLimit   int    `default:"4096" help:"Executions that the record holds."`
 	target.Settings
 }
 
 func main() {
 	var c cli
 	kong.Parse(&c, kong.Name("targetstandin"), kong.Description("Stand-in for a back end."))
-	debug.SetMemoryLimit(memoryLimit)
+	debug.SetGCPercent(gcPercent)
 	if err := run(c); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -9,7 +9,7 @@
 )
 
 // maxOrders bounds the order keys whose executions are counted.
-const maxOrders = 16384
+const maxOrders = 4096
 
 // recordChunk is the number of executions that are copied at once for an answer, so that a long record doesn't double the
 // memory in use.
--- a/internal/standin/target/settings.go
+++ b/internal/standin/target/settings.go
@@ -29,15 +29,15 @@
 	// AnnounceCold adds "cold" to the load report.
 	AnnounceCold bool `json:"announce_cold" help:"Report coldness in the load report."`
 
-	ServiceMillis float64 `json:"service_ms" default:"5" help:"Mean service time."`
+	ServiceMillis float64 `json:"service_ms" name:"service-ms" default:"5" help:"Mean service time."`
 	// Spread is the largest relative deviation from ServiceMillis.
 	Spread float64 `json:"spread" default:"0.2" help:"Largest relative deviation from the mean service time."`
 	Seed   uint64  `json:"seed" default:"1" help:"Seed of the service times."`
 
 	// SlowFactor multiplies service times. With SlowPeriodMillis it does so only in the first SlowOnMillis of each period.
 	SlowFactor       float64 `json:"slow_factor" default:"1" help:"Factor on the service time."`
-	SlowPeriodMillis int64   `json:"slow_period_ms" default:"0" help:"Period of slow phases; 0 is always slow."`
-	SlowOnMillis     int64   `json:"slow_on_ms" default:"0" help:"Length of a slow phase."`
+	SlowPeriodMillis int64   `json:"slow_period_ms" name:"slow-period-ms" default:"0" help:"Period of slow phases; 0 is always slow."`
+	SlowOnMillis     int64   `json:"slow_on_ms" name:"slow-on-ms" default:"0" help:"Length of a slow phase."`
 
 	Draining bool `json:"draining" help:"Report draining; requests are still executed."`
 	// Frozen stops everything but control and record.
@@ -51,13 +51,13 @@
 	IgnoreCancel   bool `json:"ignore_cancel" help:"Execute after the connection was closed."`
 
 	// ReportLagMillis is the age up to which health and load reports lag.
-	ReportLagMillis int64 `json:"report_lag_ms" default:"0" help:"Age up to which reports lag."`
+	ReportLagMillis int64 `json:"report_lag_ms" name:"report-lag-ms" default:"0" help:"Age up to which reports lag."`
 	// FalseInFlight replaces the number in flight in load reports if it isn't negative.
 	FalseInFlight int `json:"false_in_flight" default:"-1" help:"Reported number in flight; -1 reports the truth."`
 	// FalseHealth replaces the status in health reports if it isn't empty.
 	FalseHealth string `json:"false_health" help:"Reported health status; empty reports the truth."`
 	// ProbeMillis is the cost of one health or load report.
-	ProbeMillis float64 `json:"probe_ms" default:"0" help:"Time that a health or load report takes."`
+	ProbeMillis float64 `json:"probe_ms" name:"probe-ms" default:"0" help:"Time that a health or load report takes."`
 }
 
 // Defaults returns the settings of a target that behaves well. They equal the defaults of the command line.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -11,8 +11,8 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 )
 
-// DefaultRecordLimit is the number of executions that a record holds; about 3 MB.
-const DefaultRecordLimit = 16384
+// DefaultRecordLimit is the number of executions that a record holds; about 0.7 MB.
+const DefaultRecordLimit = 4096
 
 // Target is a stand-in back end.
 type Target struct {
