Adapt the agent to the roster rule's new arguments

Change: the agent passes its clock's time and its highest known term.

Ruled out: keeping the former signature, which let a router count itself although it had accepted a newer term.

--- a/pkg/agent/state.go
+++ b/pkg/agent/state.go
@@ -132,6 +132,13 @@
 	return p
 }
 
+// known is the newest that the router has heard of.
+func (s *state) known() witness.Position {
+	p := s.position()
+	p.Term = s.term
+	return p
+}
+
 func (s *state) configVersion() uint64 {
 	if s.config == nil {
 		return 0
@@ -143,7 +150,7 @@
 func (s *state) holdingEnd() clock.Instant {
 	end := s.lease.End()
 	if s.leaseTerm > 0 && s.leaseTerm == s.term {
-		end = max(end, s.rule.Until(s.position()))
+		end = max(end, s.rule.Until(s.o.Clock.Now(), s.position(), s.known()))
 	}
 	return end
 }
