Prove the controller under random faults and mend what that found

Cause: the wait for the roster, the order of a slice's move and the versions had been argued, not tested.

Change: TestOneHolder runs candidates, routers and a store with faults in virtual time for 60 s per world: cut links, paused, lost and restarted processes, store outages, lost replies, late writes, lost targets, planned stops, changes of the configuration. After each event no group may have two valid holders and no slice two owners that execute requests; a published assignment gives way only to a newer epoch; configurations never go back. Mended: a new controller acts on no configuration that it kept from an earlier term before it has read the head; a slice that is hidden by the first table of a term gets a new epoch, because its gateway releases it for good; once published, an owner isn't hidden again under the same epoch; the release of a lost target's slice counts when the gateway reports it before the move; a group's release also ends the former owners in it; promotions made without the store are found in the tables of the routers that accepted the term. topology.Group.Clean tells a gateway that no request of an earlier one can be running, so that it needn't wait for the longest deadline after a planned move.

Ruled out: counting a slice report of an earlier hold; with 5 routers then had two owners.

--- a/pkg/controller/configure.go
+++ b/pkg/controller/configure.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/placement"
+	"github.com/bronzelever/bronzelever/pkg/store"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -31,7 +33,11 @@
 	s.head.read(s, now)
 }
 
-func (s *State) onHead(clock.Instant) {
+func (s *State) onHead(res RowRead) {
+	if res.Err != nil && !errors.Is(res.Err, store.ErrNotFound) {
+		return
+	}
+	s.headAsked = max(s.headAsked, res.Asked)
 	if s.head.now.Revision == 0 {
 		return
 	}
@@ -40,6 +46,7 @@
 		s.o.Log.Emit(event.RecordInvalid, "key", headKey, "error", err.Error())
 		return
 	}
+	s.headVersion = head.Version
 	s.fetchConfig(head.Version)
 }
 
@@ -58,10 +65,28 @@
 	}
 }
 
+// configCurrent tells whether the configuration in force is the newest one as of a read in this term. A controller that
+// has kept one from an earlier term must not act on it.
+func (l *leadership) configCurrent() bool {
+	s := l.s
+	if s.cfg == nil || s.headAsked < l.since {
+		return false
+	}
+	return s.configVersion() >= s.headVersion || s.cfgBad == s.headVersion
+}
+
+// shownConfig is the version that routers are told.
+func (l *leadership) shownConfig() uint64 {
+	if !l.configCurrent() {
+		return 0
+	}
+	return l.s.configVersion()
+}
+
 // wantConfig asks a router for a configuration that this controller doesn't have: a controller that was elected just
 // before the store went down learns the accepted version from the routers.
 func (s *State) wantConfig(now clock.Instant, r *router, version uint64) {
-	if version <= s.configVersion() || s.fetching || !s.storeDown {
+	if version <= s.configVersion() || s.fetching || !s.storeDown && s.cfgBad == 0 {
 		return
 	}
 	s.fetching = true
@@ -92,7 +117,7 @@
 	s.cfgBody = body
 	s.o.Log.Emit(event.ConfigAdopted, "version", version)
 	if s.lead != nil {
-		s.lead.configure(now)
+		s.lead.configure()
 	}
 }
 
@@ -105,7 +130,7 @@
 }
 
 // configure adapts groups and pools to the configuration in force.
-func (l *leadership) configure(now clock.Instant) {
+func (l *leadership) configure() {
 	l.dirty = true
 	for _, g := range l.groups {
 		g.info.Targets = nil
@@ -115,7 +140,7 @@
 			g.info.Targets = info.Targets
 			continue
 		}
-		l.groups[info.ID] = &group{info: info, freeSince: now}
+		l.groups[info.ID] = &group{info: info}
 	}
 	for id, g := range l.groups {
 		if len(g.info.Targets) == 0 && g.state == groupFree {
--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -17,7 +17,7 @@
 	// groupMoveInterval is the least time between two planned moves of groups.
 	groupMoveInterval = 2 * time.Second
 	// missingAfter is how long a holder that has the table of its grant may fail to report the group.
-	missingAfter = time.Second
+	missingAfter = 600 * time.Millisecond
 )
 
 // groupState is the state of a group at the controller.
@@ -43,6 +43,8 @@
 	epoch  topology.Epoch
 	// shown is the first table that shows the grant; zero while it isn't published.
 	shown topology.Version
+	// clean tells that no request of an earlier holder was running at the time of the grant.
+	clean bool
 	// missingSince is when the holder first failed to report a group that it must know of; 0 if it reports it.
 	missingSince clock.Instant
 	// fence is the first table without the holder; zero while it isn't published. known counts who has that table.
@@ -50,8 +52,6 @@
 	known *witness.Acceptance
 	// goneAt is when the last holder ended without a report: its requests may be running for the longest deadline.
 	goneAt clock.Instant
-	// freeSince is when the group last became free.
-	freeSince clock.Instant
 }
 
 // adoptHeld takes in what a router reports to hold.
@@ -59,7 +59,10 @@
 	l := s.lead
 	r.held = make(map[topology.GroupID]wire.Held, len(held))
 	for _, h := range held {
-		r.held[h.Group] = h
+		// A router may report an older hold that it has released besides the present one.
+		if old, ok := r.held[h.Group]; !ok || old.Epoch < h.Epoch {
+			r.held[h.Group] = h
+		}
 		g, ok := l.groups[h.Group]
 		if !ok && l.collected {
 			// Not configured; the router gives the group up when it gets the table.
@@ -94,16 +97,36 @@
 	if g.state == groupFree || g.holder != identityOf(r.member) || g.epoch != h.Epoch {
 		return
 	}
-	l.free(now, g)
+	if now >= l.quietAt(g) {
+		l.releasedBy(g)
+	}
+	l.free(g)
 }
 
-func (l *leadership) free(now clock.Instant, g *group) {
+// actsFor tells whether a router still says that it acts for a group under the present epoch.
+func (r *router) actsFor(g *group) bool {
+	h, ok := r.held[g.info.ID]
+	return ok && h.Epoch == g.epoch && h.State != wire.HoldReleased
+}
+
+// releasedBy notes that the gateway of a group has nothing in flight any more: no former owner in the group executes
+// requests. That holds for the slices whose change is published, because the next gateway sees it too.
+func (l *leadership) releasedBy(g *group) {
+	for _, p := range l.pools {
+		for _, sl := range p.slices {
+			if sl.fence != (topology.Version{}) {
+				sl.release(g)
+			}
+		}
+	}
+}
+
+func (l *leadership) free(g *group) {
 	g.state = groupFree
 	g.holder = identity{}
 	g.shown, g.fence = topology.Version{}, topology.Version{}
 	g.known = nil
 	g.missingSince = 0
-	g.freeSince = now
 	l.dirty = true
 	l.s.o.Log.Emit(event.GroupFreed, "group", string(g.info.ID), "epoch", uint64(g.epoch))
 }
@@ -129,7 +152,7 @@
 			l.checkHolder(now, g)
 		case groupRevoking:
 			if l.holderGone(now, g) {
-				l.free(now, g)
+				l.free(g)
 			}
 		case groupFree:
 			if len(g.info.Targets) == 0 {
@@ -181,7 +204,7 @@
 // missing tells whether a holder that knows of its grant doesn't report the group: it has lost its authority meanwhile
 // and doesn't take the group up by itself again.
 func (l *leadership) missing(now clock.Instant, g *group, r *router) bool {
-	_, reported := r.held[g.info.ID]
+	reported := r.actsFor(g)
 	knows := g.shown != topology.Version{} && !r.table.Less(g.shown)
 	if reported || !knows {
 		g.missingSince = 0
@@ -205,19 +228,14 @@
 		return false
 	}
 	r := l.routers[g.holder]
-	if r != nil && !r.table.Less(g.fence) {
-		_, reported := r.held[g.info.ID]
-		if !reported {
-			return true
-		}
+	if r != nil && !r.table.Less(g.fence) && !r.actsFor(g) {
+		// It lost its authority before, so that requests may be running.
+		g.goneAt = now
+		return true
 	}
 	if r != nil && now < r.leaseEnd {
 		return false
 	}
-	if l.s.o.unconfirmed {
-		g.goneAt = now
-		return true
-	}
 	known, ok := g.known.Half()
 	if ok && now >= lease.GrantorEnd(known, lease.TTL) {
 		g.goneAt = now
@@ -306,6 +324,7 @@
 	g.epoch = topology.NewGroupEpoch(l.term, l.epochs)
 	g.shown = topology.Version{}
 	g.missingSince = 0
+	g.clean = g.goneAt == 0 || now >= g.goneAt.Add(clock.WithDrift(l.longest(g.info.ID)))
 	l.dirty = true
 	l.s.o.Log.Emit(event.GroupGranted, "group", string(g.info.ID), "router", vm, "epoch", uint64(g.epoch))
 }
--- a/pkg/controller/leader.go
+++ b/pkg/controller/leader.go
@@ -43,6 +43,9 @@
 	leaseEnd clock.Instant
 	held     map[topology.GroupID]wire.Held
 	targets  []wire.TargetReport
+	// reports are the slice reports of the newest heartbeat, made with table reportTable.
+	reports     []wire.SliceReport
+	reportTable topology.Version
 }
 
 func (r *router) live(now clock.Instant) bool {
@@ -103,7 +106,7 @@
 	l.rule.SetRosters(s.record.Roster, s.record.Previous)
 	s.nextHead = now
 	if s.cfg != nil {
-		l.configure(now)
+		l.configure()
 	}
 	return l
 }
@@ -133,7 +136,9 @@
 	}
 	s.announce(now)
 	s.fetchOthers(now)
-	l.tickPools(now)
+	if l.configCurrent() {
+		l.tickPools(now)
+	}
 	if !l.collect(now) {
 		return
 	}
@@ -176,20 +181,24 @@
 	if l.collected {
 		return true
 	}
-	if l.s.cfg == nil || !l.poolsReady() {
+	if !l.configCurrent() || !l.poolsReady() {
 		return false
 	}
 	half, ok := l.acceptance.Half()
 	if !ok || l.anyTableMissing() {
 		return false
 	}
-	if !l.s.o.unconfirmed && !l.acceptance.All() && now < lease.GrantorEnd(half, lease.TTL) {
+	if !l.acceptance.All() && now < lease.GrantorEnd(half, lease.TTL) {
 		return false
 	}
 	l.adoptPromotions()
+	for _, p := range l.pools {
+		p.renewHidden()
+	}
+	fresh := len(l.acceptance.Members()) == 0
 	for _, g := range l.groups {
-		if g.state == groupFree {
-			g.goneAt, g.freeSince = now, now
+		if g.state == groupFree && !fresh {
+			g.goneAt = now
 		}
 	}
 	l.collected = true
--- a/pkg/controller/routers.go
+++ b/pkg/controller/routers.go
@@ -42,7 +42,7 @@
 		l.acceptance.Accept(hb.Member, now)
 	}
 	s.adoptHeld(now, r, hb.Held)
-	l.onSliceReports(now, r, hb.Slices)
+	l.onSliceReports(now, r, hb)
 	l.onLoads(now, hb.Loads)
 	return l.reply(now, r, hb)
 }
@@ -84,7 +84,7 @@
 		Leader:        l.s.o.Address,
 		Term:          l.term,
 		LeaseMillis:   ttl.Milliseconds(),
-		ConfigVersion: l.s.configVersion(),
+		ConfigVersion: l.shownConfig(),
 		StoreDown:     l.s.storeDown,
 		OtherTables:   l.s.newerTables(hb.OtherTables),
 	}
--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -35,8 +35,9 @@
 	released map[string]bool
 	// promoted tells that the assignment isn't in the store yet.
 	promoted bool
-	// served tells that a gateway already serves the promoted owner.
-	served bool
+	// open tells that the owner has been published. It isn't hidden again under the same epoch, because its gateway would
+	// release the slice for good.
+	open bool
 	// fence is the first published table with this epoch. known counts who has it.
 	fence topology.Version
 	known *witness.Acceptance
@@ -60,10 +61,13 @@
 
 // visible returns the owner that the table shows.
 func (sl *slice) visible() string {
+	if sl.open {
+		return sl.Owner
+	}
 	if !sl.free() {
 		return ""
 	}
-	if sl.promoted && !sl.served {
+	if sl.promoted {
 		if sl.known == nil {
 			return ""
 		}
@@ -89,7 +93,7 @@
 	sl.Epoch = epoch
 	sl.fence = topology.Version{}
 	sl.known = nil
-	sl.served = false
+	sl.open = false
 	sl.appliedAt = map[string]clock.Instant{}
 }
 
@@ -241,6 +245,9 @@
 	p.changedAt = now
 	p.merge()
 	l.dirty = true
+	for _, r := range l.routers {
+		l.reviewReports(now, r, p)
+	}
 	l.s.o.Log.Emit(event.SlicesWritten, "pool", p.name, "slices", len(p.slices))
 }
 
@@ -274,7 +281,7 @@
 
 // inherit keeps what is known about the unchanged assignment.
 func (sl *slice) inherit(o *slice) {
-	sl.released, sl.fence, sl.known, sl.appliedAt = o.released, o.fence, o.known, o.appliedAt
+	sl.released, sl.fence, sl.known, sl.appliedAt, sl.open = o.released, o.fence, o.known, o.appliedAt, o.open
 }
 
 func (sl *slice) keepPromoted(o *slice) {
@@ -479,6 +486,26 @@
 	}
 }
 
+// renewHidden gives a new epoch to the slices that the first table of the term will hide. A gateway that has released a
+// slice takes it up again only under a new epoch.
+func (p *pool) renewHidden() {
+	for _, sl := range p.slices {
+		if sl.visible() == "" {
+			sl.Epoch += placement.EpochStep
+			sl.promoted = true
+		}
+	}
+}
+
+// release notes that the gateway of a group has ended the requests of every former owner in the group.
+func (sl *slice) release(g *group) {
+	for _, f := range sl.Former {
+		if slices.Contains(g.info.Targets, f.Owner) {
+			sl.released[f.Owner] = true
+		}
+	}
+}
+
 func (l *leadership) adoptShown(shown topology.Slice) {
 	p, ok := l.pools[shown.Pool]
 	if !ok {
@@ -530,10 +557,23 @@
 }
 
 // onSliceReports takes in what a gateway says about slices that changed hands there.
-func (l *leadership) onSliceReports(now clock.Instant, r *router, reports []wire.SliceReport) {
-	for _, rep := range reports {
-		p, ok := l.pools[rep.Pool]
-		if !ok {
+func (l *leadership) onSliceReports(now clock.Instant, r *router, hb *wire.Heartbeat) {
+	if hb.TableVersion.Less(r.reportTable) {
+		// A delayed heartbeat.
+		return
+	}
+	r.reports = hb.Slices
+	r.reportTable = hb.TableVersion
+	for _, p := range l.pools {
+		l.reviewReports(now, r, p)
+	}
+}
+
+// reviewReports applies the reports of a router to a pool. A gateway reports the release of a lost target's slice before
+// the controller has decided on the move, so that this happens after each change too.
+func (l *leadership) reviewReports(now clock.Instant, r *router, p *pool) {
+	for _, rep := range r.reports {
+		if rep.Pool != p.name {
 			continue
 		}
 		for _, sl := range p.slices {
@@ -551,7 +591,7 @@
 	}
 	switch rep.State {
 	case wire.SliceReleased:
-		l.onSliceReleased(now, g, sl, rep)
+		l.onSliceReleased(now, g, r, sl, rep)
 	case wire.SlicePromoted:
 		l.onSlicePromoted(g, sl, rep)
 	}
@@ -560,8 +600,12 @@
 // onSliceReleased notes the release by the gateway of a former owner's group. It speaks for every former owner in its
 // group, because it may have promoted one of them itself. A gateway that took the group from a lost one can't speak for
 // the requests of that one; they are outwaited.
-func (l *leadership) onSliceReleased(now clock.Instant, g *group, sl *slice, rep wire.SliceReport) {
-	if now < l.quietAt(g) {
+//
+// A release is final for the gateway's present hold of the group and the slice's epoch. The report counts only if it was
+// made with the table that shows this hold, so that it isn't about an earlier one. If the gateway is replaced before the
+// change is published, its successor is granted the group in the same table or a later one, and doesn't serve the slice.
+func (l *leadership) onSliceReleased(now clock.Instant, g *group, r *router, sl *slice, rep wire.SliceReport) {
+	if now < l.quietAt(g) || g.shown == (topology.Version{}) || r.reportTable.Less(g.shown) {
 		return
 	}
 	for _, f := range sl.Former {
@@ -586,7 +630,7 @@
 	// The gateway serves both owners; it has ended the requests of the former one.
 	sl.released[former] = true
 	sl.promoted = true
-	sl.served = true
+	sl.open = true
 	l.dirty = true
 }
 
@@ -620,10 +664,16 @@
 	return p.MaxDeadline.Duration()
 }
 
-// expireFormer releases former owners by time, where no report can come:
-//   - the target's group has no holder, and the last one's requests have ended;
-//   - the group's gateway has known for the longest deadline that the owner changed, so that its last request has ended;
-//   - the target isn't configured any more.
+// longest is the longest deadline of a group's pool.
+func (l *leadership) longest(id topology.GroupID) time.Duration {
+	p, ok := l.s.cfg.Pool(id.Pool())
+	if !ok {
+		return 0
+	}
+	return p.MaxDeadline.Duration()
+}
+
+// expireFormer releases former owners by time, where no report can come; see formerGone.
 func (l *leadership) expireFormer(now clock.Instant, p *pool) {
 	for _, sl := range p.slices {
 		for _, f := range sl.Former {
@@ -635,17 +685,26 @@
 	}
 }
 
+// formerGone tells whether the last request at a former owner has ended for certain:
+//   - the target isn't configured any more, and the longest deadline has passed;
+//   - the group's gateway was granted the group when the change was published already, so that only earlier gateways can
+//     have served the former owner, and their requests have ended;
+//   - the gateway has known for the longest deadline that the owner changed.
 func (l *leadership) formerGone(now clock.Instant, p *pool, sl *slice, f Former) bool {
 	longest := clock.WithDrift(max(p.cfg.MaxDeadline.Duration(), lease.GrantTTL))
 	g := l.groupOf(f.Owner)
 	if g == nil {
 		return now >= l.since.Add(longest)
 	}
-	if g.state == groupFree {
-		return now >= g.freeSince.Add(clock.WithDrift(l.residue(g.info.ID)))
-	}
 	r := l.routers[g.holder]
-	if g.state != groupHeld || r == nil || sl.fence == (topology.Version{}) || r.table.Less(sl.fence) {
+	if g.state != groupHeld || r == nil || sl.fence == (topology.Version{}) || g.shown == (topology.Version{}) {
+		return false
+	}
+	ownTerm := g.epoch >= topology.NewGroupEpoch(l.term, 0)
+	if ownTerm && !g.shown.Less(sl.fence) {
+		return now >= l.quietAt(g)
+	}
+	if r.table.Less(sl.fence) {
 		return false
 	}
 	key := f.Owner + "@" + g.holder.vm
--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -66,9 +66,7 @@
 	Peers []Peer
 	// Parse decodes and checks a configuration.
 	Parse func(data []byte, file string) (*config.Config, finding.List)
-	// unconfirmed disables the wait for the roster. It exists for tests that show why the wait is needed.
-	unconfirmed bool
-	Log         *event.Logger
+	Log   *event.Logger
 }
 
 // State is the state of one candidate. It isn't safe for concurrent use.
@@ -103,12 +101,15 @@
 	cfg     *config.Config
 	cfgBody []byte
 	// cfgBad is a version that could not be used.
-	cfgBad     uint64
-	head       row
-	nextHead   clock.Instant
-	fetching   bool
-	others     map[string]*topology.Table
-	nextOthers clock.Instant
+	cfgBad   uint64
+	head     row
+	nextHead clock.Instant
+	fetching bool
+	// headVersion is the version that the head named when it was last read, asked at headAsked.
+	headVersion uint64
+	headAsked   clock.Instant
+	others      map[string]*topology.Table
+	nextOthers  clock.Instant
 
 	// storeSeen is the last time that the store answered.
 	storeSeen clock.Instant
@@ -178,7 +179,7 @@
 		s.onTerm(now, s.term.onRead(now, res), res.Err)
 	case headKey:
 		s.head.onRead(now, res)
-		s.onHead(now)
+		s.onHead(res)
 	default:
 		s.onPoolRow(now, res.Key, func(r *row) outcome { return r.onRead(now, res) })
 	}
--- a/pkg/controller/table.go
+++ b/pkg/controller/table.go
@@ -47,6 +47,7 @@
 			g.shown = version
 		}
 		shown.Gateway = g.holder.vm
+		shown.Clean = g.clean
 		shown.GatewayIncarnation = uint64(g.holder.incarnation)
 		if r := l.routers[g.holder]; r != nil {
 			shown.GatewayAddress = r.member.Address
@@ -74,6 +75,7 @@
 	}
 	shown := sl.topology(p.name)
 	shown.Owner = sl.visible()
+	sl.open = shown.Owner != ""
 	if shown.Owner == "" {
 		// Names the coming owner first, so that a successor of this controller finds a promotion in the tables of routers.
 		shown.Successors = append([]string{sl.Owner}, without(sl.Successors, sl.Owner)...)
--- a/pkg/controller/world_test.go
+++ b/pkg/controller/world_test.go
@@ -1,9 +1,13 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand"
+	"slices"
 	"sort"
 	"time"
 
@@ -36,6 +40,8 @@
 	// seenConfig is the newest version that each process has shown.
 	seenConfig map[string]uint64
 	maxDelay   time.Duration
+	// story receives what happens; nil for silence.
+	story io.Writer
 }
 
 type occurrence struct {
@@ -101,7 +107,12 @@
 }
 
 func newWorld(seed int64, routers int, cfg *config.Config) *world {
-	w := &world{rng: rand.New(rand.NewSource(seed)), store: memstore.New(), storeOK: true, cut: map[string]bool{},
+	return newToldWorld(seed, routers, cfg, nil)
+}
+
+// newToldWorld also takes the receiver of the story.
+func newToldWorld(seed int64, routers int, cfg *config.Config, story io.Writer) *world {
+	w := &world{story: story, rng: rand.New(rand.NewSource(seed)), store: memstore.New(), storeOK: true, cut: map[string]bool{},
 		lost: map[string]bool{}, seenConfig: map[string]uint64{}, cfg: cfg, maxDelay: 4 * time.Millisecond}
 	w.putConfig(cfg)
 	for i := range 3 {
@@ -119,7 +130,7 @@
 func (w *world) addCandidate(name string) *candidate {
 	c := &candidate{process: process{name: name, rate: w.rate()}, w: w}
 	o := Options{VM: name, Cell: "north", Region: "north", Domain: "north-a", Address: name, Incarnation: wire.Incarnation(w.rng.Uint64()),
-		Parse: config.Parse}
+		Parse: config.Parse, Log: w.logger(name)}
 	c.state = New(o, c.clock(w))
 	w.cands = append(w.cands, c)
 	w.after(w.delay(), &c.process, c.tick)
@@ -282,21 +293,31 @@
 	return max(r.lease.End(), r.rule.Until(r.clock(r.w), position, known))
 }
 
-func (r *fakeRouter) valid() bool { return r.clock(r.w) < r.until() }
+func (r *fakeRouter) valid() bool {
+	now := r.clock(r.w)
+	return r.lease.Valid(now) || now < r.until()
+}
 
 // lapse drops everything once the authority has ended; requests in flight run on.
 func (r *fakeRouter) lapse() {
 	if r.valid() || len(r.groups) == 0 {
 		return
 	}
-	for low, s := range r.serving {
-		r.residue = append(r.residue, residue{low: low, owner: s.slice.Owner, until: r.w.now + r.w.drain()})
+	// Requests were sent before the authority ended, also if the router notices that later.
+	ended := time.Duration(float64(r.until()-clock.Instant(time.Hour)) / r.rate)
+	for _, low := range sortedKeys(r.serving) {
+		r.residue = append(r.residue, residue{low: low, owner: r.serving[low].slice.Owner, until: ended + r.w.drain()})
 	}
 	r.lapseCount++
+	r.w.tell("%s lapses with %d groups", r.name, len(r.groups))
 	r.groups = map[topology.GroupID]*heldGroup{}
 	r.serving = map[uint64]served{}
 }
 
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
 func (w *world) drain() time.Duration {
 	longest := w.cfg.Pools[0].MaxDeadline.Duration()
 	return time.Duration(w.rng.Int63n(int64(longest)))
@@ -306,6 +327,7 @@
 	r.lapse()
 	switch m := request.(type) {
 	case *wire.AnnounceTerm:
+		r.until()
 		if m.Term >= r.term {
 			r.term = m.Term
 			r.leader = m.Address
@@ -343,6 +365,10 @@
 	r.lapse()
 	w := r.w
 	asked := r.clock(w)
+	w.after(witness.Interval, &r.process, r.ask)
+	if asked < r.lease.End().Add(-3*witness.Interval) {
+		return
+	}
 	for _, m := range r.rule.Members() {
 		other := w.router(m.VM)
 		if other == nil || !w.linked(r.name, other.name) {
@@ -355,11 +381,11 @@
 				w.after(w.delay(), &r.process, func() {
 					r.lapse()
 					r.rule.Record(asked, reply)
+					r.until()
 				})
 			}
 		})
 	}
-	w.after(witness.Interval, &r.process, r.ask)
 }
 
 // beat sends a heartbeat to the known leader, else to the candidates in turn.
@@ -394,7 +420,7 @@
 
 func (r *fakeRouter) heartbeat() *wire.Heartbeat {
 	hb := &wire.Heartbeat{Cell: "north", Member: r.member, Term: r.term, ConfigVersion: r.config, RosterVersion: r.roster.Version,
-		Held: r.heldReport(), Slices: r.reports, Leaving: r.leaving}
+		Held: r.heldReport(), Slices: slices.Clone(r.reports), Leaving: r.leaving}
 	if r.table != nil {
 		hb.TableVersion = r.table.Version
 		for _, g := range r.table.Groups {
@@ -415,6 +441,7 @@
 
 func (r *fakeRouter) onReply(asked clock.Instant, reply *wire.HeartbeatReply) {
 	r.lapse()
+	r.until()
 	if !reply.Active {
 		if reply.Leader != "" && r.leader == "" {
 			r.leader = reply.Leader
@@ -456,18 +483,25 @@
 			mine[g.ID] = g
 		}
 	}
-	for id, h := range r.groups {
+	for _, id := range sortedKeys(r.groups) {
+		h := r.groups[id]
 		g, ok := mine[id]
 		switch {
 		case h.state == wire.HoldDraining && r.w.now >= h.until:
 			delete(r.groups, id)
+			r.w.tell("%s gives up %s", r.name, id)
 		case h.state == wire.HoldActive && (!ok || g.Epoch != h.epoch) && r.table.Version.Term >= r.leaseTerm:
 			h.state = wire.HoldDraining
 			h.until = r.w.now + r.w.drain()/4
 		}
 	}
 	for id, g := range mine {
-		if r.groups[id] == nil {
+		// A table of an older term may show a group that the router lost meanwhile. A new controller publishes only once
+		// it knows who holds what.
+		if r.groups[id] == nil && r.table.Version.Term == r.leaseTerm {
+			r.w.tell("%s takes up %s %d", r.name, id, g.Epoch)
+			// What an earlier hold released says nothing about this one.
+			r.reports = slices.DeleteFunc(r.reports, func(rep wire.SliceReport) bool { return slices.Contains(g.Targets, rep.Owner) })
 			r.groups[id] = &heldGroup{epoch: g.Epoch, state: wire.HoldActive}
 		}
 	}
@@ -482,7 +516,8 @@
 			owned[s.Low] = s
 		}
 	}
-	for low, s := range r.serving {
+	for _, low := range sortedKeys(r.serving) {
+		s := r.serving[low]
 		now, ok := owned[low]
 		same := ok && now.Owner == s.slice.Owner
 		switch {
@@ -494,17 +529,27 @@
 			s.draining = true
 			s.until = r.w.now + r.w.drain()/4
 			r.serving[low] = s
+			r.w.tell("%s drains %d at %s %d for %s %d by %v", r.name, low, s.slice.Owner, s.slice.Epoch, now.Owner, now.Epoch, r.table.Version)
 		case !s.draining:
 			s.slice = now
 			r.serving[low] = s
 		}
 	}
-	for low, s := range owned {
-		if _, ok := r.serving[low]; !ok {
+	for _, low := range sortedKeys(owned) {
+		s := owned[low]
+		// A release is final for the hold and the epoch.
+		released := slices.ContainsFunc(r.reports, func(rep wire.SliceReport) bool {
+			return rep.Low == low && rep.Owner == s.Owner && rep.Epoch == s.Epoch
+		})
+		if _, ok := r.serving[low]; !ok && !released {
+			r.w.tell("%s serves %d at %s %d by %v", r.name, low, s.Owner, s.Epoch, r.table.Version)
 			r.serving[low] = served{slice: s}
 		}
 	}
-	r.reports = r.reports[max(0, len(r.reports)-64):]
+	r.reports = slices.DeleteFunc(r.reports, func(rep wire.SliceReport) bool {
+		now, ok := r.table.Slice(rep.Pool, rep.Low)
+		return ok && now.Epoch > rep.Epoch && now.Owner != ""
+	})
 }
 
 func (w *world) fail(format string, args ...any) {
@@ -539,6 +584,9 @@
 			holders[id] = r.name
 		}
 		for low, s := range r.serving {
+			if s.draining && w.now >= s.until {
+				continue
+			}
 			own(low, s.slice.Owner, r.name)
 		}
 	}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -71,7 +71,10 @@
 	// GatewayIncarnation is the process of the gateway that the group was granted to. A restarted process of the same VM
 	// doesn't hold the group.
 	GatewayIncarnation uint64 `msgpack:"inc" json:"gateway_incarnation"`
-	Epoch              Epoch  `msgpack:"epoch" json:"epoch"`
+	// Clean tells that no request of an earlier gateway can be running, so that the gateway needn't wait for the longest
+	// deadline: every earlier one has reported its release, or the deadline has passed.
+	Clean bool  `msgpack:"clean" json:"clean"`
+	Epoch Epoch `msgpack:"epoch" json:"epoch"`
 }
 
 // Slice is a range of key hashes with one owner.
