--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -153,6 +153,11 @@
 }
 
 func (c *checker) logLevel(level string) {
+	CheckLogLevel(&c.Checker, level)
+}
+
+// CheckLogLevel checks the field log_level.
+func CheckLogLevel(c *check.Checker, level string) {
 	if !slices.Contains(logLevels, level) {
 		c.Fail("log_level", fmt.Sprintf("%q is not a level", level), strings.Join(logLevels, ", "))
 	}
