--- a/pkg/wire/control.go
+++ b/pkg/wire/control.go
@@ -164,8 +164,14 @@
 	Member        Member `msgpack:"member"`
 	Term          uint64 `msgpack:"term"`
 	ConfigVersion uint64 `msgpack:"config"`
+	// TableVersion is the newest table of the cell that the router has. An asker with an older table doesn't count the
+	// answer: the controller of the same term may have granted the asker's groups again.
+	TableVersion topology.Version `msgpack:"table"`
 	// Leader is the controller address that the router knows.
 	Leader string `msgpack:"leader"`
+	// AuthorityMillis is the remaining authority of the router's own lease or roster rule, 0 if it has none. A router
+	// without any lease serves callers as long as one with authority confirms its configuration.
+	AuthorityMillis int64 `msgpack:"auth"`
 }
 
 // FetchConfig asks a controller or router for a configuration version or newer.
