--- a/internal/standin/target/record.go
+++ b/internal/standin/target/record.go
@@ -51,7 +51,9 @@
 // Summary is the part of the record that doesn't grow.
 type Summary struct {
 	Target string `json:"target"`
-	Slots  int    `json:"slots"`
+	// Started identifies the process: its record starts again after a restart.
+	Started clock.Instant `json:"started,string"`
+	Slots   int           `json:"slots"`
 	// ColdSlots is the limit that MaxExecutingCold is to be compared with.
 	ColdSlots int `json:"cold_slots"`
 	// Executed counts all executions, also those that the record no longer holds.
@@ -149,6 +151,7 @@
 	defer t.mu.Unlock()
 	s := t.summary
 	s.Target = t.settings.ID
+	s.Started = t.started
 	s.Slots = t.settings.Slots
 	s.ColdSlots = t.settings.ColdSlots
 	s.Executed = t.log.next - 1
