--- /dev/null
+++ b/pkg/filter/deadline/deadline_test.go
@@ -0,0 +1,70 @@
+package deadline
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/filter"
+	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
+)
+
+// Guards against a deadline that isn't the shortest bound.
+func TestShortestBound(t *testing.T) {
+	for header, want := range map[string]time.Duration{"": time.Second, "200": 200 * time.Millisecond, "5000": time.Second} {
+		x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+		if header != "" {
+			x.Request.Header.Set(filter.HeaderTimeout, header)
+		}
+		before := time.Now()
+		end := filtertest.Passed(t, New(), x)
+		got, ok := end.Context.Deadline()
+		if !ok || got.Before(before.Add(want)) || got.After(time.Now().Add(want)) {
+			t.Errorf("%q: deadline after %v", header, got.Sub(before))
+		}
+	}
+	x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders/south", nil), "bound")
+	end := filtertest.Passed(t, New(), x)
+	if got, _ := end.Context.Deadline(); time.Until(got) > 2*time.Second {
+		t.Error("the pool's longest deadline doesn't apply")
+	}
+}
+
+// Guards against a malformed time-out that is ignored.
+func TestMalformed(t *testing.T) {
+	for _, values := range [][]string{{"0"}, {"-1"}, {"1.5"}, {"x"}, {"99999999999"}, {"1", "2"}} {
+		x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+		x.Request.Header[filter.HeaderTimeout] = values
+		if p := filtertest.Refused(t, New(), x); p.Status != http.StatusBadRequest {
+			t.Errorf("%v: %v", values, p)
+		}
+	}
+}
+
+// Guards against an answer whose context ends before its body has been read, or never.
+func TestContextEndsWithBody(t *testing.T) {
+	x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+	end := &filtertest.End{}
+	response, err := New().Handle(context.Background(), x, end.Next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if end.Context.Err() != nil {
+		t.Error("the context ended with the head")
+	}
+	_ = response.Body.Close()
+	if end.Context.Err() == nil {
+		t.Error("the context doesn't end with the body")
+	}
+}
+
+// Guards against reads of a stalled upload that outlive the deadline.
+func TestInterrupt(t *testing.T) {
+	x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+	x.Request.Header.Set(filter.HeaderTimeout, "1")
+	interrupted := make(chan struct{})
+	x.Interrupt = func() { close(interrupted) }
+	filtertest.Passed(t, New(), x)
+	<-interrupted
+}
--- /dev/null
+++ b/pkg/filter/idempotency/idempotency_test.go
@@ -0,0 +1,36 @@
+package idempotency
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/bronzelever/bronzelever/pkg/filter"
+	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
+	"github.com/bronzelever/bronzelever/pkg/problem"
+)
+
+// Guards against orders that couldn't be recognized when they are sent again.
+func TestKeyRequired(t *testing.T) {
+	for _, c := range []struct {
+		values []string
+		code   problem.Code
+	}{
+		{nil, problem.CodeNoIdempotency},
+		{[]string{""}, problem.CodeNoIdempotency},
+		{[]string{"a", "b"}, problem.CodeBadRequest},
+		{[]string{strings.Repeat("x", maxKeyBytes+1)}, problem.CodeBadRequest},
+	} {
+		x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+		x.Request.Header[filter.HeaderIdempotencyKey] = c.values
+		if p := filtertest.Refused(t, New(), x); p.Code != c.code {
+			t.Errorf("%v: %v", c.values, p)
+		}
+	}
+	x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", nil), "orders")
+	x.Request.Header.Set(filter.HeaderIdempotencyKey, "k1")
+	filtertest.Passed(t, New(), x)
+	if x.IdempotencyKey != "k1" {
+		t.Errorf("key %q", x.IdempotencyKey)
+	}
+	filtertest.Passed(t, New(), filtertest.Route(filtertest.Exchange(t, "GET", "/plain", nil), "plain"))
+}
--- /dev/null
+++ b/pkg/filter/inputcheck/inputcheck_test.go
@@ -0,0 +1,77 @@
+package inputcheck
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/filter"
+	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
+	"github.com/bronzelever/bronzelever/pkg/problem"
+)
+
+func keyedExchange(t *testing.T, url string, source config.KeySource) *filter.Exchange {
+	x := filtertest.Route(filtertest.Exchange(t, "GET", url, nil), "keyed")
+	route := *x.Route
+	route.Key = source
+	x.Route = &route
+	return x
+}
+
+// Guards against a key that is read from the wrong place or not unescaped.
+func TestKey(t *testing.T) {
+	header := config.KeySource{Place: config.KeyInHeader, Name: "X-Key"}
+	query := config.KeySource{Place: config.KeyInQuery, Name: "id"}
+	path := config.KeySource{Place: config.KeyInPath, Segment: 1}
+	for url, source := range map[string]config.KeySource{"/keyed": header, "/keyed?id=a%2Fb&x=1": query, "/keyed/a%2Fb/c": path} {
+		x := keyedExchange(t, url, source)
+		x.Request.Header.Set("X-Key", "a/b")
+		filtertest.Passed(t, New(), x)
+		if x.Key != "a/b" || x.Body == nil {
+			t.Errorf("%s: key %q", url, x.Key)
+		}
+	}
+}
+
+// Guards against keyed requests without a definite key.
+func TestKeyRefused(t *testing.T) {
+	query := config.KeySource{Place: config.KeyInQuery, Name: "id"}
+	for url, code := range map[string]problem.Code{
+		"/keyed":           problem.CodeNoKey,
+		"/keyed?id=":       problem.CodeNoKey,
+		"/keyed?id=a&id=b": problem.CodeBadRequest,
+		"/keyed?id=%zz":    problem.CodeBadRequest,
+		"/keyed?id=" + strings.Repeat("x", maxKeyBytes+1): problem.CodeBadRequest,
+	} {
+		if p := filtertest.Refused(t, New(), keyedExchange(t, url, query)); p.Code != code || p.Status != http.StatusBadRequest {
+			t.Errorf("%s: %v", url, p)
+		}
+	}
+	x := keyedExchange(t, "/keyed", config.KeySource{Place: config.KeyInHeader, Name: "X-Key"})
+	x.Request.Header["X-Key"] = []string{"a", "b"}
+	if p := filtertest.Refused(t, New(), x); p.Code != problem.CodeBadRequest {
+		t.Error(p)
+	}
+}
+
+// Guards against oversized requests that reach a target.
+func TestBounds(t *testing.T) {
+	x := filtertest.Route(filtertest.Exchange(t, "POST", "/orders", strings.NewReader(strings.Repeat("x", 1<<20+1))), "orders")
+	if p := filtertest.Refused(t, New(), x); p.Status != http.StatusRequestEntityTooLarge {
+		t.Error(p)
+	}
+	x = filtertest.Route(filtertest.Exchange(t, "GET", "/plain", nil), "plain")
+	x.Request.Header.Set("X-Large", strings.Repeat("x", MaxHeaderBytes))
+	if p := filtertest.Refused(t, New(), x); p.Status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Error(p)
+	}
+	x = filtertest.Route(filtertest.Exchange(t, "GET", "/plain", nil), "plain")
+	for i := range maxHeaders + 1 {
+		x.Request.Header.Set(fmt.Sprintf("X-%d", i), "1")
+	}
+	if p := filtertest.Refused(t, New(), x); p.Status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Error(p)
+	}
+}
--- /dev/null
+++ b/pkg/filter/requestid/requestid_test.go
@@ -0,0 +1,31 @@
+package requestid
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/bronzelever/bronzelever/pkg/filter"
+	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
+)
+
+// Guards against losing the caller's ID, and against IDs that would forge log lines.
+func TestID(t *testing.T) {
+	for given, kept := range map[string]bool{"": false, "abc-1": true, "a b": false, "a\nb": false, strings.Repeat("x", 200): false} {
+		x := filtertest.Exchange(t, "GET", "/plain", nil)
+		x.Request.Header[filter.HeaderRequestID] = []string{given}
+		filtertest.Passed(t, New(), x)
+		if (x.ID == given) != kept || x.ID == "" || x.Header.Get(filter.HeaderRequestID) != x.ID {
+			t.Errorf("%q became %q", given, x.ID)
+		}
+	}
+}
+
+// Guards against two requests with one ID.
+func TestRandomIDsDiffer(t *testing.T) {
+	x, y := filtertest.Exchange(t, "GET", "/plain", nil), filtertest.Exchange(t, "GET", "/plain", nil)
+	filtertest.Passed(t, New(), x)
+	filtertest.Passed(t, New(), y)
+	if x.ID == y.ID {
+		t.Errorf("both requests have the ID %q", x.ID)
+	}
+}
--- /dev/null
+++ b/pkg/filter/route/route_test.go
@@ -0,0 +1,43 @@
+package route
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
+)
+
+// Guards against a wrong route: a shorter prefix, a prefix within a segment, or another method's route.
+func TestRoute(t *testing.T) {
+	for url, want := range map[string]string{"/orders": "orders", "/orders/": "orders", "/orders/1": "orders", "/orders/south/1": "bound", "/orders/southern": "orders"} {
+		x := filtertest.Exchange(t, "POST", url, nil)
+		filtertest.Passed(t, New(), x)
+		if x.Route.Name != want || x.Pool.Name != "orders" {
+			t.Errorf("%s: route %s", url, x.Route.Name)
+		}
+	}
+}
+
+// Guards against unknown paths that reach a target, and against paths that a target resolves to another route.
+func TestRefused(t *testing.T) {
+	for url, status := range map[string]int{
+		"/":                       http.StatusNotFound,
+		"/orderside":              http.StatusNotFound,
+		"/plain/../orders/south":  http.StatusBadRequest,
+		"/plain/%2e%2e/orders":    http.StatusBadRequest,
+		"/plain//x":               http.StatusBadRequest,
+		"/orders/%2e/south":       http.StatusBadRequest,
+		"//orders/south":          http.StatusBadRequest,
+		"/plain/..%2forders":      http.StatusBadRequest,
+		"/orders/south/%2e%2e/..": http.StatusBadRequest,
+	} {
+		x := filtertest.Exchange(t, "POST", "http://router"+url, nil)
+		if p := filtertest.Refused(t, New(), x); p.Status != status {
+			t.Errorf("%s: %v", url, p)
+		}
+	}
+	x := filtertest.Exchange(t, "GET", "/orders", nil)
+	if p := filtertest.Refused(t, New(), x); p.Status != http.StatusMethodNotAllowed {
+		t.Error(p)
+	}
+}
