--- a/pkg/filter/dispatch/setup.go
+++ b/pkg/filter/dispatch/setup.go
@@ -51,12 +51,16 @@
 	attempts, hedges, hedgesWon, retries, refreshes tally.Counter
 }
 
-// New returns the filter.
-func New(o Options) *Filter {
+func (o Options) scope() tally.Scope {
 	if o.Scope == nil {
-		o.Scope = tally.NoopScope
+		return tally.NoopScope
 	}
-	scope := o.Scope.SubScope("dispatch")
+	return o.Scope.SubScope("dispatch")
+}
+
+// New returns the filter.
+func New(o Options) *Filter {
+	scope := o.scope()
 	return &Filter{
 		o:         o,
 		loads:     newLoads(),
