Connect blcontroller to the platform's store

Cause: blcontroller had no client of the store and refused to start.

Change: it opens pkg/store/dynamo with the settings' store section.

Ruled out: nothing else was tried.

--- a/cmd/blcontroller/main.go
+++ b/cmd/blcontroller/main.go
@@ -25,6 +25,7 @@
 	"github.com/bronzelever/bronzelever/pkg/metric"
 	"github.com/bronzelever/bronzelever/pkg/peer"
 	"github.com/bronzelever/bronzelever/pkg/settings"
+	"github.com/bronzelever/bronzelever/pkg/store/dynamo"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -91,12 +92,13 @@
 }
 
 func serve(ctx context.Context, static settings.Controller, logger *event.Logger) error {
-	st, err := openStore(static.Store)
+	registry := metric.NewRegistry("bronzelever_controller")
+	defer func() { _ = registry.Close() }()
+	st, err := dynamo.New(static.Store, registry.Scope())
 	if err != nil {
 		return err
 	}
-	registry := metric.NewRegistry("bronzelever_controller")
-	defer func() { _ = registry.Close() }()
+	defer st.Close()
 	client := peer.NewClient(static.VM)
 	defer client.Close()
 	p := &process{
