Let an operator's confirmation also free groups of lost routers

Cause: a cell that lost more than half of its routers during a term kept their groups in revocation for ever, also when none of them ran any more (world with 3 routers).

Change: the confirmation names the table as of which no silent router runs; it frees groups whose holder is silent and whose revocation that table or an older one shows.

--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -50,8 +50,9 @@
 	// missingSince is when the holder first failed to report a group that it must know of; 0 if it reports it.
 	missingSince clock.Instant
 	// fence is the first table without the holder; zero while it isn't published. known counts who has that table.
-	fence topology.Version
-	known *witness.Acceptance
+	fence     topology.Version
+	known     *witness.Acceptance
+	revokedAt clock.Instant
 	// goneAt is when the last holder ended without a report: its requests may be running for the longest deadline.
 	goneAt clock.Instant
 }
@@ -134,11 +135,12 @@
 }
 
 // revoke takes a group from its holder: the next table doesn't show it any more.
-func (l *leadership) revoke(g *group, reason string) {
+func (l *leadership) revoke(now clock.Instant, g *group, reason string) {
 	if g.state != groupHeld {
 		return
 	}
 	g.state = groupRevoking
+	g.revokedAt = now
 	g.fence = topology.Version{}
 	g.known = nil
 	l.dirty = true
@@ -180,15 +182,15 @@
 	r := l.routers[g.holder]
 	switch {
 	case r == nil || !r.live(now):
-		l.revoke(g, "silent")
+		l.revoke(now, g, "silent")
 	case l.restarted(g.holder):
-		l.revoke(g, "restarted")
+		l.revoke(now, g, "restarted")
 	case r.leaving:
-		l.revoke(g, "leaving")
+		l.revoke(now, g, "leaving")
 	case len(g.info.Targets) == 0:
-		l.revoke(g, "not configured")
+		l.revoke(now, g, "not configured")
 	case l.missing(now, g, r):
-		l.revoke(g, "not reported")
+		l.revoke(now, g, "not reported")
 	}
 }
 
@@ -224,7 +226,7 @@
 //     for TTL, and doesn't confirm a router with an older table.
 //
 // For a pool whose targets check grants the second condition isn't needed, because the targets refuse the older group
-// epoch.
+// epoch. An operator's confirmation replaces it where half of a roster is lost.
 func (l *leadership) holderGone(now clock.Instant, g *group) bool {
 	if g.fence == (topology.Version{}) {
 		return false
@@ -243,6 +245,15 @@
 		g.goneAt = now
 		return true
 	}
+	if r == nil || !r.live(now) {
+		if now.Sub(g.revokedAt) > confirmAfter {
+			l.readConfirmation(now)
+		}
+		if !l.confirmation.Less(g.fence) {
+			g.goneAt = now
+			return true
+		}
+	}
 	if l.checked(g.info.ID) && now >= lease.GrantorEnd(l.silentSince(g), lease.TTL+lease.GrantTTL) {
 		g.goneAt = now
 		return true
@@ -385,5 +396,5 @@
 		return
 	}
 	l.nextMove = now.Add(groupMoveInterval)
-	l.revoke(l.groups[move.Group], "better placement")
+	l.revoke(now, l.groups[move.Group], "better placement")
 }
--- a/pkg/controller/leader.go
+++ b/pkg/controller/leader.go
@@ -78,10 +78,10 @@
 	// settled tells that no unreported group can have a holder. Between collected and settled, unreported groups of pools
 	// whose targets don't check grants stay blocked.
 	settled bool
-	// confirmed tells that an operator has confirmed that no router process from before the term runs.
-	confirmed   bool
-	confirm     row
-	nextConfirm clock.Instant
+	// confirmation is the table as of which an operator has confirmed that no silent router process runs.
+	confirmation topology.Version
+	confirm      row
+	nextConfirm  clock.Instant
 
 	routers map[identity]*router
 	groups  map[topology.GroupID]*group
@@ -231,7 +231,7 @@
 	}
 	half, ok := l.acceptance.Half()
 	accepted := ok && !l.anyTableMissing() && (l.acceptance.All() || now >= lease.GrantorEnd(half, lease.TTL))
-	if !accepted && !l.confirmed {
+	if !accepted && l.confirmation.Term != l.term {
 		l.readConfirmation(now)
 		return
 	}
@@ -275,7 +275,9 @@
 		s.o.Log.Emit(event.RecordInvalid, "key", res.Key, "error", err.Error())
 		return
 	}
-	s.lead.confirmed = c.Term == s.lead.term
+	if c.Term == s.lead.term {
+		s.lead.confirmation = topology.Version{Term: c.Term, Sequence: c.Sequence}
+	}
 }
 
 // tableMissing tells whether a member that has accepted the term still has to send its table.
--- a/pkg/controller/record.go
+++ b/pkg/controller/record.go
@@ -20,10 +20,13 @@
 	return fmt.Sprintf("cells/%s/confirm", cell)
 }
 
-// Confirmation is the value of the confirm row.
+// Confirmation is the value of the confirm row: an operator has made sure that no router process runs that is silent, or
+// from before the term, as of a table of the cell. It is needed only where more routers than tolerated were lost.
 type Confirmation struct {
 	// Term is the term of the controller that waits; a confirmation for another term doesn't count.
 	Term uint64 `json:"term"`
+	// Sequence is that of the newest table, 0 if the controller has none yet.
+	Sequence uint64 `json:"sequence"`
 }
 
 func slicesKey(cell, pool string) string {
--- a/pkg/controller/replay_test.go
+++ b/pkg/controller/replay_test.go
@@ -59,6 +59,7 @@
 	w := storm(seed, routers, os.Stdout)
 	w.heal()
 	w.await(recovery, w.complete)
+	w.tell("%s", w.describe())
 	if w.violation != "" {
 		t.Error(w.violation)
 	}
