--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// Guards against requests below a bound route that leave its home regions by another method.
+func TestNestedRouteKeepsHomeRegions(t *testing.T) {
+	nested := `{
+		"name": "any", "path_prefix": "/", "methods": ["DELETE", "POST"], "pool": "ordini", "class": "any", "weight": 1,
+		"idempotent": true, "deadline_ms": 800,
+	},
+	{
+			"name": "order"`
+	data := strings.Replace(valid, "{\n\t\t\t\"name\": \"order\"", nested, 1)
+	_, findings := Parse([]byte(data), "c.json")
+	want := `c.json:32:58: error: routes[2].methods: DELETE below /ordini is taken by route "any", which doesn't have these home regions`
+	if !strings.Contains(findings.Error(), want) || findings.Errors() != 1 {
+		t.Error(findings)
+	}
+	data = strings.Replace(data, `"idempotent": true, "deadline_ms": 800,
+	}`, `"idempotent": true, "deadline_ms": 800, "home_regions": ["catania"],
+	}`, 1)
+	if _, findings := Parse([]byte(data), "c.json"); findings.Errors() != 0 {
+		t.Error(findings)
+	}
+}
+
 // Guards against panics of decoder and checks on arbitrary input, and against an accepted configuration that doesn't
 // survive Marshal.
 func FuzzParse(f *testing.F) {
--- a/pkg/config/routes.go
+++ b/pkg/config/routes.go
@@ -186,3 +186,50 @@
 		}
 	}
 }
+
+// checkNested finds methods that a bound route doesn't list and that a route of a shorter prefix takes without the same
+// binding: the router chooses the longest prefix that allows the method, so such requests would leave the home regions.
+func (v *validator) checkNested() {
+	byPrefix := map[string][]*Route{}
+	for i := range v.config.Routes {
+		r := &v.config.Routes[i]
+		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		byPrefix[prefix] = append(byPrefix[prefix], r)
+	}
+	for i := range v.config.Routes {
+		if r := &v.config.Routes[i]; len(r.HomeRegions) > 0 {
+			v.checkFallThrough(jsonc.Join(jsonc.Element("routes", i), "methods"), r, byPrefix)
+		}
+	}
+}
+
+func (v *validator) checkFallThrough(path string, bound *Route, byPrefix map[string][]*Route) {
+	prefix := strings.TrimSuffix(bound.PathPrefix, "/")
+	listed := map[string]bool{}
+	for _, r := range byPrefix[prefix] {
+		for _, method := range r.Methods {
+			listed[method] = true
+		}
+	}
+	for end := strings.LastIndexByte(prefix, '/'); end >= 0; end = strings.LastIndexByte(prefix[:end], '/') {
+		for _, shorter := range byPrefix[prefix[:end]] {
+			v.checkShorter(path, bound, shorter, listed)
+		}
+	}
+}
+
+func (v *validator) checkShorter(path string, bound, shorter *Route, listed map[string]bool) {
+	if len(shorter.HomeRegions) > 0 && subset(shorter.HomeRegions, bound.HomeRegions) {
+		return
+	}
+	for _, method := range shorter.Methods {
+		if !listed[method] {
+			message := fmt.Sprintf("%s below %s is taken by route %q, which doesn't have these home regions", method, bound.PathPrefix, shorter.Name)
+			v.Fail(path, message, "list the method here or in another route of this prefix")
+		}
+	}
+}
+
+func subset(part, whole []string) bool {
+	return !slices.ContainsFunc(part, func(s string) bool { return !slices.Contains(whole, s) })
+}
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -64,6 +64,7 @@
 	v.checkPools()
 	v.checkRoutes()
 	v.checkKeyedRoutes()
+	v.checkNested()
 	v.checkTenants()
 	v.checkOut()
 	v.checkLink()
--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -94,22 +94,36 @@
 	return o.publish(ctx, base, next, options)
 }
 
+// KeepOut returns the proposed configuration with what is out of service in the base, unless it says something about that
+// itself.
+func KeepOut(base, proposed *config.Config) *config.Config {
+	next := proposed.Clone()
+	if base == nil || outCount(proposed) > 0 {
+		return next
+	}
+	next.Out = base.Clone().Out
+	// A target or failure domain that is out may have been removed.
+	return next.PruneOut()
+}
+
+func outCount(c *config.Config) int {
+	return len(c.Out.Domains) + len(c.Out.VMs) + len(c.Out.Targets)
+}
+
 // merge keeps what is out of service unless it shall be replaced.
 func merge(base, proposed *config.Config, replaceOut bool) (*config.Config, finding.List) {
-	next := proposed.Clone()
 	if base == nil || replaceOut {
-		return next, nil
+		return proposed.Clone(), nil
 	}
-	if len(proposed.Out.Domains)+len(proposed.Out.VMs)+len(proposed.Out.Targets) > 0 && len(config.DiffOut(base, proposed)) > 0 {
+	if outCount(proposed) > 0 && len(config.DiffOut(base, proposed)) > 0 {
 		return nil, finding.List{{
 			Path:    "out",
 			Message: "the file differs from what is out of service",
 			Allowed: "an empty list, the same list, or replacing it explicitly (--replace-out)",
 		}}
 	}
-	next.Out = base.Clone().Out
-	// A target or failure domain that is out may have been removed.
-	return next, next.PruneOut().Validate()
+	next := KeepOut(base, proposed)
+	return next, next.Validate()
 }
 
 func (o *Operator) publish(ctx context.Context, base State, next *config.Config, options ApplyOptions) Result {
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -53,6 +53,15 @@
 	Groups        int    `json:"groups"`
 }
 
+// Complete tells whether the store and every cell answered.
+func (v Overview) Complete() bool {
+	complete := v.StoreError == ""
+	for _, c := range v.Cells {
+		complete = complete && c.Error == ""
+	}
+	return complete
+}
+
 // Status asks store and controllers. It answers also while the store or a cell is unreachable.
 func (o *Operator) Status(ctx context.Context) Overview {
 	overview := Overview{Cells: make([]CellOverview, len(o.o.Cells))}
