Make blctl's text output readable at installation size

Cause: a trial with 8 VMs and 36 targets printed whole pools in one line, one line per cold target and unrelated warnings without a place for out/in.

Change: values beyond 160 bytes are cut in text output, not in JSON; troubled targets are listed by state; explain leaves out what is not known; out and in show only warnings about what is out.

Ruled out: hiding warnings of apply; they belong to the file.

--- a/pkg/operator/amend.go
+++ b/pkg/operator/amend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/bronzelever/bronzelever/pkg/check"
 	"github.com/bronzelever/bronzelever/pkg/config"
@@ -117,6 +118,17 @@
 		return Result{Outcome: Invalid, Message: "nothing was stored", Findings: findings}
 	}
 	result := o.publish(ctx, base, next, options)
-	result.Findings = findings
+	result.Findings = aboutOut(findings)
 	return result
 }
+
+// aboutOut leaves out the warnings that the amendment has nothing to do with.
+func aboutOut(findings finding.List) finding.List {
+	var about finding.List
+	for _, f := range findings {
+		if f.Path == "out" || strings.HasPrefix(f.Path, "out.") {
+			about.Add(f)
+		}
+	}
+	return about
+}
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -224,6 +224,13 @@
 	f.apply(t, Accepted, other, ApplyOptions{ReplaceOut: true})
 	checkOutcome(t, f.operator.In(t.Context(), FailureDomain, "caxias-a", ApplyOptions{}), Accepted)
 	checkOutcome(t, f.operator.In(t.Context(), FailureDomain, "nowhere", ApplyOptions{}), Invalid)
+	for _, domain := range []string{"itajai-a", "itajai-b", "caxias-a", "caxias-b"} {
+		r := f.operator.Out(t.Context(), FailureDomain, domain, ApplyOptions{})
+		checkOutcome(t, r, Accepted)
+		if last := domain == "caxias-b"; last != (len(r.Findings) == 3) {
+			t.Errorf("%s: %v", domain, r.Findings)
+		}
+	}
 }
 
 // Guards against claiming that something was accepted, or may be, while the store was down the whole time.
--- a/pkg/operator/text.go
+++ b/pkg/operator/text.go
@@ -8,13 +8,14 @@
 	"text/tabwriter"
 
 	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/finding"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
 // WriteText writes a result for people.
 func (r Result) WriteText(w io.Writer) {
 	for _, f := range r.Findings {
-		fmt.Fprintln(w, f)
+		fmt.Fprintln(w, findingText(f))
 	}
 	if len(r.Changes) > 0 {
 		fmt.Fprintln(w, "changes:")
@@ -34,6 +35,15 @@
 	}
 }
 
+// findingText leaves out the place of a finding about what is stored.
+func findingText(f finding.Finding) string {
+	text := f.String()
+	if f.Place == (finding.Place{}) {
+		return strings.TrimPrefix(text, f.Place.String()+": ")
+	}
+	return text
+}
+
 func inForceText(cell CellState) string {
 	if cell.InForce {
 		return "in force"
@@ -41,13 +51,25 @@
 	return "not yet in force: " + cell.Reason
 }
 
+// maxValueText bounds a value in text output; a whole pool would fill the screen. JSON output is complete.
+const maxValueText = 160
+
 // WriteChanges writes one change per line.
 func WriteChanges(w io.Writer, changes []config.Change) {
 	for _, c := range changes {
+		c.Old = shorten(c.Old)
+		c.New = shorten(c.New)
 		fmt.Fprintln(w, "  "+c.String())
 	}
 }
 
+func shorten(value string) string {
+	if len(value) <= maxValueText {
+		return value
+	}
+	return strings.ToValidUTF8(value[:maxValueText], "") + "..."
+}
+
 // WriteHistory writes changes, the newest first, with their details if wanted.
 func WriteHistory(w io.Writer, changes []Change, details bool) {
 	for _, c := range changes {
@@ -108,12 +130,31 @@
 		fmt.Fprintf(table, "  router %s\t%s\t%s\tconfiguration %s\t%d groups\tlast heard %d ms ago%s\n",
 			m.VM, m.Domain, m.Address, versionText(m.ConfigVersion, head), m.Groups, m.AgeMillis, leavingText(m.Leaving))
 	}
-	for _, t := range c.Troubled {
-		fmt.Fprintf(table, "  target %s\t%s\t%d in flight of %d\t%d queued\t%d us\n",
-			t.Target, t.State, t.InFlight, t.Limit, t.Queued, t.LatencyMicros)
-	}
 	// The writer's error is the reader's going away.
 	_ = table.Flush()
+	for _, state := range troubledStates {
+		c.writeTroubled(w, state)
+	}
+}
+
+// troubledStates are listed by name, the worst first.
+var troubledStates = []wire.TargetState{wire.TargetLost, wire.TargetSlow, wire.TargetDraining, wire.TargetCold}
+
+// writeTroubled lists the targets in a state on one line.
+func (c CellOverview) writeTroubled(w io.Writer, state wire.TargetState) {
+	var names []string
+	for _, t := range c.Troubled {
+		switch {
+		case t.State != state:
+		case state == wire.TargetSlow:
+			names = append(names, fmt.Sprintf("%s (%d us, %d queued)", t.Target, t.LatencyMicros, t.Queued))
+		default:
+			names = append(names, t.Target)
+		}
+	}
+	if len(names) > 0 {
+		fmt.Fprintf(w, "  %s: %s\n", state, strings.Join(names, " "))
+	}
 }
 
 func versionText(version, head uint64) string {
@@ -166,22 +207,30 @@
 	return strings.Join(append(parts, others...), ", ")
 }
 
-// WriteText writes an explanation for people.
+// WriteText writes an explanation for people. What is not known is left out.
 func (e Explanation) WriteText(w io.Writer) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	line := func(name string, value any) { fmt.Fprintf(table, "%s\t%v\n", name, value) }
+	line := func(name, value string) {
+		if value != "" {
+			fmt.Fprintf(table, "%s\t%s\n", name, value)
+		}
+	}
 	line("route", e.Route)
 	line("pool", e.Pool)
 	line("permitted regions", strings.Join(e.Regions, " "))
 	line("key hash", e.Hash)
 	line("cell", e.Cell)
-	line("slice", e.Low+" to "+e.High)
+	if e.Low != "" {
+		line("slice", e.Low+" to "+e.High)
+		line("slice epoch", fmt.Sprint(uint64(e.SliceEpoch)))
+	}
 	line("owner", e.Owner)
-	line("slice epoch", uint64(e.SliceEpoch))
-	line("successors", listOrNone(e.Successors))
-	line("group", e.Group)
-	line("group epoch", uint64(e.GroupEpoch))
-	line("gateway", e.Gateway+" "+e.Address)
+	line("successors", strings.Join(e.Successors, " "))
+	if e.Group != "" {
+		line("group", string(e.Group))
+		line("group epoch", fmt.Sprint(uint64(e.GroupEpoch)))
+	}
+	line("gateway", strings.TrimSpace(e.Gateway+" "+e.Address))
 	line("table", e.TableVersion)
 	line("configuration", fmt.Sprintf("%d from %s", e.ConfigVersion, e.ConfigFrom))
 	// The writer's error is the reader's going away.
