Accept a change despite lost routers, and only with the roster

Cause: a trial showed that a stopped router stays in the controller's status for more than 15 s and held up every change; and that routers which a new controller has not heard of were not asked for at all.

Change: apply waits for every router that is heard of, and for routers that are silent or only recorded in the cell's rosters until their authority has certainly ended (2 s after all others have the version). At least half of each recorded roster must have the version: the others are then not more than half and can't confirm an older version to each other.

Ruled out: ignoring silent routers at once, since a router without a lease may serve for another 1.2 s by what it confirmed or borrowed before.

--- a/cmd/blctl/main_test.go
+++ b/cmd/blctl/main_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/bronzelever/bronzelever/internal/standin/platform"
 	"github.com/bronzelever/bronzelever/pkg/peer"
+	"github.com/bronzelever/bronzelever/pkg/settings"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -37,6 +38,7 @@
 	server := httptest.NewServer(i.front)
 	t.Cleanup(server.Close)
 	controller := i.serveController(t)
+	recordRosters(t, server.URL)
 	i.settings = filepath.Join(t.TempDir(), "blctl.json")
 	text := fmt.Sprintf(`{
 		"operator": "alice",
@@ -56,6 +58,21 @@
 	return i
 }
 
+// recordRosters writes the term rows, which controllers keep.
+func recordRosters(t *testing.T, url string) {
+	t.Helper()
+	rows, err := openStore(settings.Store{TableEndpoint: url, ObjectEndpoint: url, Region: "test", Table: "t", Bucket: "b",
+		AccessKeyEnv: "BLCTL_TEST_KEY", SecretKeyEnv: "BLCTL_TEST_SECRET"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, cell := range []string{"catania", "palermo"} {
+		if _, err := rows.Put(t.Context(), "cells/"+cell+"/term", []byte(`{"roster": {"members": [{"vm": "vm-1"}]}}`), 0, "t"); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func (i *installation) serveController(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -24,6 +24,9 @@
 	DefaultAcceptTimeout = 10 * time.Second
 	// DefaultPollInterval is the pause between two looks at a cell or retries at the store.
 	DefaultPollInterval = 100 * time.Millisecond
+	// DefaultSilentWait is how long a silent router is waited for. What it confirmed with other routers before they had the
+	// version, or borrowed from them, ends 1.2 s after that; the rest covers the drift of the clocks.
+	DefaultSilentWait = 2 * time.Second
 )
 
 // callTimeout bounds one call to a controller, so that a frozen one doesn't hide the others.
@@ -52,6 +55,7 @@
 	StoreTimeout  time.Duration
 	AcceptTimeout time.Duration
 	PollInterval  time.Duration
+	SilentWait    time.Duration
 }
 
 // Operator carries out operators' commands. It is safe for concurrent use.
@@ -73,6 +77,9 @@
 	if o.PollInterval == 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.SilentWait == 0 {
+		o.SilentWait = DefaultSilentWait
+	}
 	return &Operator{o: o}
 }
 
