--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzBodyData$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzDecodeMessages$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./pkg/settings -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./pkg/config -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./pkg/questionnaire -run '^$$' -fuzz '^FuzzGenerate$$' -fuzztime $(FUZZTIME)
--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -47,8 +48,11 @@
 // Explain finds cell, slice, owner and gateway of a key in the same way as a router does.
 func (o *Operator) Explain(ctx context.Context, q Question) (Explanation, error) {
 	c, from, err := o.knownConfig(ctx)
-	if err != nil {
+	switch {
+	case c == nil && err != nil:
 		return Explanation{}, err
+	case c == nil:
+		return Explanation{}, errors.New("no configuration has been applied yet")
 	}
 	e := Explanation{Route: q.Route, Tenant: q.Tenant, ConfigVersion: c.Version, ConfigFrom: from}
 	hash, err := e.locate(c, q)
--- a/pkg/operator/head.go
+++ b/pkg/operator/head.go
@@ -170,22 +170,28 @@
 	return changes, nil
 }
 
-// knownConfig returns the configuration in force, from the store or else from a controller.
+// lookTimeout bounds the store's part of Status and Explain, which also work without it.
+const lookTimeout = 2 * time.Second
+
+// fromStore is the origin of a configuration that the store's head names.
+const fromStore = "store"
+
+// knownConfig returns the configuration in force and where it was read: from the store, or else from a controller. The
+// error is that of the store, also if a controller knew the configuration; the configuration is nil if nobody did.
 func (o *Operator) knownConfig(ctx context.Context) (*config.Config, string, error) {
-	state, err := o.Current(ctx)
+	storeCtx, cancel := context.WithTimeout(ctx, lookTimeout)
+	defer cancel()
+	state, err := o.Current(storeCtx)
 	if err == nil && state.Config != nil {
-		return state.Config, "store", nil
+		return state.Config, fromStore, nil
 	}
 	for _, cell := range o.o.Cells {
 		for _, address := range cell.Controllers {
 			if c := o.fetchConfig(ctx, address); c != nil {
-				return c, "controller " + address, nil
+				return c, "controller " + address, err
 			}
 		}
 	}
-	if err == nil {
-		err = errors.New("no configuration has been applied yet")
-	}
 	return nil, "", err
 }
 
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -71,15 +71,17 @@
 			overview.Cells[i] = o.cellOverview(ctx, cell)
 		})
 	}
-	_, head, err := o.readHead(ctx)
+	c, from, err := o.knownConfig(ctx)
 	if err != nil {
 		overview.StoreError = err.Error()
 	}
-	overview.Version = head.Version
-	if c, from, err := o.knownConfig(ctx); err == nil {
+	if c != nil {
 		overview.Out = c.Out
 		overview.OutFrom = from
 	}
+	if from == fromStore {
+		overview.Version = c.Version
+	}
 	wait.Wait()
 	return overview
 }
