Take the lease time from pkg/lease; test blctl dump

Cause: config repeated the 1.2 s of the lease; dump had no test.

Change: config.LeaseTTL is lease.TTL. A test runs dump against a process that answers, one that refuses, and a wrong address.

Ruled out: nothing.

Conclusion: one place for the lease time.

--- a/cmd/blctl/main_test.go
+++ b/cmd/blctl/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -133,6 +134,20 @@
 	i.expect(t, exitFailed, "no such file", "validate", "missing.json")
 }
 
+// Guards against a dump that is cut, changed or taken from a process that refuses.
+func TestDump(t *testing.T) {
+	i := newInstallation(t)
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"vm": "vm-1"}`) })
+	admin := httptest.NewServer(mux)
+	defer admin.Close()
+	i.expect(t, exitOK, `{"vm": "vm-1"}`, "dump", admin.Listener.Addr().String())
+	i.expect(t, exitFailed, "is not an address", "dump", "vm-1")
+	other := httptest.NewServer(http.NotFoundHandler())
+	defer other.Close()
+	i.expect(t, exitFailed, "answered 404", "dump", other.Listener.Addr().String())
+}
+
 // Guards against JSON output that can't be decoded or lacks the outcome.
 func TestJSONOutput(t *testing.T) {
 	i := newInstallation(t)
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/check"
 	"github.com/bronzelever/bronzelever/pkg/finding"
 	"github.com/bronzelever/bronzelever/pkg/jsonc"
+	"github.com/bronzelever/bronzelever/pkg/lease"
 )
 
 // Bounds of the numbers in a configuration.
@@ -29,7 +31,7 @@
 
 const (
 	// LeaseTTL is how long a gateway's lease on its groups may outlast the gateway.
-	LeaseTTL = Milliseconds(1_200)
+	LeaseTTL = Milliseconds(lease.TTL / time.Millisecond)
 	// TakeoverBound is the longest time after a loss until a key is served again.
 	TakeoverBound = Milliseconds(4_000)
 )
