--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,7 @@
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzReadFrame$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzBodyData$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzDecodeMessages$$' -fuzztime $(FUZZTIME)
+
+quickstart: build
+	$(GO) build -o bin/ ./internal/cmd/...
+	bin/quickstart
--- a/cmd/blcontroller/main.go
+++ b/cmd/blcontroller/main.go
@@ -91,12 +91,12 @@
 }
 
 func serve(ctx context.Context, static settings.Controller, logger *event.Logger) error {
-	st, err := openStore(static.Store)
+	registry := metric.NewRegistry("bronzelever_controller")
+	defer func() { _ = registry.Close() }()
+	st, err := openStore(static.Store, registry.Scope())
 	if err != nil {
 		return err
 	}
-	registry := metric.NewRegistry("bronzelever_controller")
-	defer func() { _ = registry.Close() }()
 	client := peer.NewClient(static.VM)
 	defer client.Close()
 	p := &process{
--- a/cmd/blcontroller/store.go
+++ b/cmd/blcontroller/store.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bronzelever/bronzelever/pkg/settings"
 	"github.com/bronzelever/bronzelever/pkg/store"
+	"github.com/bronzelever/bronzelever/pkg/store/dynamo"
 )
 
 // openStore connects to the platform's table service and object store.
-func openStore(settings.Store) (store.Store, error) {
-	return nil, errors.New("this build has no client of the platform's store")
+func openStore(s settings.Store, scope tally.Scope) (store.Store, error) {
+	return dynamo.New(s, scope)
 }
--- a/internal/quickstart/deployment.go
+++ b/internal/quickstart/deployment.go
@@ -19,6 +19,8 @@
 
 const (
 	platformAddress = "127.0.0.10:7000"
+	accessKeyEnv    = "BRONZELEVER_QUICKSTART_ACCESS_KEY"
+	secretKeyEnv    = "BRONZELEVER_QUICKSTART_SECRET_KEY"
 
 	callerPort          = "8080"
 	peerPort            = "7300"
@@ -195,11 +197,21 @@
 		Region:         "local",
 		Table:          "bronzelever",
 		Bucket:         "bronzelever",
-		AccessKeyEnv:   "STORE_ACCESS_KEY",
-		SecretKeyEnv:   "STORE_SECRET_KEY",
+		AccessKeyEnv:   accessKeyEnv,
+		SecretKeyEnv:   secretKeyEnv,
 	}
 }
 
+// setCredentials sets the credentials of the platform stand-in for this process and its children.
+func setCredentials() error {
+	for _, name := range []string{accessKeyEnv, secretKeyEnv} {
+		if err := os.Setenv(name, "standin"); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 func writeJSON(path string, value any) error {
 	data, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/internal/quickstart/process.go
+++ b/internal/quickstart/process.go
@@ -41,7 +41,6 @@
 	cmd := exec.Command(filepath.Join(s.binDir, binary), args...)
 	cmd.Stdout = logFile
 	cmd.Stderr = logFile
-	cmd.Env = append(os.Environ(), "STORE_ACCESS_KEY=standin", "STORE_SECRET_KEY=standin")
 	// The kernel ends the child if the driver dies.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -26,6 +26,10 @@
 		Prefix:         prefix,
 		CachedReporter: reporter,
 		Separator:      promreporter.DefaultSeparator,
+		// Without it a metric name with a dot makes the reporter panic.
+		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
+		// tally's metrics about itself have names that Prometheus refuses.
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{scope: scope, closer: closer, reporter: reporter}
 }
