--- a/pkg/controller/routers.go
+++ b/pkg/controller/routers.go
@@ -42,7 +42,7 @@
 		l.acceptance.Accept(hb.Member, now)
 	}
 	s.adoptHeld(now, r, hb.Held)
-	l.onSliceReports(now, r, hb.Slices)
+	l.onSliceReports(now, r, hb)
 	l.onLoads(now, hb.Loads)
 	return l.reply(now, r, hb)
 }
@@ -84,7 +84,7 @@
 		Leader:        l.s.o.Address,
 		Term:          l.term,
 		LeaseMillis:   ttl.Milliseconds(),
-		ConfigVersion: l.s.configVersion(),
+		ConfigVersion: l.shownConfig(),
 		StoreDown:     l.s.storeDown,
 		OtherTables:   l.s.newerTables(hb.OtherTables),
 	}
@@ -151,12 +151,12 @@
 // needs both rosters, so that a controller that stops at any point leaves a row that binds its successor to every roster
 // that a holder may be using.
 func (l *leadership) tickRoster(now clock.Instant) {
-	if now < l.nextRoster || !l.s.term.idle() {
+	if now < l.nextRoster || !l.s.term.idle() || !l.settled {
 		return
 	}
 	record := l.s.record
 	if record.Previous != nil {
-		if !l.confirmed() {
+		if !l.rosterConfirmed() {
 			return
 		}
 		record.Previous = nil
@@ -169,7 +169,7 @@
 	if sameMembers(members, record.Roster.Members) {
 		return
 	}
-	if len(record.Roster.Members) == 0 && !l.settled(now) {
+	if len(record.Roster.Members) == 0 && !l.reported(now) {
 		return
 	}
 	old := record.Roster
@@ -180,8 +180,8 @@
 	l.writeRoster(now, record)
 }
 
-// settled tells whether the first routers have had time to report, so that the first roster doesn't hold only one.
-func (l *leadership) settled(now clock.Instant) bool {
+// reported tells whether the first routers have had time to report, so that the first roster doesn't hold only one.
+func (l *leadership) reported(now clock.Instant) bool {
 	for _, r := range l.routers {
 		if r.lastSeen != 0 && now.Sub(r.firstSeen) >= rosterInterval {
 			return true
@@ -235,8 +235,8 @@
 	}
 }
 
-// confirmed tells whether every router that may hold a group has confirmed the current roster.
-func (l *leadership) confirmed() bool {
+// rosterConfirmed tells whether every router that may hold a group has confirmed the current roster.
+func (l *leadership) rosterConfirmed() bool {
 	for _, g := range l.groups {
 		if g.state == groupFree {
 			continue
--- a/pkg/controller/world_test.go
+++ b/pkg/controller/world_test.go
@@ -1,9 +1,13 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"maps"
 	"math/rand"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,9 +37,13 @@
 	cfg     *config.Config
 	// violation is the first broken invariant.
 	violation string
+	// hotKey gets most requests.
+	hotKey uint64
 	// seenConfig is the newest version that each process has shown.
 	seenConfig map[string]uint64
 	maxDelay   time.Duration
+	// story receives what happens; nil for silence.
+	story io.Writer
 }
 
 type occurrence struct {
@@ -101,7 +109,12 @@
 }
 
 func newWorld(seed int64, routers int, cfg *config.Config) *world {
-	w := &world{rng: rand.New(rand.NewSource(seed)), store: memstore.New(), storeOK: true, cut: map[string]bool{},
+	return newToldWorld(seed, routers, cfg, nil)
+}
+
+// newToldWorld also takes the receiver of the story.
+func newToldWorld(seed int64, routers int, cfg *config.Config, story io.Writer) *world {
+	w := &world{story: story, rng: rand.New(rand.NewSource(seed)), store: memstore.New(), storeOK: true, cut: map[string]bool{},
 		lost: map[string]bool{}, seenConfig: map[string]uint64{}, cfg: cfg, maxDelay: 4 * time.Millisecond}
 	w.putConfig(cfg)
 	for i := range 3 {
@@ -119,7 +132,7 @@
 func (w *world) addCandidate(name string) *candidate {
 	c := &candidate{process: process{name: name, rate: w.rate()}, w: w}
 	o := Options{VM: name, Cell: "north", Region: "north", Domain: "north-a", Address: name, Incarnation: wire.Incarnation(w.rng.Uint64()),
-		Parse: config.Parse}
+		Parse: config.Parse, Log: w.logger(name)}
 	c.state = New(o, c.clock(w))
 	w.cands = append(w.cands, c)
 	w.after(w.delay(), &c.process, c.tick)
@@ -229,7 +242,7 @@
 	next       int
 	leaving    bool
 	groups     map[topology.GroupID]*heldGroup
-	serving    map[uint64]served
+	serving    map[sliceKey]served
 	reports    []wire.SliceReport
 	residue    []residue
 	lapseCount int
@@ -250,14 +263,26 @@
 
 // residue is a request that runs on after its router lost authority.
 type residue struct {
-	low   uint64
-	owner string
+	key   sliceKey
 	until time.Duration
 }
 
+// sliceKey identifies a slice at a gateway.
+type sliceKey struct {
+	low, high uint64
+	epoch     topology.Epoch
+	owner     string
+}
+
+func keyOf(s topology.Slice) sliceKey {
+	return sliceKey{low: s.Low, high: s.High, epoch: s.Epoch, owner: s.Owner}
+}
+
+func (k sliceKey) overlaps(o sliceKey) bool { return k.low <= o.high && o.low <= k.high }
+
 func (w *world) addRouter(name, domain string) *fakeRouter {
 	r := &fakeRouter{process: process{name: name, rate: w.rate()}, w: w, groups: map[topology.GroupID]*heldGroup{},
-		serving: map[uint64]served{}}
+		serving: map[sliceKey]served{}}
 	r.member = wire.Member{VM: name, Incarnation: wire.Incarnation(w.rng.Uint64()), Address: name, Domain: domain}
 	r.rule = witness.NewRule(r.member)
 	w.routers = append(w.routers, r)
@@ -282,19 +307,25 @@
 	return max(r.lease.End(), r.rule.Until(r.clock(r.w), position, known))
 }
 
-func (r *fakeRouter) valid() bool { return r.clock(r.w) < r.until() }
+func (r *fakeRouter) valid() bool {
+	now := r.clock(r.w)
+	return r.lease.Valid(now) || now < r.until()
+}
 
 // lapse drops everything once the authority has ended; requests in flight run on.
 func (r *fakeRouter) lapse() {
 	if r.valid() || len(r.groups) == 0 {
 		return
 	}
-	for low, s := range r.serving {
-		r.residue = append(r.residue, residue{low: low, owner: s.slice.Owner, until: r.w.now + r.w.drain()})
-	}
+	// Requests were sent before the authority ended, also if the router notices that later.
+	ended := time.Duration(float64(r.until()-clock.Instant(time.Hour)) / r.rate)
 	r.lapseCount++
-	r.groups = map[topology.GroupID]*heldGroup{}
-	r.serving = map[uint64]served{}
+	r.w.tell("%s lapses with %d groups", r.name, len(r.groups))
+	r.abandon(ended)
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
 }
 
 func (w *world) drain() time.Duration {
@@ -306,6 +337,7 @@
 	r.lapse()
 	switch m := request.(type) {
 	case *wire.AnnounceTerm:
+		r.until()
 		if m.Term >= r.term {
 			r.term = m.Term
 			r.leader = m.Address
@@ -343,6 +375,10 @@
 	r.lapse()
 	w := r.w
 	asked := r.clock(w)
+	w.after(witness.Interval, &r.process, r.ask)
+	if asked < r.lease.End().Add(-3*witness.Interval) {
+		return
+	}
 	for _, m := range r.rule.Members() {
 		other := w.router(m.VM)
 		if other == nil || !w.linked(r.name, other.name) {
@@ -355,11 +391,11 @@
 				w.after(w.delay(), &r.process, func() {
 					r.lapse()
 					r.rule.Record(asked, reply)
+					r.until()
 				})
 			}
 		})
 	}
-	w.after(witness.Interval, &r.process, r.ask)
 }
 
 // beat sends a heartbeat to the known leader, else to the candidates in turn.
@@ -394,7 +430,14 @@
 
 func (r *fakeRouter) heartbeat() *wire.Heartbeat {
 	hb := &wire.Heartbeat{Cell: "north", Member: r.member, Term: r.term, ConfigVersion: r.config, RosterVersion: r.roster.Version,
-		Held: r.heldReport(), Slices: r.reports, Leaving: r.leaving}
+		Held: r.heldReport(), Slices: slices.Clone(r.reports), Leaving: r.leaving}
+	for _, key := range r.servedKeys() {
+		load := wire.SliceLoad{Pool: "keyed", Low: key.low, Rate: 10 * r.w.rng.Float64()}
+		if hot := r.w.hotKey; key.low <= hot && hot <= key.high {
+			load.Rate, load.HotHash, load.HotRate = load.Rate+500, hot, 500
+		}
+		hb.Loads = append(hb.Loads, load)
+	}
 	if r.table != nil {
 		hb.TableVersion = r.table.Version
 		for _, g := range r.table.Groups {
@@ -415,6 +458,7 @@
 
 func (r *fakeRouter) onReply(asked clock.Instant, reply *wire.HeartbeatReply) {
 	r.lapse()
+	r.until()
 	if !reply.Active {
 		if reply.Leader != "" && r.leader == "" {
 			r.leader = reply.Leader
@@ -456,55 +500,105 @@
 			mine[g.ID] = g
 		}
 	}
-	for id, h := range r.groups {
+	for _, id := range sortedKeys(r.groups) {
+		h := r.groups[id]
 		g, ok := mine[id]
 		switch {
 		case h.state == wire.HoldDraining && r.w.now >= h.until:
 			delete(r.groups, id)
+			r.w.tell("%s gives up %s", r.name, id)
 		case h.state == wire.HoldActive && (!ok || g.Epoch != h.epoch) && r.table.Version.Term >= r.leaseTerm:
 			h.state = wire.HoldDraining
 			h.until = r.w.now + r.w.drain()/4
 		}
 	}
 	for id, g := range mine {
-		if r.groups[id] == nil {
+		// A table of an older term may show a group that the router lost meanwhile, and a new controller has been told what
+		// the router held when it accepted the term. It publishes only once it knows who holds what.
+		if r.groups[id] == nil && r.table.Version.Term == r.leaseTerm && r.term == r.leaseTerm {
+			r.w.tell("%s takes up %s %d", r.name, id, g.Epoch)
+			// What an earlier hold released says nothing about this one.
+			r.reports = slices.DeleteFunc(r.reports, func(rep wire.SliceReport) bool { return slices.Contains(g.Targets, rep.Owner) })
 			r.groups[id] = &heldGroup{epoch: g.Epoch, state: wire.HoldActive}
 		}
 	}
 	r.advanceSlices()
 }
 
+// advanceSlices serves the slices that the table gives to targets of held groups. Every change of range, owner or epoch
+// drains the old slice and starts a new one; a release is final for the hold and the epoch.
 func (r *fakeRouter) advanceSlices() {
-	owned := map[uint64]topology.Slice{}
+	owned := map[sliceKey]topology.Slice{}
 	for _, s := range r.table.Slices {
 		g, ok := r.table.GroupOfTarget(s.Owner)
 		if ok && r.groups[g.ID] != nil && r.groups[g.ID].state == wire.HoldActive {
-			owned[s.Low] = s
+			owned[keyOf(s)] = s
 		}
 	}
-	for low, s := range r.serving {
-		now, ok := owned[low]
-		same := ok && now.Owner == s.slice.Owner
+	for _, key := range r.servedKeys() {
+		s := r.serving[key]
+		_, wanted := owned[key]
 		switch {
 		case s.draining && r.w.now >= s.until:
-			delete(r.serving, low)
-			r.reports = append(r.reports, wire.SliceReport{Pool: s.slice.Pool, Low: low, High: s.slice.High,
-				Epoch: s.slice.Epoch, Owner: s.slice.Owner, State: wire.SliceReleased})
-		case !s.draining && !same:
+			delete(r.serving, key)
+			r.reports = append(r.reports, wire.SliceReport{Pool: s.slice.Pool, Low: key.low, High: key.high,
+				Epoch: key.epoch, Owner: key.owner, State: wire.SliceReleased})
+		case !s.draining && !wanted:
 			s.draining = true
 			s.until = r.w.now + r.w.drain()/4
-			r.serving[low] = s
-		case !s.draining:
-			s.slice = now
-			r.serving[low] = s
+			r.serving[key] = s
+			r.w.tell("%s drains %v by %v", r.name, key, r.table.Version)
 		}
 	}
-	for low, s := range owned {
-		if _, ok := r.serving[low]; !ok {
-			r.serving[low] = served{slice: s}
+	for _, s := range r.table.Slices {
+		key := keyOf(s)
+		if _, ok := owned[key]; ok {
+			r.serve(key, s)
 		}
 	}
-	r.reports = r.reports[max(0, len(r.reports)-64):]
+	r.reports = slices.DeleteFunc(r.reports, func(rep wire.SliceReport) bool {
+		now, ok := r.table.Slice(rep.Pool, rep.Low)
+		return ok && now.Epoch > rep.Epoch && now.Owner != ""
+	})
+}
+
+func (r *fakeRouter) serve(key sliceKey, s topology.Slice) {
+	if _, ok := r.serving[key]; ok {
+		return
+	}
+	released := slices.ContainsFunc(r.reports, func(rep wire.SliceReport) bool {
+		return rep.Low == key.low && rep.High == key.high && rep.Owner == key.owner && rep.Epoch == key.epoch
+	})
+	for other := range r.serving {
+		released = released || other.owner != key.owner && other.overlaps(key)
+	}
+	if released {
+		return
+	}
+	r.w.tell("%s serves %v by %v", r.name, key, r.table.Version)
+	r.serving[key] = served{slice: s}
+	r.w.checkSlice(r, key)
+}
+
+func (r *fakeRouter) servedKeys() []sliceKey {
+	return slices.SortedFunc(maps.Keys(r.serving), func(a, b sliceKey) int {
+		return cmp.Or(cmp.Compare(a.low, b.low), cmp.Compare(a.epoch, b.epoch), cmp.Compare(a.owner, b.owner))
+	})
+}
+
+// abandon leaves the requests in flight at their targets.
+func (r *fakeRouter) abandon(ended time.Duration) {
+	for _, key := range r.servedKeys() {
+		r.residue = append(r.residue, residue{key: key, until: ended + r.w.drain()})
+	}
+	r.groups = map[topology.GroupID]*heldGroup{}
+	r.serving = map[sliceKey]served{}
+}
+
+// kill ends a router process.
+func (w *world) kill(r *fakeRouter) {
+	r.abandon(w.now)
+	r.dead = true
 }
 
 func (w *world) fail(format string, args ...any) {
@@ -513,23 +607,11 @@
 	}
 }
 
-// check verifies that no group has two holders and no slice two owners whose authority is valid at this instant.
+// check verifies that no group has two holders whose authority is valid at this instant.
 func (w *world) check() {
 	holders := map[topology.GroupID]string{}
-	owners := map[uint64]string{}
-	own := func(low uint64, owner, router string) {
-		if other, ok := owners[low]; ok && other != owner {
-			w.fail("slice %d is executed by %s and %s (%s)", low, other, owner, router)
-		}
-		owners[low] = owner
-	}
 	for _, r := range w.routers {
-		for _, x := range r.residue {
-			if w.now < x.until {
-				own(x.low, x.owner, r.name)
-			}
-		}
-		if r.dead || !r.valid() {
+		if r.dead || len(r.groups) == 0 || !r.valid() {
 			continue
 		}
 		for id := range r.groups {
@@ -538,8 +620,26 @@
 			}
 			holders[id] = r.name
 		}
-		for low, s := range r.serving {
-			own(low, s.slice.Owner, r.name)
+	}
+}
+
+// checkSlice verifies that no other target executes requests of a slice that a router begins to serve. Authority can't
+// begin in any other way.
+func (w *world) checkSlice(r *fakeRouter, key sliceKey) {
+	for _, other := range w.routers {
+		for _, x := range other.residue {
+			if w.now < x.until && x.key.owner != key.owner && x.key.overlaps(key) {
+				w.fail("%s serves %v while requests of %v at %v run", r.name, key, other.name, x.key)
+			}
+		}
+		if other.dead || !other.valid() {
+			continue
+		}
+		for k, s := range other.serving {
+			running := !s.draining || w.now < s.until
+			if running && k.owner != key.owner && k.overlaps(key) {
+				w.fail("%s serves %v while %v serves %v", r.name, key, other.name, k)
+			}
 		}
 	}
 }
@@ -605,5 +705,5 @@
 	if s == nil {
 		return "no leader"
 	}
-	return string(encode(s.Dump(0)))
+	return string(encode(s.Dump(clock.Instant(w.now + time.Hour))))
 }
