Run orders at most once and quarantine requests that crash targets

Cause: an order that is sent again, through another router or after the loss of its gateway, must not run twice, and one request may cost at most two targets.

Change: pkg/claim claims idempotency keys at the holder of the home group and mirrors them to one router of the group's region before the first byte leaves. The gateway tells the cell before it answers the caller.

Ruled out: telling the mirror that a key is free again. The message could arrive after the next claim of the key and let a successor run it twice. Counting a crash against a request that succeeded within the last minute while others were in flight: the loss of a failure domain would quarantine popular requests.

--- /dev/null
+++ b/pkg/claim/claim_test.go
@@ -0,0 +1,282 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+const (
+	group  = topology.GroupID("orders/d1/0")
+	window = time.Minute
+)
+
+var errDown = errors.New("the router does not answer")
+
+// router is another router of the cell.
+type router struct {
+	mirror *Mirror
+	holder *Holder
+	down   bool
+	stored int
+}
+
+// cell connects a holder with other routers.
+type cell struct {
+	mu      sync.Mutex
+	routers map[string]*router
+	order   []string
+}
+
+func newCell(c clock.Clock, names ...string) *cell {
+	n := &cell{routers: map[string]*router{}, order: names}
+	for _, name := range names {
+		n.routers[name] = &router{mirror: NewMirror(c)}
+	}
+	return n
+}
+
+func (c *cell) Members() []wire.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []wire.Member
+	for _, name := range c.order {
+		members = append(members, wire.Member{VM: name, Domain: "d2"})
+	}
+	return members
+}
+
+func (c *cell) reach(vm string) (*router, error) {
+	r := c.routers[vm]
+	if r == nil || r.down {
+		return nil, errDown
+	}
+	return r, nil
+}
+
+func (c *cell) MirrorClaim(_ context.Context, vm string, m *wire.MirrorClaim) (*wire.MirrorClaimReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, err := c.reach(vm)
+	if err != nil {
+		return nil, err
+	}
+	if m.Claim.Key != "" {
+		r.stored++
+	}
+	reply := r.mirror.Store(m)
+	return &reply, nil
+}
+
+func (c *cell) FetchClaims(_ context.Context, vm string, m *wire.FetchClaims) (*wire.ClaimsReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, err := c.reach(vm)
+	if err != nil {
+		return nil, err
+	}
+	reply := r.mirror.Fetch(m.Group)
+	if r.holder != nil {
+		own := r.holder.Export()
+		reply = *newest(&reply, &own)
+	}
+	return &reply, nil
+}
+
+func (c *cell) set(vm string, change func(*router)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c.routers[vm])
+}
+
+func newTestHolder(t *testing.T, c clock.Clock, cell Cell, epoch topology.Epoch) *Holder {
+	h := NewHolder(Settings{
+		Group:     group,
+		Epoch:     epoch,
+		Window:    window,
+		Eligible:  func(wire.Member) bool { return true },
+		Preferred: func(wire.Member) bool { return true },
+	}, c, cell)
+	t.Cleanup(h.Close)
+	return h
+}
+
+// recoverHolder returns a ready holder that succeeds a former epoch.
+func recoverHolder(t *testing.T, c *clock.Virtual, cell Cell, epoch, former topology.Epoch) (*Holder, bool) {
+	t.Helper()
+	h := newTestHolder(t, c, cell, epoch)
+	result := make(chan bool, 1)
+	none := func() wire.ClaimsReply { return wire.ClaimsReply{} }
+	h.StartRecover(former, none, func(found bool, _ int) { result <- found })
+	for {
+		select {
+		case found := <-result:
+			return h, found
+		case <-time.After(time.Millisecond):
+			c.Advance(recoverRetry)
+		}
+	}
+}
+
+func claimOrder(h *Holder, key string) Verdict {
+	return h.Claim(context.Background(), key, 7).Verdict
+}
+
+// Guards against a second execution of an order, and against a repeat that gets another answer than the first.
+func TestRepeatsOfAnOrder(t *testing.T) {
+	c := clock.NewVirtual(1)
+	h := newTestHolder(t, c, newCell(c, "m1"), 1)
+	h.StartEmpty()
+	if v := claimOrder(h, "a"); v != Run {
+		t.Fatalf("verdict %v for a new order", v)
+	}
+	if v := claimOrder(h, "a"); v != InProgress {
+		t.Errorf("verdict %v while the order runs", v)
+	}
+	h.Done("a", Answer{Status: 201, Body: []byte("x"), Kept: true})
+	d := h.Claim(context.Background(), "a", 7)
+	if d.Verdict != Repeat || d.Answer.Status != 201 || string(d.Answer.Body) != "x" {
+		t.Errorf("%+v after the order ran", d)
+	}
+	if d := h.Claim(context.Background(), "a", 8); d.Verdict != OtherOrder {
+		t.Errorf("verdict %v for another order with the same key", d.Verdict)
+	}
+	claimOrder(h, "b")
+	h.Unknown("b")
+	if v := claimOrder(h, "b"); v != OutcomeUnknown {
+		t.Errorf("verdict %v after an unknown outcome", v)
+	}
+	claimOrder(h, "c")
+	h.Free("c")
+	if v := claimOrder(h, "c"); v != Run {
+		t.Errorf("verdict %v after an order that did not run", v)
+	}
+	c.Advance(window)
+	if v := claimOrder(h, "a"); v != Run {
+		t.Errorf("verdict %v after the repeat window", v)
+	}
+}
+
+// Guards against an order that runs before its claim is mirrored, and against claims that are lost with the holder.
+func TestMirrorKeepsClaimsOfALostHolder(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1", "m2")
+	h := newTestHolder(t, c, cell, 1)
+	h.StartEmpty()
+	claimOrder(h, "a")
+	cell.mu.Lock()
+	stored := cell.routers["m1"].stored
+	cell.mu.Unlock()
+	if stored == 0 {
+		t.Fatal("the order may run although no other router knows its claim")
+	}
+	h.Close()
+	next, found := recoverHolder(t, c, cell, 2, 1)
+	if !found {
+		t.Fatal("the mirror's claims were not found")
+	}
+	if v := claimOrder(next, "a"); v != OutcomeUnknown {
+		t.Errorf("verdict %v for an order that was running at the lost holder", v)
+	}
+	if v := claimOrder(next, "b"); v != Run {
+		t.Errorf("verdict %v for a new order", v)
+	}
+}
+
+// Guards against a second execution after holder and mirror are lost together.
+func TestLossOfHolderAndMirrorRefusesForTheWindow(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1")
+	h := newTestHolder(t, c, cell, 1)
+	h.StartEmpty()
+	claimOrder(h, "a")
+	h.Close()
+	cell.set("m1", func(r *router) { r.down = true })
+	next, found := recoverHolder(t, c, cell, 2, 1)
+	if found {
+		t.Fatal("claims were found although holder and mirror are lost")
+	}
+	if v := claimOrder(next, "a"); v != Lost {
+		t.Fatalf("verdict %v", v)
+	}
+	c.Advance(clock.WithDrift(window))
+	cell.set("m1", func(r *router) { r.down = false })
+	if v := claimOrder(next, "a"); v != Run {
+		t.Errorf("verdict %v after the repeat window", v)
+	}
+}
+
+// Guards against an outdated copy: a mirror that lost its holder's messages must not vouch for its copy once another
+// mirror has newer claims.
+func TestOutdatedMirrorIsNotTakenForComplete(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1", "m2")
+	h := newTestHolder(t, c, cell, 1)
+	h.StartEmpty()
+	claimOrder(h, "a")
+	cell.set("m1", func(r *router) { r.down = true })
+	if v := claimOrder(h, "b"); v != NotReady {
+		t.Fatalf("verdict %v while the lost mirror may vouch for its copy", v)
+	}
+	for claimOrder(h, "b") != Run {
+		c.Advance(refreshInterval)
+		time.Sleep(time.Millisecond)
+	}
+	h.Close()
+	cell.set("m1", func(r *router) { r.down = false })
+	cell.set("m2", func(r *router) { r.down = true })
+	if next, found := recoverHolder(t, c, cell, 2, 1); found {
+		t.Fatalf("the outdated copy was accepted; verdict %v for an order that ran", claimOrder(next, "b"))
+	}
+}
+
+// Guards against a takeover that ignores a holder whose tenure it has not seen.
+func TestNewerHolderIsPreferred(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1", "m2")
+	old := newTestHolder(t, c, newCell(c), 1)
+	old.StartEmpty()
+	newer := newTestHolder(t, c, newCell(c), 2)
+	newer.StartEmpty()
+	claimOrder(newer, "a")
+	newer.Done("a", Answer{Status: 200, Kept: true})
+	cell.set("m1", func(r *router) { r.holder = old })
+	cell.set("m2", func(r *router) { r.holder = newer })
+	next, found := recoverHolder(t, c, cell, 3, 1)
+	if v := claimOrder(next, "a"); !found || v != Repeat {
+		t.Errorf("found %v, verdict %v", found, v)
+	}
+}
+
+// Guards against claims that grow without bound, and against a bound that forgets claims within the repeat window.
+func TestBoundRefusesInsteadOfForgetting(t *testing.T) {
+	c := clock.NewVirtual(1)
+	h := newTestHolder(t, c, newCell(c), 1)
+	h.StartEmpty()
+	for i := range MaxRecords {
+		h.claim(fmt.Sprint(i), 0)
+	}
+	if v := claimOrder(h, "one more"); v != Full {
+		t.Errorf("verdict %v beyond the bound", v)
+	}
+	if v := claimOrder(h, "0"); v != InProgress {
+		t.Errorf("verdict %v for the oldest claim", v)
+	}
+}
+
+// Guards against a mirror that accepts messages of a former holder.
+func TestMirrorRefusesFormerHolder(t *testing.T) {
+	m := NewMirror(clock.NewVirtual(1))
+	begin := wire.Claim{State: controlBegin}
+	m.Store(&wire.MirrorClaim{Group: group, Epoch: 2, Claim: begin})
+	if reply := m.Store(&wire.MirrorClaim{Group: group, Epoch: 1, Claim: begin}); reply.OK {
+		t.Error("the mirror accepted an older epoch")
+	}
+}
--- /dev/null
+++ b/pkg/claim/holder.go
@@ -0,0 +1,345 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+const (
+	// callTimeout bounds one message to another router of the cell; one-way latency is at most 1.5 ms.
+	callTimeout = 300 * time.Millisecond
+	// refreshInterval is the time between two signs of life to the mirror.
+	refreshInterval = 500 * time.Millisecond
+	// recoverTimeout bounds the search for the claims of a former holder.
+	recoverTimeout = 2 * time.Second
+	recoverRetry   = 200 * time.Millisecond
+)
+
+// Cell reaches the other routers of the cell.
+type Cell interface {
+	// Members returns the other live routers of the cell.
+	Members() []wire.Member
+	MirrorClaim(ctx context.Context, vm string, message *wire.MirrorClaim) (*wire.MirrorClaimReply, error)
+	FetchClaims(ctx context.Context, vm string, message *wire.FetchClaims) (*wire.ClaimsReply, error)
+}
+
+// Verdict tells what to do with an order.
+type Verdict int
+
+const (
+	// Run means that the key is claimed for this order, which has to be settled by Done, Unknown or Free.
+	Run Verdict = iota
+	// Repeat means that the order ran; its answer is recorded.
+	Repeat
+	// InProgress means that the order is running.
+	InProgress
+	// OutcomeUnknown means that the order may have run.
+	OutcomeUnknown
+	// OtherOrder means that the key was used for another order.
+	OtherOrder
+	// Lost means that earlier claims are lost; the key's outcome is unknown.
+	Lost
+	// NotReady means that the claims are being fetched or the mirror is being replaced. The order did not run now, but
+	// it may have run before.
+	NotReady
+	// Full means that no more claims fit.
+	Full
+)
+
+// Decision is the answer to a claim.
+type Decision struct {
+	Verdict Verdict
+	Answer  Answer
+	// NotRun tells that the order has certainly not run.
+	NotRun bool
+	// Wait tells when another attempt makes sense.
+	Wait time.Duration
+}
+
+// Settings describe the group of a holder.
+type Settings struct {
+	Group topology.GroupID
+	Epoch topology.Epoch
+	// Window is the repeat window of the pool.
+	Window time.Duration
+	// Deduplicates tells that the targets drop repeats themselves, so that lost claims don't refuse orders.
+	Deduplicates bool
+	// Eligible tells whether a router may mirror the claims: it lies in the group's region.
+	Eligible func(wire.Member) bool
+	// Preferred tells whether a router is outside the holder's failure domain.
+	Preferred func(wire.Member) bool
+}
+
+// mirrorPhase is the state of the holder's mirror.
+type mirrorPhase int
+
+const (
+	// mirrorNone means that no router vouches for a copy.
+	mirrorNone mirrorPhase = iota
+	// mirrorReady means that the mirror has every claim.
+	mirrorReady
+	// mirrorFading means that a mirror is lost but may still vouch for its copy. No order may start.
+	mirrorFading
+)
+
+// Holder keeps the claims of a group that this router holds. It is safe for concurrent use.
+type Holder struct {
+	Settings
+	clock clock.Clock
+	cell  Cell
+
+	mu      sync.Mutex
+	records *records
+	// ready is false until the claims of the former holder are there or given up.
+	ready bool
+	// lostUntil is when the last order whose claim was lost can no longer be repeated.
+	lostUntil clock.Instant
+	phase     mirrorPhase
+	mirror    string
+	// fadesAt is when a lost mirror stops vouching.
+	fadesAt clock.Instant
+	closed  bool
+	done    chan struct{}
+	// filling serializes the replacement of the mirror.
+	filling sync.Mutex
+}
+
+// NewHolder returns a holder that isn't ready. Start or Recover makes it ready.
+func NewHolder(s Settings, c clock.Clock, cell Cell) *Holder {
+	return &Holder{Settings: s, clock: c, cell: cell, records: newRecords(), done: make(chan struct{})}
+}
+
+// StartEmpty makes the holder ready for a group that had no earlier holder.
+func (h *Holder) StartEmpty() {
+	h.mu.Lock()
+	h.ready = true
+	h.mu.Unlock()
+	go h.keepMirror()
+}
+
+// StartFrom makes the holder ready with the claims of an earlier hold of the same router.
+func (h *Holder) StartFrom(former *Holder) {
+	former.mu.Lock()
+	lostUntil := former.lostUntil
+	former.mu.Unlock()
+	h.adopt(former.Export().Claims)
+	h.mu.Lock()
+	h.lostUntil = lostUntil
+	h.mu.Unlock()
+	go h.keepMirror()
+}
+
+// StartLost makes the holder ready after the claims of the former holder were lost.
+func (h *Holder) StartLost() {
+	h.lose()
+	go h.keepMirror()
+}
+
+// StartRecover fetches the claims that belong to the former epoch and reports whether they were found.
+func (h *Holder) StartRecover(former topology.Epoch, extra func() wire.ClaimsReply, report func(found bool, claims int)) {
+	go func() {
+		claims, found := h.search(former, extra)
+		if found {
+			h.adopt(claims)
+		} else {
+			h.lose()
+		}
+		report(found, len(claims))
+		h.keepMirror()
+	}()
+}
+
+func (h *Holder) lose() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ready = true
+	h.lostUntil = h.clock.Now().Add(clock.WithDrift(h.Window))
+}
+
+// adopt takes over claims. An order that was running under the former holder has an unknown outcome.
+func (h *Holder) adopt(claims []wire.Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	for i := range claims {
+		c := claims[i]
+		if c.State == wire.ClaimRunning {
+			c.State = wire.ClaimUnknown
+		}
+		h.records.merge(&c, h.Window, now)
+	}
+	h.ready = true
+}
+
+func (h *Holder) search(former topology.Epoch, extra func() wire.ClaimsReply) ([]wire.Claim, bool) {
+	if former == 0 {
+		return nil, false
+	}
+	give := h.clock.Now().Add(recoverTimeout)
+	for {
+		own := extra()
+		best := newest(&own, h.ask())
+		if best.Since >= former {
+			return best.Claims, true
+		}
+		if h.clock.Now() >= give {
+			return nil, false
+		}
+		select {
+		case <-h.done:
+			return nil, false
+		case <-h.clock.After(recoverRetry):
+		}
+	}
+}
+
+func newest(a, b *wire.ClaimsReply) *wire.ClaimsReply {
+	if b.Since > a.Since {
+		return b
+	}
+	return a
+}
+
+// ask asks all routers at once and returns the reply of the newest epoch. A holder whose tenure this router has not seen
+// answers with a newer epoch than the known former one.
+func (h *Holder) ask() *wire.ClaimsReply {
+	members := h.cell.Members()
+	replies := make(chan *wire.ClaimsReply, len(members))
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	for _, m := range members {
+		go func() {
+			reply, err := h.cell.FetchClaims(ctx, m.VM, &wire.FetchClaims{Group: h.Group})
+			if err != nil {
+				reply = &wire.ClaimsReply{}
+			}
+			replies <- reply
+		}()
+	}
+	best := &wire.ClaimsReply{}
+	for range members {
+		best = newest(best, <-replies)
+	}
+	return best
+}
+
+// Claim claims a key. After Run the claim is stored here and at the mirror.
+func (h *Holder) Claim(ctx context.Context, key string, fingerprint uint64) Decision {
+	d := h.claim(key, fingerprint)
+	if d.Verdict != Run {
+		return d
+	}
+	if h.mirrored(ctx, key) {
+		return d
+	}
+	h.Free(key)
+	return Decision{Verdict: NotReady, NotRun: true, Wait: callTimeout}
+}
+
+func (h *Holder) claim(key string, fingerprint uint64) Decision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	h.records.sweep(now)
+	if !h.ready || h.closed {
+		return Decision{Verdict: NotReady, Wait: recoverRetry}
+	}
+	if c := h.records.get(key, now); c != nil {
+		return h.repeat(c, fingerprint)
+	}
+	if now < h.lostUntil && !h.Deduplicates {
+		return Decision{Verdict: Lost, Wait: h.lostUntil.Sub(now)}
+	}
+	if len(h.records.byKey) >= MaxRecords {
+		return Decision{Verdict: Full, NotRun: true, Wait: time.Second}
+	}
+	h.records.byKey[key] = &record{state: wire.ClaimRunning, fingerprint: fingerprint, claimedAt: now}
+	return Decision{Verdict: Run}
+}
+
+func (h *Holder) repeat(c *record, fingerprint uint64) Decision {
+	if c.fingerprint != 0 && fingerprint != 0 && c.fingerprint != fingerprint {
+		return Decision{Verdict: OtherOrder, NotRun: true}
+	}
+	switch c.state {
+	case wire.ClaimDone:
+		return Decision{Verdict: Repeat, Answer: c.answer}
+	case wire.ClaimRunning:
+		return Decision{Verdict: InProgress, Wait: time.Second}
+	default:
+		return Decision{Verdict: OutcomeUnknown}
+	}
+}
+
+// Done settles an order that ran.
+func (h *Holder) Done(key string, a Answer) {
+	h.settle(key, wire.ClaimDone, a)
+}
+
+// Unknown settles an order that may have run.
+func (h *Holder) Unknown(key string) {
+	h.settle(key, wire.ClaimUnknown, Answer{})
+}
+
+func (h *Holder) settle(key string, state wire.ClaimState, a Answer) {
+	h.mu.Lock()
+	now := h.clock.Now()
+	c := h.records.byKey[key]
+	if c == nil {
+		h.mu.Unlock()
+		return
+	}
+	c.state = state
+	c.expires = now.Add(h.Window)
+	if state == wire.ClaimDone {
+		h.records.keep(c, a)
+	}
+	message := c.export(key, now)
+	vm := h.mirror
+	ready := h.phase == mirrorReady
+	h.mu.Unlock()
+	if ready {
+		// The caller doesn't wait: a mirror that misses this answers "unknown", which is true as well.
+		go func() {
+			_, _ = h.tell(context.Background(), vm, message)
+		}()
+	}
+}
+
+// Free releases the claim of an order that certainly didn't run. The mirror keeps it as running: a message that frees it
+// could arrive after the next claim of the same key and would let a successor run the order again.
+func (h *Holder) Free(key string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c := h.records.byKey[key]; c != nil && c.state == wire.ClaimRunning {
+		h.records.remove(key, c)
+	}
+}
+
+// Export returns all claims for a successor. Since is the holder's epoch once it is ready and its claims are complete.
+func (h *Holder) Export() wire.ClaimsReply {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	reply := wire.ClaimsReply{Claims: h.records.exportAll(now)}
+	if h.ready && now >= h.lostUntil {
+		reply.Since = h.Epoch
+	}
+	return reply
+}
+
+// Close stops claims and the mirror's refreshes. The claims can still be exported.
+func (h *Holder) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	h.closed = true
+	close(h.done)
+}
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -31,6 +31,8 @@
 	// answered is set once the answer's head has arrived.
 	answered bool
 	released bool
+	// suspected tells that a crash of the target has been counted for the request.
+	suspected bool
 }
 
 // retryAfter spreads the return of refused callers over [d, 2d).
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,8 +29,10 @@
 	endedUnsent
 	// endedCancelled means that the deadline passed or the caller gave up.
 	endedCancelled
-	// endedBroken means that the connection broke or the target violated the protocol.
+	// endedBroken means that the connection broke.
 	endedBroken
+	// endedFaulty means that the target violated the protocol.
+	endedFaulty
 	// endedByCaller means that the request's body could not be read to its end.
 	endedByCaller
 )
@@ -145,7 +148,7 @@
 		return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.Unknown,
 			"the target did not answer before the deadline")
 	default:
-		a.end(endedBroken)
+		a.end(endingOf(cause))
 		return problem.New(http.StatusBadGateway, problem.CodeTargetFailed, problem.Unknown,
 			"the target failed: "+cause.Error())
 	}
@@ -165,6 +168,15 @@
 	}
 }
 
+// endingOf tells a broken connection, a sign of a crashed target, from a faulty answer.
+func endingOf(cause error) ending {
+	var network net.Error
+	if errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.As(cause, &network) {
+		return endedBroken
+	}
+	return endedFaulty
+}
+
 // errUnsent means that a connection broke before the first byte of the request was written.
 var errUnsent = errors.New("the connection broke before the request was sent")
 
@@ -222,7 +234,7 @@
 	case b.ctx.Err() != nil:
 		b.attempt.end(endedCancelled)
 	default:
-		b.attempt.end(endedBroken)
+		b.attempt.end(endingOf(err))
 	}
 	return n, io.ErrUnexpectedEOF
 }
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -22,7 +23,6 @@
 	request  *wire.Request
 	deadline time.Time
 	sentAt   clock.Instant
-	headSeen bool
 }
 
 // run returns the answer, a refusal, or errUnsent if the target could not be reached.
@@ -44,15 +44,19 @@
 	if err != nil {
 		return nil, f.note(err)
 	}
-	f.headSeen = true
 	f.group.answered(f.ticket, f.gateway.Clock.Now().Sub(f.sentAt))
 	return f.answer(ctx, cancel, a, response)
 }
 
+// note counts unknown outcomes. A request that has just been quarantined is told so.
 func (f *forwarding) note(err error) error {
 	var refusal *problem.Error
-	if errors.As(err, &refusal) && refusal.Outcome == problem.Unknown {
-		f.gateway.metrics.unknown.Inc(1)
+	if !errors.As(err, &refusal) || refusal.Outcome != problem.Unknown {
+		return err
+	}
+	f.gateway.metrics.unknown.Inc(1)
+	if f.gateway.suspects.Verdict(f.request.Fingerprint) == quarantine.Quarantined {
+		return quarantined(problem.Unknown)
 	}
 	return err
 }
@@ -75,6 +79,9 @@
 	if !f.group.mayStart(f.ticket, now) {
 		return refuse(http.StatusServiceUnavailable, problem.CodeStaleOwnership, "the target's grant has expired", 0)
 	}
+	if !f.ticket.waiter.alone && f.gateway.suspects.Verdict(f.request.Fingerprint) != quarantine.Clear {
+		return refuse(http.StatusServiceUnavailable, problem.CodeOverload, "the request has become a suspect meanwhile", 0)
+	}
 	if time.Until(f.deadline) <= 0 {
 		return deadlineNotRun()
 	}
@@ -93,12 +100,17 @@
 
 // ended settles the slot once the exchange is over.
 func (f *forwarding) ended(how ending, c *conn) {
+	defer f.ticket.waiter.finish()
 	switch how {
-	case endedClean, endedUnsent:
+	case endedClean:
+		f.gateway.succeeded(f.request.Fingerprint)
+		f.group.release(f.ticket)
+		return
+	case endedUnsent:
 		f.group.release(f.ticket)
 		return
 	case endedBroken:
-		f.group.broke(f.ticket)
+		f.gateway.crashed(f.group.broke(f.ticket), f.ticket.waiter.alone)
 	case endedCancelled:
 		f.group.timedOut(f.ticket, time.Until(f.deadline) <= 0)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -14,10 +14,12 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -49,9 +51,11 @@
 // Gateway implements exchange.Handler and exchange.Holdings.
 type Gateway struct {
 	Options
-	metrics metrics
-	control *http.Client
-	changed chan struct{}
+	metrics  metrics
+	suspects *quarantine.Table
+	mirror   *claim.Mirror
+	control  *http.Client
+	changed  chan struct{}
 	// groups are the groups held, replaced as a whole.
 	groups atomic.Pointer[map[topology.GroupID]*group]
 	view   atomic.Pointer[exchange.View]
@@ -60,8 +64,10 @@
 	// retiring are groups that are being given up or have been released, until the table shows a newer holder.
 	retiring []*group
 	// former remembers the last holder of each group that a table has shown.
-	former   map[topology.GroupID]holder
-	stopping bool
+	former map[topology.GroupID]holder
+	// formerClaims are the claims of groups that were given up, for their new holders.
+	formerClaims map[topology.GroupID]formerClaims
+	stopping     bool
 }
 
 // holder is who held a group under which epoch.
@@ -78,11 +84,14 @@
 // New returns a gateway that holds nothing yet.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		Options: o,
-		metrics: newMetrics(o.Scope),
-		control: newControlClient(),
-		changed: make(chan struct{}, 1),
-		former:  make(map[topology.GroupID]holder),
+		Options:      o,
+		metrics:      newMetrics(o.Scope),
+		control:      newControlClient(),
+		changed:      make(chan struct{}, 1),
+		former:       make(map[topology.GroupID]holder),
+		suspects:     quarantine.New(o.Clock),
+		mirror:       claim.NewMirror(o.Clock),
+		formerClaims: make(map[topology.GroupID]formerClaims),
 	}
 	empty := make(map[topology.GroupID]*group)
 	g.groups.Store(&empty)
@@ -125,24 +134,21 @@
 		deadline = d
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	w := &waiter{
-		weight:      request.Weight,
-		deadline:    deadline,
-		keyHash:     request.KeyHash,
-		fingerprint: request.Fingerprint,
-		granted:     make(chan error, 1),
+	response, err := gw.screened(ctx, cancel, g, request, body, deadline)
+	if err != nil {
+		cancel()
 	}
+	return response, err
+}
+
+// attempts runs a request until a target has accepted it.
+func (gw *Gateway) attempts(ctx context.Context, cancel context.CancelFunc, g *group, request *wire.Request, body io.Reader, w *waiter) (*exchange.Response, error) {
 	for {
 		response, err := gw.try(ctx, cancel, g, request, body, w)
-		if err == nil {
-			return response, nil
-		}
-		if !errors.Is(err, errUnsent) {
-			cancel()
-			return nil, err
+		if err == nil || !errors.Is(err, errUnsent) {
+			return response, err
 		}
 		if !g.canRetry(w) {
-			cancel()
 			return nil, refuse(http.StatusBadGateway, problem.CodeTargetFailed, "no target accepts a connection", time.Second)
 		}
 		w = w.again()
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -39,6 +40,8 @@
 	wake       chan struct{}
 	done       chan struct{}
 	rates      rateMeter
+	// claims is nil if the pool has no orders.
+	claims *claim.Holder
 }
 
 func newGroup(gw *Gateway, id topology.GroupID, epoch topology.Epoch, pool config.Pool) *group {
@@ -203,14 +206,23 @@
 	g.probeSoon(t)
 }
 
-// broke records a connection that broke during an exchange: the target may have restarted.
-func (g *group) broke(k *ticket) {
+// broke records a connection that broke during an exchange: the target may have restarted. It returns the fingerprints
+// that were in flight at the target and have not been returned for the same crash.
+func (g *group) broke(k *ticket) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k.target.ramp.chill()
 	k.target.conns.reset()
 	g.probeSoon(k.target)
 	g.noteState(k.target)
+	var fingerprints []uint64
+	for o := range k.target.tickets {
+		if !o.suspected && o.waiter.fingerprint != 0 && !slices.Contains(fingerprints, o.waiter.fingerprint) {
+			fingerprints = append(fingerprints, o.waiter.fingerprint)
+		}
+		o.suspected = true
+	}
+	return fingerprints
 }
 
 // timedOut records an exchange that was given up.
@@ -349,6 +361,9 @@
 	default:
 	}
 	close(g.done)
+	if g.claims != nil {
+		g.claims.Close()
+	}
 	for _, t := range g.targets {
 		t.conns.close()
 	}
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +23,7 @@
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/problem"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -79,6 +83,26 @@
 	panic(http.ErrAbortHandler)
 }
 
+// executions returns what the target's record holds.
+func (b *backend) executions() []standin.Execution {
+	recorder := httptest.NewRecorder()
+	b.ControlHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/record", nil))
+	var record standin.Record
+	if json.Unmarshal(recorder.Body.Bytes(), &record) != nil {
+		return nil
+	}
+	return record.Executions
+}
+
+// outcomeOf returns the outcome of a refusal, "" for any other error.
+func outcomeOf(err error) problem.Outcome {
+	var refusal *problem.Error
+	if !errors.As(err, &refusal) {
+		return ""
+	}
+	return refusal.Outcome
+}
+
 // fixture is a gateway with one group of targets.
 type fixture struct {
 	tb        testing.TB
@@ -163,6 +187,7 @@
 			Version: 1,
 			Regions: []config.Region{{Name: "r1", Domains: []string{testDomain}}},
 			Pools:   []config.Pool{f.pool},
+			Routes:  []config.Route{{Name: "orders", Pool: testPool}},
 		},
 		Tables: map[string]*topology.Table{"cell": &table},
 		Cell:   "cell",
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -26,15 +26,16 @@
 	}
 	gw.mu.Lock()
 	defer gw.mu.Unlock()
-	previous := gw.view.Swap(view)
+	gw.view.Store(view)
 	groups := maps.Clone(*gw.groups.Load())
 	gw.giveUpMissing(view, table, groups)
 	for i := range table.Groups {
-		gw.applyGroup(view, previous, table, &table.Groups[i], groups)
+		gw.applyGroup(view, table, &table.Groups[i], groups)
 	}
 	gw.groups.Store(&groups)
 	gw.forgetRetired(table)
 	gw.remember(table)
+	gw.forgetClaims()
 }
 
 // giveUpMissing gives up the groups that the table gives to nobody or to somebody else.
@@ -60,7 +61,7 @@
 	g.giveUp()
 }
 
-func (gw *Gateway) applyGroup(view, previous *exchange.View, table *topology.Table, entry *topology.Group, groups map[topology.GroupID]*group) {
+func (gw *Gateway) applyGroup(view *exchange.View, table *topology.Table, entry *topology.Group, groups map[topology.GroupID]*group) {
 	if entry.Gateway != view.VM || gw.stopping {
 		return
 	}
@@ -75,7 +76,7 @@
 		}
 		g = newGroup(gw, entry.ID, entry.Epoch, *pool)
 		groups[entry.ID] = g
-		gw.takeUp(g, previous, table)
+		gw.takeUp(g, view, table)
 		go g.run()
 	}
 	if g.epoch != entry.Epoch {
@@ -89,7 +90,7 @@
 }
 
 // takeUp decides when the first request of a newly held group may be sent.
-func (gw *Gateway) takeUp(g *group, previous *exchange.View, table *topology.Table) {
+func (gw *Gateway) takeUp(g *group, view *exchange.View, table *topology.Table) {
 	former, known := gw.former[g.id]
 	own := gw.newestRetired(g.id)
 	now := gw.Clock.Now()
@@ -97,9 +98,12 @@
 	case own != nil && known && own.epoch == former.epoch:
 		// Nobody else has held the group since; its own requests are known.
 		g.after = own
+		gw.startClaims(g, view, claimSource{own: own.claims, empty: own.claims == nil})
 	case neverHeld(table, g.epoch):
+		gw.startClaims(g, view, claimSource{empty: true})
 	default:
 		g.notBefore = now.Add(clock.WithDrift(g.longest()))
+		gw.startClaims(g, view, claimSource{former: former.epoch})
 	}
 	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", g.notBefore.Sub(now))
 }
@@ -180,6 +184,7 @@
 		entry, ok := table.Group(g.id)
 		if g.isReleased() && ok && entry.Epoch > g.epoch && entry.Gateway != "" {
 			g.stop()
+			gw.keepClaims(g)
 			continue
 		}
 		kept = append(kept, g)
--- a/pkg/gateway/queue.go
+++ b/pkg/gateway/queue.go
@@ -22,6 +22,8 @@
 	// granted receives the outcome once: nil with ticket set, or a refusal.
 	granted chan error
 	ticket  *ticket
+	// finish ends the single run of a suspect.
+	finish func()
 }
 
 // before orders waiters: higher class weight first, then the earlier deadline.
@@ -87,6 +89,7 @@
 		fingerprint: w.fingerprint,
 		avoid:       map[*target]bool{w.ticket.target: true},
 		granted:     make(chan error, 1),
+		finish:      w.finish,
 	}
 	for t := range w.avoid {
 		next.avoid[t] = true
--- /dev/null
+++ b/pkg/gateway/suspects.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// suspectsTimeout bounds the wait for the other routers before the caller of a crashed request is answered.
+const suspectsTimeout = 300 * time.Millisecond
+
+// screened refuses quarantined requests and lets suspects run one at a time.
+func (gw *Gateway) screened(ctx context.Context, cancel context.CancelFunc, g *group, request *wire.Request, body io.Reader, deadline time.Time) (*exchange.Response, error) {
+	w := &waiter{
+		weight:      request.Weight,
+		deadline:    deadline,
+		keyHash:     request.KeyHash,
+		fingerprint: request.Fingerprint,
+		granted:     make(chan error, 1),
+		finish:      func() {},
+	}
+	switch gw.suspects.Verdict(request.Fingerprint) {
+	case quarantine.Quarantined:
+		return nil, quarantined(problem.NotRun)
+	case quarantine.Suspected:
+		if !gw.suspects.Begin(request.Fingerprint) {
+			return nil, refuse(http.StatusServiceUnavailable, problem.CodeOverload,
+				"an equal request that was in flight at a crashed target is running", time.Second)
+		}
+		w.alone = true
+		w.finish = sync.OnceFunc(func() { gw.suspects.End(request.Fingerprint) })
+	}
+	response, err := gw.claimed(ctx, cancel, g, request, body, w)
+	if err != nil {
+		w.finish()
+	}
+	return response, err
+}
+
+func quarantined(outcome problem.Outcome) *problem.Error {
+	return problem.New(http.StatusUnprocessableEntity, problem.CodeQuarantined, outcome,
+		"two targets failed while they executed this request")
+}
+
+// crashed records what was in flight when a target's connection broke and tells the other routers, before the caller is
+// answered and may come back through another router.
+func (gw *Gateway) crashed(fingerprints []uint64, alone bool) {
+	suspects := gw.suspects.Crash(fingerprints, alone)
+	if len(suspects) == 0 {
+		return
+	}
+	count := 0
+	for _, s := range suspects {
+		if s.Quarantined {
+			count++
+		}
+	}
+	gw.Log.Emit(event.SuspectsFound, "suspects", len(suspects))
+	if count > 0 {
+		gw.Log.Emit(event.RequestQuarantined, "requests", count)
+	}
+	gw.sendSuspects(suspects)
+}
+
+func (gw *Gateway) sendSuspects(suspects []wire.Suspect) {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectsTimeout)
+	defer cancel()
+	gw.Cell.SendSuspects(ctx, &wire.Suspects{Suspects: suspects})
+}
+
+// succeeded clears a suspect after a complete run.
+func (gw *Gateway) succeeded(fingerprint uint64) {
+	if gw.suspects.Succeed(fingerprint) {
+		go gw.sendSuspects([]wire.Suspect{quarantine.Cleared(fingerprint)})
+	}
+}
+
+// AcceptSuspects takes over suspects that another router of the cell has sent.
+func (gw *Gateway) AcceptSuspects(message *wire.Suspects) *wire.SuspectsReply {
+	gw.suspects.Merge(message.Suspects)
+	return &wire.SuspectsReply{}
+}
