--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -269,5 +269,6 @@
 	if g, ok := (*gw.groups.Load())[message.Group]; ok && g.claims != nil {
 		best = newerClaims(best, g.claims)
 	}
+	fit(&best)
 	return &best
 }
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -188,7 +188,7 @@
 	t.answered++
 	t.answeredAt = now
 	t.probesFailed = 0
-	if !t.ramp.success(latency, medianLatency(g.targets)) {
+	if !t.ramp.success(latency, mediansOf(g.targets)) {
 		g.noteState(t)
 	}
 	g.rates.hit(k)
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -177,12 +177,13 @@
 	return newest
 }
 
-// forgetRetired drops released groups once the table shows a newer holder.
+// forgetRetired drops released groups once the table shows a newer holder or the group is gone.
 func (gw *Gateway) forgetRetired(table *topology.Table) {
 	kept := gw.retiring[:0:0]
 	for _, g := range gw.retiring {
 		entry, ok := table.Group(g.id)
-		if g.isReleased() && ok && entry.Epoch > g.epoch && entry.Gateway != "" {
+		replaced := !ok || entry.Epoch > g.epoch && entry.Gateway != ""
+		if replaced && g.isReleased() {
 			g.stop()
 			gw.keepClaims(g)
 			continue
--- a/pkg/gateway/ramp.go
+++ b/pkg/gateway/ramp.go
@@ -16,10 +16,20 @@
 	coldAfterSlow = 3
 	// successesPerStep is the number of consecutive normal answers before the limit grows by one.
 	successesPerStep = 4
-	// unprovenSteps multiplies successesPerStep while no reference latency is known.
-	unprovenSteps = 4
+	// unprovenPerStep is the number of answers before the limit grows while no reference latency is known: a target that
+	// is still cold can't be told from a warm one then, except that it gets faster.
+	unprovenPerStep = 32
+	// settledShare is the share of its earlier latency that a target may lose and still count as settled.
+	settledShare = 0.8
 )
 
+// medians are the median latencies of a group.
+type medians struct {
+	// current is the median of the smoothed latencies, normal the median of those of warm targets when they last were
+	// warm. 0 means unknown.
+	current, normal time.Duration
+}
+
 // ramp limits the concurrency of one target. It starts at 1 and grows with successes at normal latency.
 type ramp struct {
 	limit int
@@ -29,6 +39,8 @@
 	slowRun      int
 	// latency is the smoothed in-band latency; 0 before the first answer.
 	latency time.Duration
+	// stepLatency is the smoothed latency when the count of successes last began.
+	stepLatency time.Duration
 	// normal is the smoothed latency when the target last was warm; 0 if it never was.
 	normal time.Duration
 }
@@ -59,10 +71,13 @@
 	r.slowRun = 0
 }
 
-// reference returns the latency that counts as normal: the higher of the target's own and its group's median, 0 if
-// neither is known.
-func (r *ramp) reference(median time.Duration) time.Duration {
-	return max(r.normal, median)
+// reference returns the latency that counts as normal, 0 if none is known or if the whole group has become slower.
+func (r *ramp) reference(m medians) time.Duration {
+	reference := max(r.normal, m.normal)
+	if reference > 0 && m.current > slowBound(reference) {
+		return 0
+	}
+	return reference
 }
 
 func slowBound(reference time.Duration) time.Duration {
@@ -71,47 +86,73 @@
 
 // success records an answer. It returns false if the answers have become unexplainedly slow, which means that the target
 // has turned cold.
-func (r *ramp) success(latency, median time.Duration) bool {
+func (r *ramp) success(latency time.Duration, m medians) bool {
 	r.observe(latency)
-	reference := r.reference(median)
-	if reference > 0 && latency > slowBound(reference) {
-		return r.slowAnswer()
+	if own := max(r.normal, m.normal); own > 0 && latency > slowBound(own) {
+		return r.slowAnswer(m)
 	}
 	r.slowRun = 0
-	r.successes++
-	r.grow(reference)
+	r.grow(m)
 	return true
 }
 
-func (r *ramp) slowAnswer() bool {
-	r.successes = 0
+func (r *ramp) slowAnswer(m medians) bool {
 	r.slowRun++
-	if r.slowRun < coldAfterSlow {
-		return true
+	known := r.reference(m) > 0
+	if r.slowRun >= coldAfterSlow && (r.warm() && r.limit > 1 || known && r.limit > r.bears) {
+		r.chill()
+		return false
 	}
-	r.slowRun = 0
-	if r.limit == 1 {
+	if known {
+		r.growCold()
 		return true
 	}
-	r.chill()
-	return false
+	// The whole group is slow: it may be cold, or the requests have changed.
+	r.grow(m)
+	return true
+}
+
+// growCold raises the limit of a slow target up to what it bears while cold.
+func (r *ramp) growCold() {
+	if r.limit >= r.bears {
+		r.successes = 0
+		return
+	}
+	r.successes++
+	r.step(successesPerStep)
 }
 
-func (r *ramp) grow(reference time.Duration) {
+func (r *ramp) grow(m medians) {
+	reference := r.reference(m)
 	if r.warm() {
 		// Follows slow changes of the request mix only.
 		r.normal = smooth(r.normal, r.latency, latencyWeight/4)
 		return
 	}
-	needed := successesPerStep
-	if reference == 0 && r.limit >= r.bears {
-		needed *= unprovenSteps
+	if r.successes == 0 {
+		r.stepLatency = r.latency
+	}
+	r.successes++
+	if reference > 0 {
+		r.step(successesPerStep)
+		return
 	}
+	if float64(r.latency) < settledShare*float64(r.stepLatency) {
+		r.successes = 0
+		return
+	}
+	r.step(unprovenPerStep)
+}
+
+func (r *ramp) step(needed int) {
 	if r.successes < needed {
 		return
 	}
 	r.successes = 0
 	r.limit++
+	if r.warm() {
+		r.normal = r.latency
+	}
 }
 
 func (r *ramp) observe(latency time.Duration) {
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -126,13 +126,25 @@
 	}
 }
 
-// medianLatency returns the median of the targets' expected latencies, 0 if none is known.
+// medianLatency returns the median of the targets' smoothed latencies, 0 if none is known.
 func medianLatency(targets []*target) time.Duration {
+	return medianOf(targets, func(t *target) time.Duration { return t.ramp.latency })
+}
+
+// mediansOf returns the median latencies of a group.
+func mediansOf(targets []*target) medians {
+	return medians{
+		current: medianLatency(targets),
+		normal:  medianOf(targets, func(t *target) time.Duration { return t.ramp.normal }),
+	}
+}
+
+func medianOf(targets []*target, latency func(*target) time.Duration) time.Duration {
 	var buf [16]time.Duration
 	known := buf[:0]
 	for _, t := range targets {
-		if t.ramp.latency > 0 && !t.lost {
-			known = append(known, t.ramp.latency)
+		if d := latency(t); d > 0 && !t.lost {
+			known = append(known, d)
 		}
 	}
 	if len(known) == 0 {
