--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -260,7 +260,7 @@
 
 func (g *group) pick(c *chooser, w *waiter, now clock.Instant) *target {
 	if !w.alone {
-		return c.choose(w)
+		return g.choose(c, w)
 	}
 	for _, t := range g.targets {
 		if t.alone == w && t.open(now) {
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -35,6 +35,8 @@
 	shared  queue
 	queued  int
 	slices  []*heldSlice
+	// choose is the policy for unkeyed requests; nil if the request should wait.
+	choose func(*chooser, *waiter) *target
 	// superseded is set once a target reports a newer holder.
 	superseded bool
 	wake       chan struct{}
@@ -52,6 +54,7 @@
 		id:      id,
 		epoch:   epoch,
 		pool:    pool,
+		choose:  (*chooser).choose,
 		state:   wire.HoldActive,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
