Release frozen targets sooner and take returned ones back

Cause, found in review and shown by the new tests: - each renewal that a frozen target didn't answer prolonged the time until its slices could be released; - a released slice was never served again if its target came back before the controller had moved it; - a cancellation at the very end of an exchange could leave a cancelled connection in the pool; - a suspect's reservation outlived the suspect when its waiters were refused; - a slow target was tried once a second, which is more than 1% of the requests at low rates.

Change: after a failed renewal a target first has to answer a health poll. A released slice whose target returns waits 1.5 s, the longest time for which a report may be under way, and comes back if the table still names it. A slow target is tried after 1,000 requests of its group. Requests that were not sent are tried again unless a part of the body is gone; the remaining time that a target is told may be at most 20 ms old. Header fields Bronzelever-* of targets don't reach callers.

Ruled out: taking a returned target's slice back at once. The controller may be acting on a release report at that moment.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -168,12 +168,17 @@
 		return false
 	}
 	g.queued--
+	g.unreserve(w)
+	return true
+}
+
+// unreserve ends the reservation of a suspect that doesn't wait any more.
+func (g *group) unreserve(w *waiter) {
 	for _, t := range g.targets {
 		if t.alone == w {
 			t.alone = nil
 		}
 	}
-	return true
 }
 
 // withdraw takes back a waiter whose caller has left.
@@ -190,8 +195,9 @@
 // refuseAll answers every waiter of a queue.
 func (g *group) refuseAll(q *queue, refusal *problem.Error) {
 	for _, w := range q.waiters {
-		w.granted <- refusal
 		g.queued--
+		g.unreserve(w)
+		w.granted <- refusal
 	}
 	q.waiters = nil
 }
@@ -244,7 +250,7 @@
 	if len(g.shared.waiters) == 0 {
 		return
 	}
-	c := chooser{now: now, median: medianLatency(g.targets), targets: g.targets}
+	c := chooser{now: now, median: medianLatency(g.targets), targets: g.targets, granted: g.granted}
 	for i := 0; i < len(g.shared.waiters); {
 		w := g.shared.waiters[i]
 		t := g.pick(&c, w, now)
@@ -255,6 +261,7 @@
 		}
 		g.shared.removeAt(i)
 		g.grantSlot(w, t, now)
+		c.granted = g.granted
 	}
 }
 
@@ -284,7 +291,9 @@
 	if w.slice != nil {
 		w.slice.running++
 	}
-	t.slowProbe = now.Add(slowProbeInterval)
+	g.granted++
+	t.triedAt = now
+	t.triedGrant = g.granted
 	w.ticket = k
 	w.granted <- nil
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -6,9 +6,15 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 )
 
-// slowProbeInterval is the time between two requests that a slow target gets although faster ones exist, so that its
-// recovery is noticed.
-const slowProbeInterval = time.Second
+// A slow target gets a request now and then although faster ones exist, so that its recovery is noticed.
+const (
+	// slowTryRequests is the number of requests of the group between two tries: one slow target in a group of five then
+	// gets 0.1% of the requests, which leaves the 99th percentile alone.
+	slowTryRequests = 1000
+	// slowTryMin and slowTryMax bound the time between two tries.
+	slowTryMin = time.Second
+	slowTryMax = 30 * time.Second
+)
 
 // chooser picks targets for unkeyed requests at one instant.
 type chooser struct {
@@ -17,6 +23,8 @@
 	targets []*target
 	// ahead is the number of waiters that come first and wait as well.
 	ahead int
+	// granted counts the requests that the group has sent to targets.
+	granted int64
 }
 
 // choose returns the best target for a waiter, nil if it should wait. Targets without a slow sign come first, by expected
@@ -57,7 +65,7 @@
 	return float64(expected) * float64(len(t.tickets)+1) / float64(t.limit())
 }
 
-// slow tells whether a target answers much later than its group. Every slowProbeInterval it may be tried again.
+// slow tells whether a target answers much later than its group. Now and then it may be tried again.
 func (c *chooser) slow(t *target) bool {
 	if c.median == 0 {
 		return false
@@ -68,7 +76,9 @@
 	if t.ramp.latency <= slowBound(c.median) {
 		return false
 	}
-	return c.now < t.slowProbe
+	since := c.now.Sub(t.triedAt)
+	due := since >= slowTryMax || since >= slowTryMin && c.granted-t.triedGrant >= slowTryRequests
+	return !due
 }
 
 // waitForFast estimates how long a waiter waits for a target that isn't slow.
--- a/pkg/gateway/conn.go
+++ b/pkg/gateway/conn.go
@@ -90,7 +90,7 @@
 // fresh tells whether an idle connection is still open and silent. A target that has sent bytes without a request would
 // cross its answers.
 func (c *conn) fresh() bool {
-	if c.reader.Buffered() > 0 {
+	if c.cancelled.Load() || c.reader.Buffered() > 0 {
 		return false
 	}
 	raw, ok := c.Conn.(syscall.Conn)
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,15 +53,24 @@
 	writeErr error
 	// callerBroke tells that the request's body could not be read to its announced end.
 	callerBroke atomic.Bool
+	body        *callerBody
 }
 
 // callerBody hides the caller's Close: the body belongs to the caller of Handle.
 type callerBody struct {
 	io.Reader
+	// touched tells that something was read.
+	touched atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.touched.Store(true)
+	return b.Reader.Read(p)
 }
 
 // Close implements io.Closer.
-func (callerBody) Close() error {
+func (*callerBody) Close() error {
 	return nil
 }
 
@@ -163,6 +173,9 @@
 		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.NotRun, "the request body broke off")
 	case ctx.Err() != nil:
 		return deadlineNotRun()
+	case a.body.touched.Load():
+		// A part of the body is gone, so that another attempt would send a truncated one.
+		return refuse(http.StatusBadGateway, problem.CodeTargetFailed, errUnsent.Error(), 0)
 	default:
 		return errUnsent
 	}
@@ -177,6 +190,9 @@
 	return endedFaulty
 }
 
+// errUnreachable means that no connection to the target could be opened.
+var errUnreachable = errors.New("the target accepts no connection")
+
 // errUnsent means that a connection broke before the first byte of the request was written.
 var errUnsent = errors.New("the connection broke before the request was sent")
 
@@ -187,8 +203,8 @@
 
 func (a *attempt) end(how ending) {
 	a.endOnce.Do(func() {
-		a.stop()
-		if how == endedClean {
+		// A cancellation that has begun closes the connection.
+		if untouched := a.stop(); how == endedClean && untouched {
 			a.recycle()
 		} else {
 			a.conn.cancel(a.deadline)
@@ -268,12 +284,15 @@
 	"Expect":              true,
 }
 
+// ownPrefix is the prefix of header fields that only bronzelever may send to callers.
+const ownPrefix = "Bronzelever-"
+
 // answerHeaders returns the end-to-end header fields of an answer.
 func answerHeaders(h http.Header) []wire.Header {
 	dropped := connectionOptions(h.Values("Connection"))
 	headers := make([]wire.Header, 0, len(h))
 	for name, values := range h {
-		if hopByHop[name] || dropped[name] {
+		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		for _, value := range values {
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -15,6 +15,10 @@
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
+// maxStampAge bounds the time between the computation of the remaining time for the target and the first byte. A process
+// that was paused in between would let the target work beyond the deadline.
+const maxStampAge = 20 * time.Millisecond
+
 // forwarding sends one admitted request to its target.
 type forwarding struct {
 	gateway  *Gateway
@@ -25,21 +29,22 @@
 	sentAt   clock.Instant
 }
 
-// run returns the answer, a refusal, or errUnsent if the target could not be reached.
+// run returns the answer, a refusal, or errUnsent or errUnreachable if nothing was sent.
 func (f *forwarding) run(ctx context.Context, cancel context.CancelFunc, body io.Reader) (*exchange.Response, error) {
 	t := f.ticket.target
 	c, err := t.conns.get(ctx)
 	if err != nil {
 		return nil, f.dialFailed(ctx, err)
 	}
-	r, err := newTargetRequest(f.request, t.address, f.stamp(), time.Until(f.deadline), body)
+	f.sentAt = f.gateway.Clock.Now()
+	sent := &callerBody{Reader: body}
+	r, err := newTargetRequest(f.request, t.address, f.stamp(), time.Until(f.deadline), sent)
 	if err != nil {
 		c.discard()
 		f.group.release(f.ticket)
 		return nil, problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.NotRun, "the path is malformed")
 	}
-	a := &attempt{conn: c, pool: t.conns, request: r, deadline: f.deadline, onEnd: f.ended}
-	f.sentAt = f.gateway.Clock.Now()
+	a := &attempt{conn: c, pool: t.conns, request: r, deadline: f.deadline, onEnd: f.ended, body: sent}
 	response, err := a.run(ctx, f.guard)
 	if err != nil {
 		return nil, f.note(err)
@@ -85,6 +90,9 @@
 	if time.Until(f.deadline) <= 0 {
 		return deadlineNotRun()
 	}
+	if now.Sub(f.sentAt) > maxStampAge {
+		return errUnsent
+	}
 	return nil
 }
 
@@ -95,7 +103,7 @@
 		return deadlineNotRun()
 	}
 	f.group.unreachable(f.ticket.target, errors.Is(err, syscall.ECONNREFUSED))
-	return errUnsent
+	return errUnreachable
 }
 
 // ended settles the slot once the exchange is over.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,10 @@
 	ControllerReachable func() bool
 }
 
+// maxAttempts bounds the attempts of a request of which nothing was sent: one for each target of a group and some for idle
+// connections that a target has closed.
+const maxAttempts = topology.MaxGroupTargets + 4
+
 // Gateway implements exchange.Handler and exchange.Holdings.
 type Gateway struct {
 	Options
@@ -143,19 +147,21 @@
 
 // attempts runs a request until a target has accepted it.
 func (gw *Gateway) attempts(ctx context.Context, cancel context.CancelFunc, g *group, request *wire.Request, body io.Reader, w *waiter) (*exchange.Response, error) {
-	for {
+	for range maxAttempts {
 		response, err := gw.try(ctx, cancel, g, request, body, w)
-		if err == nil || !errors.Is(err, errUnsent) {
+		unreachable := errors.Is(err, errUnreachable)
+		if err == nil || !unreachable && !errors.Is(err, errUnsent) {
 			return response, err
 		}
-		if !g.canRetry(w) {
-			return nil, refuse(http.StatusBadGateway, problem.CodeTargetFailed, "no target accepts a connection", time.Second)
+		if unreachable && !g.canRetry(w) {
+			break
 		}
-		w = w.again()
+		w = w.again(unreachable)
 	}
+	return nil, refuse(http.StatusBadGateway, problem.CodeTargetFailed, "no target accepts a connection", time.Second)
 }
 
-// try admits and forwards a request once. It returns errUnsent if nothing was sent.
+// try admits and forwards a request once. It returns errUnsent or errUnreachable if nothing was sent.
 func (gw *Gateway) try(ctx context.Context, cancel context.CancelFunc, g *group, request *wire.Request, body io.Reader, w *waiter) (*exchange.Response, error) {
 	k, err := g.admit(ctx, request, w)
 	if err != nil {
--- a/pkg/gateway/grants.go
+++ b/pkg/gateway/grants.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
@@ -103,9 +105,16 @@
 	slices   []*heldSlice
 	revoking bool
 	sentAt   clock.Instant
+	// lapsedBefore is how long the target may believe in former grants.
+	lapsedBefore clock.Instant
 }
 
+// renewGrant sends the target its grant. After a failure the target first has to answer a health poll: a grant sent to a
+// frozen target would take effect late and prolong the time until its slices can be given to another one.
 func (g *group) renewGrant(t *target) {
+	if !g.answersAgain(t) {
+		return
+	}
 	r, ok := g.prepareGrant(t)
 	if !ok {
 		return
@@ -117,7 +126,7 @@
 	now := g.clock.Now()
 	switch {
 	case err != nil || status >= http.StatusInternalServerError:
-		g.grantFailed(t, &r, now)
+		g.grantFailed(t, &r, now, errors.Is(err, syscall.ECONNREFUSED))
 	case status == http.StatusConflict:
 		g.grantRefused(t, newest)
 	case status == http.StatusOK:
@@ -127,6 +136,27 @@
 	g.pump()
 }
 
+func (g *group) answersAgain(t *target) bool {
+	g.mu.Lock()
+	failed := t.grant.failures > 0
+	address := t.address
+	g.mu.Unlock()
+	if !failed {
+		return true
+	}
+	_, err := g.getHealth(address, grantTimeout)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		return true
+	}
+	t.grant.failures++
+	if t.grant.failures >= grantFailuresLost {
+		g.lose(t)
+	}
+	return false
+}
+
 // prepareGrant collects what the target is granted next. It returns false if nothing may or need be sent.
 func (g *group) prepareGrant(t *target) (renewal, bool) {
 	g.mu.Lock()
@@ -135,7 +165,7 @@
 	if !g.pool.GrantsChecked || g.superseded || !g.startable(now) || !g.gateway.authorized(now) {
 		return renewal{}, false
 	}
-	r := renewal{sentAt: now, revoking: g.state != wire.HoldActive}
+	r := renewal{sentAt: now, lapsedBefore: t.grant.lapsesAt, revoking: g.state != wire.HoldActive}
 	if r.revoking && !t.grant.mayHold(now) {
 		return renewal{}, false
 	}
@@ -218,7 +248,18 @@
 	return topology.Epoch(n)
 }
 
-func (g *group) grantFailed(t *target, r *renewal, now clock.Instant) {
+// grantFailed notes a grant that was not confirmed. A refused connection proves that it was not received and that nobody
+// listens.
+func (g *group) grantFailed(t *target, r *renewal, now clock.Instant, refused bool) {
+	t.grant.failures++
+	if refused {
+		t.grant.lapsesAt = r.lapsedBefore
+		for _, s := range r.slices {
+			s.lapsesAt = min(s.lapsesAt, r.lapsedBefore)
+		}
+		g.lose(t)
+		return
+	}
 	end := now.Add(clock.WithDrift(grantTTL))
 	if !r.revoking {
 		t.grant.lapsesAt = maxInstant(t.grant.lapsesAt, end)
@@ -227,7 +268,6 @@
 		s.uncertain = true
 		s.lapsesAt = maxInstant(s.lapsesAt, end)
 	}
-	t.grant.failures++
 	if t.grant.failures >= grantFailuresLost {
 		g.lose(t)
 	}
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -34,6 +34,8 @@
 	targets []*target
 	shared  queue
 	queued  int
+	// granted counts the requests sent to targets.
+	granted int64
 	slices  []*heldSlice
 	// choose is the policy for unkeyed requests; nil if the request should wait.
 	choose func(*chooser, *waiter) *target
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -53,7 +53,7 @@
 }
 
 // newTargetRequest builds the HTTP request for a target.
-func newTargetRequest(request *wire.Request, address string, s stamp, remaining time.Duration, body io.Reader) (*http.Request, error) {
+func newTargetRequest(request *wire.Request, address string, s stamp, remaining time.Duration, body *callerBody) (*http.Request, error) {
 	target, err := url.ParseRequestURI(request.Path)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 		Header:        targetHeaders(request, s, remaining),
 		Host:          address,
 		ContentLength: request.ContentLength,
-		Body:          callerBody{body},
+		Body:          body,
 	}
 	if request.ContentLength == 0 {
 		r.Body = http.NoBody
--- a/pkg/gateway/hold_test.go
+++ b/pkg/gateway/hold_test.go
@@ -295,3 +295,64 @@
 		t.Errorf("state %q", state)
 	}
 }
+
+// Guards against a frozen target whose slices are released late or never, and against keys that stay without an owner after
+// the target has come back while the table still names it.
+func TestFrozenTargetReleasesAndResumes(t *testing.T) {
+	for _, checked := range []bool{false, true} {
+		o := keyedOptions(2, checked)
+		o.pool.MaxDeadline = 500
+		f := newFixture(t, o)
+		f.splitInTwo()
+		f.apply()
+		if _, _, err := f.do(within(t, time.Second), keyedRequest(0, 1), ""); err != nil {
+			t.Fatal(err)
+		}
+		frozen := time.Now()
+		s := f.backends[0].Settings()
+		s.Frozen = true
+		f.backends[0].Change(s)
+		eventually(t, "the slice is released", func() bool {
+			_, _, _ = f.do(within(t, 100*time.Millisecond), keyedRequest(0, 1), "")
+			state, owner := f.sliceState(0)
+			return state == wire.SliceReleased && owner == "t0"
+		})
+		took := time.Since(frozen)
+		t.Logf("checked %v: released %v after the freeze", checked, took)
+		if took > 2*time.Second {
+			t.Errorf("checked %v: released %v after the freeze", checked, took)
+		}
+		s.Frozen = false
+		f.backends[0].Change(s)
+		eventually(t, "the key is served again", func() bool {
+			_, _, err := f.do(within(t, 100*time.Millisecond), keyedRequest(0, 1), "")
+			return err == nil
+		})
+		if n := len(f.gateway.Report().Slices); n != 0 {
+			t.Errorf("%d slices are still reported", n)
+		}
+	}
+}
+
+// Guards against a slice that is taken back while a report of its release may still be under way.
+func TestReportedReleaseSettlesBeforeTheSliceReturns(t *testing.T) {
+	f := newFixture(t, keyedOptions(2, false))
+	f.splitInTwo()
+	f.apply()
+	g := f.group()
+	g.mu.Lock()
+	g.lose(g.targets[0])
+	released := g.slices[0].phase == sliceReleased
+	g.recover(g.targets[0])
+	usable := g.slices[0].usable(g.clock.Now())
+	g.mu.Unlock()
+	if !released || usable {
+		t.Errorf("released %v, usable at once %v", released, usable)
+	}
+	f.table.Slices[0].Owner = "t1"
+	f.table.Slices[0].Epoch = 4
+	f.apply()
+	if _, _, err := f.do(within(t, time.Second), keyedRequest(0, 4), ""); err != nil {
+		t.Errorf("the new owner does not serve: %v", err)
+	}
+}
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -114,7 +114,7 @@
 		return
 	}
 	g.metrics.probes.Inc(1)
-	report, err := g.getHealth(address)
+	report, err := g.getHealth(address, probeTimeout)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err != nil {
@@ -124,8 +124,8 @@
 	g.probed(t, report)
 }
 
-func (g *group) getHealth(address string) (health, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+func (g *group) getHealth(address string, timeout time.Duration) (health, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/health", address), nil)
 	if err != nil {
--- a/pkg/gateway/queue.go
+++ b/pkg/gateway/queue.go
@@ -79,18 +79,21 @@
 	return q.waiters[len(q.waiters)-1]
 }
 
-// again returns a waiter for another attempt that avoids the target of the failed one.
-func (w *waiter) again() *waiter {
+// again returns a waiter for another attempt, which may avoid the target of the failed one.
+func (w *waiter) again(avoid bool) *waiter {
 	next := &waiter{
 		weight:      w.weight,
 		deadline:    w.deadline,
 		alone:       w.alone,
 		keyHash:     w.keyHash,
 		fingerprint: w.fingerprint,
-		avoid:       map[*target]bool{w.ticket.target: true},
+		avoid:       make(map[*target]bool),
 		granted:     make(chan error, 1),
 		finish:      w.finish,
 	}
+	if avoid {
+		next.avoid[w.ticket.target] = true
+	}
 	for t := range w.avoid {
 		next.avoid[t] = true
 	}
--- a/pkg/gateway/slices.go
+++ b/pkg/gateway/slices.go
@@ -15,6 +15,10 @@
 // sliceRetry is when callers of a slice between owners should come back; a move takes about that long.
 const sliceRetry = 500 * time.Millisecond
 
+// reportSettle is the longest time for which a heartbeat and the table that answers it may be under way: longer than a
+// router's lease (1,200 ms), after which a router stops anyway.
+const reportSettle = 1500 * time.Millisecond
+
 // slicePhase is the life of a slice at its owner's gateway.
 type slicePhase int
 
@@ -50,7 +54,9 @@
 	promoted bool
 	// replaced tells that the gateway promoted a successor for this slice.
 	replaced bool
-	rates    sliceRates
+	// notBefore delays the return of a slice whose release has been reported.
+	notBefore clock.Instant
+	rates     sliceRates
 }
 
 // usable tells whether a request may be sent now.
@@ -186,6 +192,10 @@
 	if s.phase == sliceActive && s.target.lost || s.phase == sliceWaiting && s.target.lost {
 		g.releaseSlice(s)
 	}
+	if s.phase == sliceReleased {
+		g.resume(s, now)
+		return
+	}
 	if s.phase != sliceReleasing {
 		return
 	}
@@ -205,13 +215,23 @@
 	g.gateway.wakeControl()
 }
 
+// resume takes a released slice back if its target has returned and the table still names it. The controller may have acted
+// on a report that is under way, so that the slice waits until such a report has either shown in the table or ended.
+func (g *group) resume(s *heldSlice, now clock.Instant) {
+	if !s.wanted || s.replaced || s.target.lost || g.state != wire.HoldActive {
+		return
+	}
+	s.phase = sliceWaiting
+	s.notBefore = now.Add(reportSettle)
+}
+
 // mayBeGranted tells whether the target may still believe in the slice.
 func (s *heldSlice) mayBeGranted(now clock.Instant) bool {
 	return s.included && now < s.lapsesAt
 }
 
 func (g *group) activateSlice(s *heldSlice, now clock.Instant) {
-	if s.phase != sliceWaiting || !g.startable(now) || g.state != wire.HoldActive {
+	if s.phase != sliceWaiting || now < s.notBefore || !g.startable(now) || g.state != wire.HoldActive {
 		return
 	}
 	for _, o := range g.slices {
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -39,8 +39,10 @@
 	// probesFailed counts consecutive failed probes without an answer in between.
 	probesFailed int
 	// answeredAt is when the target last answered anything.
-	answeredAt     clock.Instant
-	slowProbe      clock.Instant
+	answeredAt clock.Instant
+	// triedAt and triedGrant tell when the target last got a request, by time and by the group's count.
+	triedAt        clock.Instant
+	triedGrant     int64
 	answered       int64
 	answeredBefore int64
 	probeWake      chan struct{}
