Hand groups over without the wait for the longest deadline

Cause: every new holder waited for the pool's longest deadline, because the table doesn't tell a planned hand-over from a lost holder. A planned move made the group unavailable for that time.

Change: the new holder asks the former one with FetchClaims. A router answers with the epoch of a hold only once it has released it, which proves that nothing is in flight. A holder that asks doesn't get back its own mirrored copy. A leaving router ends its mirror role first, so that holders replace it at once. The mirror's lease is 5 s instead of 3 s: a takeover takes about 2.5 s, which left too little room.

Ruled out: waiting less after an unplanned takeover of a checked pool. Its targets refuse the former epoch, but requests that run already still use slots.

--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -71,7 +71,7 @@
 	if m.Claim.Key != "" {
 		r.stored++
 	}
-	reply := r.mirror.Store(m)
+	reply := r.mirror.Store("h", m)
 	return &reply, nil
 }
 
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := r.mirror.Fetch(m.Group)
+	reply := r.mirror.Fetch("", m.Group)
 	if r.holder != nil {
 		own := r.holder.Export()
 		reply = *newest(&reply, &own)
@@ -114,7 +114,7 @@
 	h := newTestHolder(t, c, cell, epoch)
 	result := make(chan bool, 1)
 	none := func() wire.ClaimsReply { return wire.ClaimsReply{} }
-	h.StartRecover(former, none, func(found bool, _ int) { result <- found })
+	h.StartRecover(former, 0, none, func(found bool, _ int) { result <- found })
 	for {
 		select {
 		case found := <-result:
@@ -237,6 +237,19 @@
 	}
 }
 
+// Guards against orders that are refused although the mirror left in a planned way.
+func TestLeavingMirrorIsReplacedAtOnce(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1", "m2")
+	h := newTestHolder(t, c, cell, 1)
+	h.StartEmpty()
+	claimOrder(h, "a")
+	cell.set("m1", func(r *router) { r.mirror.Leave() })
+	if v := claimOrder(h, "b"); v != Run || h.Mirror() != "m2" {
+		t.Errorf("verdict %v with mirror %q", v, h.Mirror())
+	}
+}
+
 // Guards against a takeover that ignores a holder whose tenure it has not seen.
 func TestNewerHolderIsPreferred(t *testing.T) {
 	c := clock.NewVirtual(1)
@@ -275,8 +288,8 @@
 func TestMirrorRefusesFormerHolder(t *testing.T) {
 	m := NewMirror(clock.NewVirtual(1))
 	begin := wire.Claim{State: controlBegin}
-	m.Store(&wire.MirrorClaim{Group: group, Epoch: 2, Claim: begin})
-	if reply := m.Store(&wire.MirrorClaim{Group: group, Epoch: 1, Claim: begin}); reply.OK {
+	m.Store("h2", &wire.MirrorClaim{Group: group, Epoch: 2, Claim: begin})
+	if reply := m.Store("h1", &wire.MirrorClaim{Group: group, Epoch: 1, Claim: begin}); reply.OK {
 		t.Error("the mirror accepted an older epoch")
 	}
 }
--- a/pkg/claim/holder.go
+++ b/pkg/claim/holder.go
@@ -140,10 +140,11 @@
 	go h.keepMirror()
 }
 
-// StartRecover fetches the claims that belong to the former epoch and reports whether they were found.
-func (h *Holder) StartRecover(former topology.Epoch, extra func() wire.ClaimsReply, report func(found bool, claims int)) {
+// StartRecover fetches the claims that belong to the former epoch, for at least recoverTimeout and as long as nothing may
+// run anyway, and reports whether they were found.
+func (h *Holder) StartRecover(former topology.Epoch, idle time.Duration, extra func() wire.ClaimsReply, report func(found bool, claims int)) {
 	go func() {
-		claims, found := h.search(former, extra)
+		claims, found := h.search(former, max(idle, recoverTimeout), extra)
 		if found {
 			h.adopt(claims)
 		} else {
@@ -176,11 +177,11 @@
 	h.ready = true
 }
 
-func (h *Holder) search(former topology.Epoch, extra func() wire.ClaimsReply) ([]wire.Claim, bool) {
+func (h *Holder) search(former topology.Epoch, timeout time.Duration, extra func() wire.ClaimsReply) ([]wire.Claim, bool) {
 	if former == 0 {
 		return nil, false
 	}
-	give := h.clock.Now().Add(recoverTimeout)
+	give := h.clock.Now().Add(timeout)
 	for {
 		own := extra()
 		best := newest(&own, h.ask())
@@ -234,7 +235,8 @@
 	if d.Verdict != Run {
 		return d
 	}
-	if h.mirrored(ctx, key) {
+	// A mirror that refuses doesn't vouch any more, and another one can be filled at once.
+	if h.mirrored(ctx, key) || h.mirrored(ctx, key) {
 		return d
 	}
 	h.Free(key)
@@ -333,6 +335,13 @@
 	return reply
 }
 
+// Ready tells whether the claims of the former holder have been fetched or given up.
+func (h *Holder) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
 // Close stops claims and the mirror's refreshes. The claims can still be exported.
 func (h *Holder) Close() {
 	h.mu.Lock()
--- a/pkg/claim/mirror.go
+++ b/pkg/claim/mirror.go
@@ -10,9 +10,9 @@
 )
 
 // mirrorLease is how long a mirror vouches for its copy without a word from the holder. The holder waits at least that long
-// before it continues without this mirror, so that an outdated copy is never taken for complete. A takeover takes about
-// 1.5 s.
-const mirrorLease = 3 * time.Second
+// before it continues without this mirror, so that an outdated copy is never taken for complete. A takeover with a live
+// controller takes about 2.5 s: the lease, the controller's proof that it has ended, a table and refreshInterval.
+const mirrorLease = 5 * time.Second
 
 // mirrorWindow is how long a mirror keeps a copy. It covers the longest repeat window; the new holder applies its own.
 const mirrorWindow = 10 * time.Minute
@@ -29,8 +29,10 @@
 	controlRetire = wire.ClaimUnknown
 )
 
-// copy is a mirror's copy of a group's claims.
+// groupCopy is a mirror's copy of a group's claims.
 type groupCopy struct {
+	// from is the holder that sent the copy.
+	from     string
 	epoch    topology.Epoch
 	records  *records
 	complete bool
@@ -43,6 +45,8 @@
 
 	mu     sync.Mutex
 	copies map[topology.GroupID]*groupCopy
+	// leaving tells that the router stops; it mirrors nothing any more.
+	leaving bool
 }
 
 // NewMirror returns a mirror without copies.
@@ -51,16 +55,19 @@
 }
 
 // Store executes a message of the holder. Messages of an earlier holder are refused.
-func (m *Mirror) Store(message *wire.MirrorClaim) wire.MirrorClaimReply {
+func (m *Mirror) Store(from string, message *wire.MirrorClaim) wire.MirrorClaimReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.leaving {
+		return wire.MirrorClaimReply{}
+	}
 	now := m.clock.Now()
 	c := m.copies[message.Group]
 	if c != nil && message.Epoch < c.epoch {
 		return wire.MirrorClaimReply{}
 	}
 	if message.Claim.Key == "" && message.Claim.State == controlBegin {
-		m.copies[message.Group] = &groupCopy{epoch: message.Epoch, records: newRecords(), heard: now}
+		m.copies[message.Group] = &groupCopy{from: from, epoch: message.Epoch, records: newRecords(), heard: now}
 		return wire.MirrorClaimReply{OK: true}
 	}
 	if c == nil || c.epoch != message.Epoch {
@@ -86,12 +93,13 @@
 	return wire.MirrorClaimReply{OK: true, Complete: c.complete}
 }
 
-// Fetch returns the copy of a group. Since is 0 unless the mirror vouches for the copy.
-func (m *Mirror) Fetch(id topology.GroupID) wire.ClaimsReply {
+// Fetch returns the copy of a group. Since is 0 unless the mirror vouches for the copy. A holder that asks for the claims of
+// its predecessor doesn't get its own copy back.
+func (m *Mirror) Fetch(asker string, id topology.GroupID) wire.ClaimsReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	c := m.copies[id]
-	if c == nil {
+	if c == nil || c.from == asker {
 		return wire.ClaimsReply{}
 	}
 	now := m.clock.Now()
@@ -101,6 +109,17 @@
 	return wire.ClaimsReply{Claims: c.records.exportAll(now), Since: c.epoch}
 }
 
+// Leave ends the mirror's role before a planned stop. Holders that are refused replace the mirror at once, because it
+// vouches for nothing any more.
+func (m *Mirror) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving = true
+	for _, c := range m.copies {
+		c.complete = false
+	}
+}
+
 // Forget drops copies of groups whose epoch has passed and whose claims can't be asked for any more.
 func (m *Mirror) Forget() {
 	m.mu.Lock()
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -124,7 +124,7 @@
 	if median := medianLatency(g.targets); w.target == nil {
 		latency = median
 	}
-	if now < g.notBefore {
+	if now < g.notBefore && !g.asking {
 		wait = g.notBefore.Sub(now)
 	}
 	ahead := q.rank(w)
--- a/pkg/gateway/calls.go
+++ b/pkg/gateway/calls.go
@@ -19,19 +19,19 @@
 
 // Register registers the calls that gateways of the cell make to each other.
 func (gw *Gateway) Register(s CallServer) {
-	s.HandleCall(wire.TypeMirrorClaim, func(_ context.Context, _ string, frame wire.Frame) (wire.Type, any, error) {
+	s.HandleCall(wire.TypeMirrorClaim, func(_ context.Context, from string, frame wire.Frame) (wire.Type, any, error) {
 		var message wire.MirrorClaim
 		if err := frame.Decode(&message); err != nil {
 			return 0, nil, err
 		}
-		return wire.TypeMirrorClaimReply, gw.StoreClaim(&message), nil
+		return wire.TypeMirrorClaimReply, gw.StoreClaim(from, &message), nil
 	})
-	s.HandleCall(wire.TypeFetchClaims, func(_ context.Context, _ string, frame wire.Frame) (wire.Type, any, error) {
+	s.HandleCall(wire.TypeFetchClaims, func(_ context.Context, from string, frame wire.Frame) (wire.Type, any, error) {
 		var message wire.FetchClaims
 		if err := frame.Decode(&message); err != nil {
 			return 0, nil, err
 		}
-		return wire.TypeClaimsReply, gw.Claims(&message), nil
+		return wire.TypeClaimsReply, gw.Claims(from, &message), nil
 	})
 	s.HandleCall(wire.TypeSuspects, func(_ context.Context, _ string, frame wire.Frame) (wire.Type, any, error) {
 		var message wire.Suspects
--- /dev/null
+++ b/pkg/gateway/cell_test.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+var errRouterDown = errors.New("the router does not answer")
+
+// routers is a cell of gateways in one process. A lost router neither sends nor answers and has no authority.
+type routers struct {
+	mu       sync.Mutex
+	order    []string
+	gateways map[string]*Gateway
+	leases   map[string]*authority
+	down     map[string]bool
+	table    *topology.Table
+	config   *config.Config
+}
+
+// link is a router's way to the others.
+type link struct {
+	cell *routers
+	from string
+}
+
+func (l link) reach(vm string) (*Gateway, error) {
+	l.cell.mu.Lock()
+	defer l.cell.mu.Unlock()
+	if l.cell.down[vm] || l.cell.down[l.from] {
+		return nil, errRouterDown
+	}
+	return l.cell.gateways[vm], nil
+}
+
+func (l link) Members() []wire.Member {
+	var members []wire.Member
+	for _, vm := range l.cell.order {
+		if vm != l.from {
+			members = append(members, wire.Member{VM: vm, Domain: testDomain})
+		}
+	}
+	return members
+}
+
+func (l link) MirrorClaim(_ context.Context, vm string, m *wire.MirrorClaim) (*wire.MirrorClaimReply, error) {
+	gw, err := l.reach(vm)
+	if err != nil {
+		return nil, err
+	}
+	return gw.StoreClaim(l.from, m), nil
+}
+
+func (l link) FetchClaims(_ context.Context, vm string, m *wire.FetchClaims) (*wire.ClaimsReply, error) {
+	gw, err := l.reach(vm)
+	if err != nil {
+		return nil, err
+	}
+	return gw.Claims(l.from, m), nil
+}
+
+func (l link) SendSuspects(_ context.Context, m *wire.Suspects) {
+	for _, other := range l.Members() {
+		if gw, err := l.reach(other.VM); err == nil {
+			gw.AcceptSuspects(m)
+		}
+	}
+}
+
+// newRouters starts a cell with the given VMs. The first one holds the group.
+func newRouters(f *fixture, vms ...string) *routers {
+	r := &routers{
+		order: vms, gateways: map[string]*Gateway{}, leases: map[string]*authority{}, down: map[string]bool{}, table: f.table,
+		config: &config.Config{
+			Regions: []config.Region{{Name: "r1", Domains: []string{testDomain}}},
+			Pools:   []config.Pool{f.pool},
+			Routes:  []config.Route{{Name: "orders", Pool: testPool}},
+		},
+	}
+	for _, vm := range vms {
+		lease := &authority{}
+		lease.set(1 << 62)
+		r.leases[vm] = lease
+		r.gateways[vm] = New(Options{
+			Authority: lease, Clock: clock.Boottime{}, Log: event.Discard(), Scope: tally.NoopScope, Cell: link{r, vm},
+		})
+	}
+	f.tb.Cleanup(func() {
+		for _, gw := range r.gateways {
+			(&fixture{gateway: gw}).stop()
+		}
+	})
+	r.hold(vms[0], f.table.Groups[0].Epoch)
+	return r
+}
+
+// hold publishes a table in which a VM holds the group.
+func (r *routers) hold(vm string, epoch topology.Epoch) {
+	r.table.Version.Sequence++
+	r.table.Groups[0].Gateway = vm
+	r.table.Groups[0].Epoch = epoch
+	for _, name := range r.order {
+		r.mu.Lock()
+		down := r.down[name]
+		r.mu.Unlock()
+		if down {
+			continue
+		}
+		table := *r.table
+		table.Groups = append([]topology.Group(nil), r.table.Groups...)
+		r.gateways[name].Apply(&exchange.View{
+			Config: r.config, Tables: map[string]*topology.Table{"cell": &table}, Cell: "cell", VM: name,
+		})
+	}
+}
+
+// lose cuts a router off; its lease ends with it.
+func (r *routers) lose(vm string) {
+	r.leases[vm].set(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down[vm] = true
+}
+
+// send runs an order at a router and returns the refusal, nil if it was answered.
+func (r *routers) send(ctx context.Context, vm string, order *wire.Request) error {
+	f := &fixture{gateway: r.gateways[vm]}
+	_, _, err := f.do(ctx, order, "body")
+	return err
+}
+
+// Guards against a second execution of orders that are sent again to the next gateway after their own one was lost in the
+// middle of the work, with the mirror alive and with the mirror lost too.
+func TestOrdersRunAtMostOnceAfterALostGateway(t *testing.T) {
+	for _, mirrorLost := range []bool{false, true} {
+		o := defaultPool(4)
+		o.pool.MaxDeadline = 200
+		for i := range o.settings {
+			o.settings[i].ServiceMillis = 10
+		}
+		f := newFixture(t, o)
+		r := newRouters(f, "a", "b", "c")
+		random := rand.New(rand.NewPCG(7, 8))
+		const orders = 40
+		var wg sync.WaitGroup
+		for i := range orders {
+			delay := time.Duration(random.IntN(60)) * time.Millisecond
+			wg.Go(func() {
+				time.Sleep(delay)
+				_ = r.send(within(t, 100*time.Millisecond), "a", newOrder(fmt.Sprintf("order-%d", i), 1))
+			})
+		}
+		time.Sleep(30 * time.Millisecond)
+		r.lose("a")
+		if mirrorLost {
+			r.lose("b")
+		}
+		wg.Wait()
+		successor := "c"
+		r.hold(successor, topology.NewGroupEpoch(1, 2))
+		lost, answered := 0, 0
+		for attempt := range 3 {
+			for i := range orders {
+				err := r.send(within(t, time.Second), successor, newOrder(fmt.Sprintf("order-%d", i), 1))
+				var refusal *problem.Error
+				if errors.As(err, &refusal) && refusal.Code == problem.CodeClaimLost {
+					lost++
+				}
+				if err == nil {
+					answered++
+				}
+			}
+			if attempt == 0 {
+				eventually(t, "the takeover wait is over", func() bool {
+					g := (*r.gateways[successor].groups.Load())[testGroup]
+					g.mu.Lock()
+					defer g.mu.Unlock()
+					return g.startable(g.clock.Now()) && g.claims.Ready()
+				})
+			}
+		}
+		for i := range orders {
+			if n := f.runs(fmt.Sprintf("order-%d", i)); n > 1 {
+				t.Errorf("mirror lost %v: order %d ran %d times", mirrorLost, i, n)
+			}
+		}
+		if mirrorLost && answered > 0 {
+			t.Errorf("%d orders were answered although all claims are lost", answered)
+		}
+		if !mirrorLost && answered == 0 {
+			t.Error("no order was answered after the takeover")
+		}
+		t.Logf("mirror lost %v: %d refused as claim-lost, %d answered", mirrorLost, lost, answered)
+	}
+}
+
+// Guards against a planned hand-over that forgets claims, refuses orders for the repeat window, or waits as if the former
+// holder were lost.
+func TestPlannedHandOverPassesClaimsOn(t *testing.T) {
+	f := newFixture(t, defaultPool(2))
+	r := newRouters(f, "a", "b")
+	if err := r.send(within(t, time.Second), "a", newOrder("order", 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.hold("", topology.NewGroupEpoch(1, 1))
+	eventually(t, "the group is released", func() bool {
+		held := r.gateways["a"].Report().Held
+		return len(held) == 1 && held[0].State == wire.HoldReleased
+	})
+	r.hold("b", topology.NewGroupEpoch(1, 2))
+	handed := time.Now()
+	eventually(t, "the repeat gets the recorded answer", func() bool {
+		return r.send(within(t, time.Second), "b", newOrder("order", 1)) == nil
+	})
+	eventually(t, "a new order runs", func() bool {
+		return r.send(within(t, time.Second), "b", newOrder("another", 1)) == nil
+	})
+	if took := time.Since(handed); took > f.pool.MaxDeadline.Duration()/4 {
+		t.Errorf("a new order ran %v after the hand-over", took)
+	}
+	if n := f.runs("order"); n != 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+}
+
+// Guards against a poison request that takes down a target per router.
+func TestQuarantineSpreadsInTheCell(t *testing.T) {
+	f := newFixture(t, defaultPool(4))
+	r := newRouters(f, "a", "b")
+	poison := func() *wire.Request {
+		q := newRequest(http.MethodGet, "/status/crash-target")
+		q.Fingerprint = 9
+		return q
+	}
+	_ = r.send(within(t, time.Second), "a", poison())
+	r.hold("b", topology.NewGroupEpoch(1, 2))
+	g := (*r.gateways["b"].groups.Load())[testGroup]
+	g.mu.Lock()
+	g.notBefore = 0
+	g.mu.Unlock()
+	var last error
+	for range 5 {
+		last = r.send(within(t, time.Second), "b", poison())
+	}
+	wantRefusal(t, last, problem.CodeQuarantined, problem.NotRun)
+	if n := f.crashed(); n != 2 {
+		t.Errorf("%d targets crashed", n)
+	}
+}
+
+// Guards against a holder that confirms its release while one of its requests is still in flight.
+func TestReleaseIsConfirmedOnlyWhenNothingIsInFlight(t *testing.T) {
+	o := defaultPool(1)
+	o.settings[0].ServiceMillis = 300
+	f := newFixture(t, o)
+	r := newRouters(f, "a", "b")
+	done := make(chan error, 1)
+	go func() {
+		done <- r.send(within(t, time.Second), "a", newRequest(http.MethodGet, "/status/k"))
+	}()
+	eventually(t, "the request is at the target", func() bool { return f.backends[0].Summary().Executing == 1 })
+	r.hold("b", topology.NewGroupEpoch(1, 2))
+	confirmed := false
+	for f.backends[0].Summary().Executing == 1 {
+		confirmed = confirmed || r.gateways["a"].Claims("b", &wire.FetchClaims{Group: testGroup}).Since != 0
+		time.Sleep(time.Millisecond)
+	}
+	if confirmed {
+		t.Error("the release was confirmed while a request was in flight")
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	eventually(t, "the new holder serves", func() bool {
+		return r.send(within(t, time.Second), "b", newRequest(http.MethodGet, "/status/k")) == nil
+	})
+}
--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/claim"
-	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
@@ -21,12 +20,6 @@
 // defaultRepeatWindow applies to pools without a configured one.
 const defaultRepeatWindow = time.Minute
 
-// formerClaims are kept for the new holder of a group.
-type formerClaims struct {
-	holder *claim.Holder
-	until  clock.Instant
-}
-
 // claimSource tells where the claims of a newly held group come from.
 type claimSource struct {
 	// empty tells that the group had no holder before.
@@ -50,8 +43,8 @@
 	case source.own != nil:
 		h.StartFrom(source.own)
 	default:
-		local := func() wire.ClaimsReply { return gw.localClaims(g.id) }
-		h.StartRecover(source.former, local, func(found bool, claims int) {
+		local := func() wire.ClaimsReply { return gw.localClaims(view.VM, g.id) }
+		h.StartRecover(source.former, g.longest(), local, func(found bool, claims int) {
 			if found {
 				gw.Log.Emit(event.ClaimsRecovered, "group", g.id, "claims", claims)
 				return
@@ -216,59 +209,8 @@
 	return &exchange.Response{Head: head, Body: io.NopCloser(bytes.NewReader(d.Answer.Body))}, nil
 }
 
-// keepClaims keeps the claims of a group that was given up until nobody can need them.
-func (gw *Gateway) keepClaims(g *group) {
-	if g.claims == nil {
-		return
-	}
-	gw.formerClaims[g.id] = formerClaims{holder: g.claims, until: gw.Clock.Now().Add(clock.WithDrift(g.claims.Window))}
-}
-
-func (gw *Gateway) forgetClaims() {
-	now := gw.Clock.Now()
-	for id, f := range gw.formerClaims {
-		if now >= f.until {
-			delete(gw.formerClaims, id)
-		}
-	}
-	gw.mirror.Forget()
-}
-
-// localClaims returns the newest complete claims of a group that this router has from earlier roles.
-func (gw *Gateway) localClaims(id topology.GroupID) wire.ClaimsReply {
-	best := gw.mirror.Fetch(id)
-	gw.mu.Lock()
-	defer gw.mu.Unlock()
-	if f, ok := gw.formerClaims[id]; ok {
-		best = newerClaims(best, f.holder)
-	}
-	for _, g := range gw.retiring {
-		if g.id == id && g.claims != nil {
-			best = newerClaims(best, g.claims)
-		}
-	}
-	return best
-}
-
-func newerClaims(best wire.ClaimsReply, h *claim.Holder) wire.ClaimsReply {
-	if exported := h.Export(); exported.Since > best.Since {
-		return exported
-	}
-	return best
-}
-
 // StoreClaim executes a mirror message of the holder of a group.
-func (gw *Gateway) StoreClaim(message *wire.MirrorClaim) *wire.MirrorClaimReply {
-	reply := gw.mirror.Store(message)
+func (gw *Gateway) StoreClaim(from string, message *wire.MirrorClaim) *wire.MirrorClaimReply {
+	reply := gw.mirror.Store(from, message)
 	return &reply
 }
-
-// Claims returns what this router has of a group's claims, as holder, former holder or mirror.
-func (gw *Gateway) Claims(message *wire.FetchClaims) *wire.ClaimsReply {
-	best := gw.localClaims(message.Group)
-	if g, ok := (*gw.groups.Load())[message.Group]; ok && g.claims != nil {
-		best = newerClaims(best, g.claims)
-	}
-	fit(&best)
-	return &best
-}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -69,9 +69,9 @@
 	retiring []*group
 	// former remembers the last holder of each group that a table has shown.
 	former map[topology.GroupID]holder
-	// formerClaims are the claims of groups that were given up, for their new holders.
-	formerClaims map[topology.GroupID]formerClaims
-	stopping     bool
+	// released are groups that were given up, kept for their new holders.
+	released map[topology.GroupID]releasedHold
+	stopping bool
 }
 
 // holder is who held a group under which epoch.
@@ -88,14 +88,14 @@
 // New returns a gateway that holds nothing yet.
 func New(o Options) *Gateway {
 	g := &Gateway{
-		Options:      o,
-		metrics:      newMetrics(o.Scope),
-		control:      newControlClient(),
-		changed:      make(chan struct{}, 1),
-		former:       make(map[topology.GroupID]holder),
-		suspects:     quarantine.New(o.Clock),
-		mirror:       claim.NewMirror(o.Clock),
-		formerClaims: make(map[topology.GroupID]formerClaims),
+		Options:  o,
+		metrics:  newMetrics(o.Scope),
+		control:  newControlClient(),
+		changed:  make(chan struct{}, 1),
+		former:   make(map[topology.GroupID]holder),
+		suspects: quarantine.New(o.Clock),
+		mirror:   claim.NewMirror(o.Clock),
+		released: make(map[topology.GroupID]releasedHold),
 	}
 	empty := make(map[topology.GroupID]*group)
 	g.groups.Store(&empty)
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -29,6 +29,8 @@
 	state wire.HoldState
 	// notBefore is when the first request may be sent: requests of an earlier holder may occupy slots until then.
 	notBefore clock.Instant
+	// asking tells that the former holder is being asked whether it has released the group.
+	asking bool
 	// after is an earlier hold of the same router that has to be released first.
 	after   *group
 	targets []*target
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -35,7 +35,7 @@
 	gw.groups.Store(&groups)
 	gw.forgetRetired(table)
 	gw.remember(table)
-	gw.forgetClaims()
+	gw.forgetReleased()
 }
 
 // giveUpMissing gives up the groups that the table gives to nobody or to somebody else.
@@ -104,6 +104,10 @@
 	default:
 		g.notBefore = now.Add(clock.WithDrift(g.longest()))
 		gw.startClaims(g, view, claimSource{former: former.epoch})
+		if known && former.vm != view.VM {
+			g.asking = true
+			go gw.askFormer(g, former)
+		}
 	}
 	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", g.notBefore.Sub(now))
 }
@@ -185,7 +189,7 @@
 		replaced := !ok || entry.Epoch > g.epoch && entry.Gateway != ""
 		if replaced && g.isReleased() {
 			g.stop()
-			gw.keepClaims(g)
+			gw.keepReleased(g)
 			continue
 		}
 		kept = append(kept, g)
@@ -229,6 +233,7 @@
 
 // Release implements exchange.Holdings.
 func (gw *Gateway) Release(ctx context.Context) error {
+	gw.mirror.Leave()
 	gw.mu.Lock()
 	gw.stopping = true
 	groups := maps.Clone(*gw.groups.Load())
