Add tests for the agent

Cause: lease, roster rule, entry authority and versions decide about double owners and were unchecked.

Ruled out: tests through sockets; they can't place an answer after a pause.

Conclusion: the agent keeps its invariants in these cases.

--- /dev/null
+++ b/pkg/agent/state_test.go
@@ -0,0 +1,445 @@
+package agent
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+const start = clock.Instant(time.Hour)
+
+// holdings records what the agent applies.
+type holdings struct {
+	view    *exchange.View
+	held    []wire.Held
+	changed chan struct{}
+}
+
+func (h *holdings) Apply(v *exchange.View)   { h.view = v }
+func (h *holdings) Report() exchange.Report  { return exchange.Report{Held: h.held} }
+func (h *holdings) Changed() <-chan struct{} { return h.changed }
+
+func member(n int) wire.Member {
+	return wire.Member{VM: fmt.Sprintf("vm-%d", n), Incarnation: wire.Incarnation(n), Address: fmt.Sprintf("router-%d", n), Domain: "catania-a"}
+}
+
+func peers(n int) []Peer {
+	var out []Peer
+	for i := 2; i <= n; i++ {
+		out = append(out, Peer{VM: fmt.Sprintf("vm-%d", i), Cell: "catania", Router: fmt.Sprintf("router-%d", i), Controller: fmt.Sprintf("controller-%d", i)})
+	}
+	return out
+}
+
+func configBody(t *testing.T, version uint64) []byte {
+	t.Helper()
+	cfg := &config.Config{
+		Version: version,
+		Regions: []config.Region{{Name: "catania", Domains: []string{"catania-a"}}},
+		Pools: []config.Pool{{
+			Name: "archivio", Targets: []config.Target{{ID: "t1", Address: "127.0.0.1:9", Domain: "catania-a"}},
+			Slots: 2, Connections: 10, ColdConcurrency: 1, QueueLimit: 10, MaxDeadline: 1000, RepeatWindow: 60000,
+		}},
+		Routes: []config.Route{{
+			Name: "archivio", PathPrefix: "/archivio", Methods: []string{"GET"}, Pool: "archivio", Class: "archivio",
+			Weight: 1, Idempotent: true, Deadline: 1000, MaxBodyBytes: 1 << 20,
+		}},
+	}
+	body, err := config.Marshal(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := parseConfig(version, body); err != nil {
+		t.Fatalf("the test's configuration is invalid: %v", err)
+	}
+	return body
+}
+
+func table(term, sequence uint64, gateway string, epoch topology.Epoch) *topology.Table {
+	group := topology.Group{ID: "archivio/catania-a/0", Targets: []string{"t1"}, Gateway: gateway, GatewayAddress: "a", Epoch: epoch}
+	return &topology.Table{Cell: "catania", Version: topology.Version{Term: term, Sequence: sequence}, Groups: []topology.Group{group}}
+}
+
+// cluster is the state under test and what the other processes know.
+type cluster struct {
+	t   *testing.T
+	s   *state
+	h   *holdings
+	now clock.Instant
+	// answers maps an address to its answer to a message type; a missing one is a failed call.
+	answers map[string]func(c call) any
+	// sent counts the calls by address.
+	sent map[string]int
+}
+
+func newCluster(t *testing.T, routers int) *cluster {
+	h := &holdings{}
+	s := newState(Options{Cell: "catania", Self: member(1), Controller: "controller-1", Peers: peers(routers), Holdings: h, Log: discard})
+	return &cluster{t: t, s: s, h: h, now: start, answers: map[string]func(call) any{}, sent: map[string]int{}}
+}
+
+// run lets time pass; each call is answered within the tick in which it is made.
+func (c *cluster) run(d time.Duration) {
+	for end := c.now.Add(d); c.now < end; c.now = c.now.Add(tickInterval) {
+		c.s.tick(c.now)
+		for calls := c.s.takeCalls(); len(calls) > 0; calls = c.s.takeCalls() {
+			for _, call := range calls {
+				c.deliver(call)
+			}
+			c.s.tick(c.now)
+		}
+	}
+}
+
+func (c *cluster) deliver(call call) {
+	c.sent[call.address]++
+	call.asked = c.now
+	c.s.checkLapse(c.now)
+	answer := c.answers[call.address]
+	var reply any
+	if answer != nil {
+		reply = answer(call)
+	}
+	if reply == nil {
+		c.s.onAnswer(c.now, call, nil, errStopped)
+		return
+	}
+	c.s.onAnswer(c.now, call, reply, nil)
+}
+
+// controller answers heartbeats as the controller of a term.
+func (c *cluster) controller(term uint64, table *topology.Table, roster *wire.Roster) func(call) any {
+	return func(call call) any {
+		switch request := call.request.(type) {
+		case wire.Heartbeat:
+			reply := &wire.HeartbeatReply{Active: true, Term: term, LeaseMillis: 1200, ConfigVersion: 3}
+			if table != nil && request.TableVersion.Less(table.Version) {
+				reply.Table = table
+			}
+			if roster != nil && request.RosterVersion != roster.Version {
+				reply.Roster = roster
+			}
+			return reply
+		case wire.FetchConfig:
+			return &wire.ConfigReply{Version: 3, Body: configBody(c.t, 3)}
+		}
+		return nil
+	}
+}
+
+// router answers as another router that knows a term, table and configuration.
+func (c *cluster) router(n int, term uint64, t *topology.Table, configVersion uint64, authority int64) {
+	m := member(n)
+	c.answers[m.Address] = func(call call) any {
+		switch call.request.(type) {
+		case wire.Witness:
+			reply := &wire.WitnessReply{Member: m, Term: term, ConfigVersion: configVersion, AuthorityMillis: authority}
+			if t != nil {
+				reply.TableVersion = t.Version
+			}
+			return reply
+		case wire.FetchConfig:
+			return &wire.ConfigReply{Version: configVersion, Body: configBody(c.t, configVersion)}
+		case wire.FetchTable:
+			return &wire.TableReply{Table: t}
+		}
+		return nil
+	}
+}
+
+func (c *cluster) roster(n int) *wire.Roster {
+	r := &wire.Roster{Version: 1}
+	for i := 1; i <= n; i++ {
+		r.Members = append(r.Members, member(i))
+	}
+	return r
+}
+
+func (c *cluster) holds() bool {
+	if c.s.config == nil || c.s.tables["catania"] == nil {
+		return false
+	}
+	return c.s.view().Tables["catania"].Groups[0].Gateway == "vm-1"
+}
+
+// established gives the router a lease, and then the group.
+func established(t *testing.T, routers int) *cluster {
+	c := newCluster(t, routers)
+	c.answers["controller-2"] = c.controller(1, table(1, 1, "", 0), c.roster(routers))
+	c.run(time.Second)
+	c.answers["controller-2"] = c.controller(1, table(1, 2, "vm-1", 10), c.roster(routers))
+	c.run(time.Second)
+	if !c.holds() || c.now >= c.s.holdingEnd() {
+		t.Fatal("the router doesn't hold its group")
+	}
+	for n := 2; n <= routers; n++ {
+		c.router(n, 1, table(1, 2, "vm-1", 10), 3, 1000)
+	}
+	return c
+}
+
+// Guards against a router that doesn't find its controller or asks it too often.
+func TestFindsController(t *testing.T) {
+	c := newCluster(t, 4)
+	c.answers["controller-3"] = func(call) any { return &wire.HeartbeatReply{Leader: "controller-4"} }
+	c.answers["controller-4"] = c.controller(1, nil, nil)
+	c.run(time.Second)
+	if c.s.leader != "controller-4" || c.now >= c.s.lease.End() {
+		t.Errorf("controller %q", c.s.leader)
+	}
+	if n := c.sent["controller-4"]; n < 4 || n > 8 {
+		t.Errorf("%d messages in a second", n)
+	}
+	delete(c.answers, "controller-4")
+	c.answers["controller-2"] = c.controller(2, nil, nil)
+	c.run(500 * time.Millisecond)
+	if c.s.leader != "controller-2" || c.s.term != 2 {
+		t.Errorf("controller %q, term %d after the first one was lost", c.s.leader, c.s.term)
+	}
+}
+
+// Guards against a lease that is counted from the answer instead of the question.
+func TestLeaseCountsFromQuestion(t *testing.T) {
+	s := newCluster(t, 2).s
+	s.onAnswer(start.Add(time.Second), call{address: "c", t: wire.TypeHeartbeat, asked: start}, &wire.HeartbeatReply{Active: true, Term: 1, LeaseMillis: 1200}, nil)
+	if got := s.holdingEnd(); got != start.Add(1200*time.Millisecond) {
+		t.Errorf("lease ends %v after the question", got.Sub(start))
+	}
+}
+
+// Guards against two holders after a change of controller: an older term must have no effect.
+func TestOlderTermIsRefused(t *testing.T) {
+	c := established(t, 5)
+	if r := c.s.announced(c.now, &wire.AnnounceTerm{Cell: "catania", Term: 3, Address: "controller-3"}); r.Term != 3 {
+		t.Fatalf("announcement answered with term %d", r.Term)
+	}
+	c.answers["controller-2"] = c.controller(2, table(2, 1, "vm-1", 20), nil)
+	end := c.s.holdingEnd()
+	c.run(2 * time.Second)
+	if c.s.term != 3 || c.s.holdingEnd() != end || c.s.tables["catania"].Version.Term != 1 {
+		t.Errorf("term %d, table %v", c.s.term, c.s.tables["catania"].Version)
+	}
+	if r := c.s.announced(c.now, &wire.AnnounceTerm{Cell: "catania", Term: 2, Address: "controller-2"}); r.Term != 3 || c.s.term != 3 {
+		t.Errorf("an older announcement was answered with term %d", r.Term)
+	}
+}
+
+// Guards against losing all groups when controller and store are lost together.
+func TestRosterRuleKeepsGroups(t *testing.T) {
+	c := established(t, 5)
+	delete(c.answers, "controller-2")
+	c.run(10 * time.Second)
+	if !c.holds() || c.now >= c.s.holdingEnd() {
+		t.Fatal("the roster confirms, but the authority has ended")
+	}
+	delete(c.answers, "router-2")
+	delete(c.answers, "router-3")
+	c.run(10 * time.Second)
+	if !c.holds() {
+		t.Fatal("three of five confirm, but the authority has ended")
+	}
+	delete(c.answers, "router-4")
+	c.run(3 * time.Second)
+	if c.holds() || c.now < c.s.holdingEnd() {
+		t.Error("two of five confirm, but the router keeps its groups")
+	}
+}
+
+// Guards against an isolated router that keeps acting, and against a short isolation that costs the groups.
+func TestIsolation(t *testing.T) {
+	c := established(t, 5)
+	answers := c.answers
+	c.answers = map[string]func(call) any{}
+	c.run(900 * time.Millisecond)
+	if !c.holds() {
+		t.Error("the groups are dropped before the lease ends")
+	}
+	c.run(700 * time.Millisecond)
+	if c.holds() || c.now < c.s.entryEnd() {
+		t.Error("an isolated router keeps acting")
+	}
+	c.answers = answers
+	c.run(time.Second)
+	if c.now >= c.s.holdingEnd() {
+		t.Error("no lease after the isolation")
+	}
+	if c.holds() {
+		t.Error("a group is taken up again with the epoch under which it was lost")
+	}
+	c.answers["controller-2"] = c.controller(1, table(1, 3, "vm-1", 11), nil)
+	c.run(time.Second)
+	if !c.holds() {
+		t.Error("a new grant is ignored")
+	}
+}
+
+// Guards against a paused process that bridges the end of its lease with the answer that arrives after the pause.
+func TestPause(t *testing.T) {
+	c := established(t, 5)
+	c.now = c.now.Add(5 * time.Second)
+	c.run(time.Second)
+	if c.now >= c.s.holdingEnd() {
+		t.Error("no lease after the pause")
+	}
+	if c.holds() {
+		t.Error("the group survived a pause longer than the lease")
+	}
+}
+
+// Guards against a second owner: a router that hears of a newer term from others must not keep its groups by the roster
+// rule, because the new controller may not know of it.
+func TestNewerTermEndsRosterRule(t *testing.T) {
+	c := established(t, 5)
+	delete(c.answers, "controller-2")
+	c.run(2 * time.Second)
+	if !c.holds() {
+		t.Fatal("the roster rule doesn't apply")
+	}
+	for n := 2; n <= 5; n++ {
+		c.router(n, 2, table(1, 2, "vm-1", 10), 3, 1000)
+	}
+	c.run(2 * time.Second)
+	if c.holds() || c.now < c.s.holdingEnd() || c.s.term != 2 {
+		t.Errorf("term %d; the groups are kept without a lease of the new term", c.s.term)
+	}
+}
+
+// Guards against a roster rule that ignores newer tables or configurations.
+func TestRosterRuleNeedsNewest(t *testing.T) {
+	c := established(t, 5)
+	delete(c.answers, "controller-2")
+	c.run(time.Second)
+	for n := 2; n <= 5; n++ {
+		c.router(n, 1, table(1, 3, "vm-4", 12), 4, 1000)
+	}
+	c.run(3 * time.Second)
+	if c.holds() {
+		t.Error("a newer table has given the group away")
+	}
+	if c.s.configVersion() != 4 {
+		t.Errorf("configuration %d; version 4 is in force", c.s.configVersion())
+	}
+	if c.now >= c.s.holdingEnd() {
+		t.Error("no authority although everything newer has been fetched")
+	}
+}
+
+// Guards against configuration and tables that become older.
+func TestVersionsDontGoBack(t *testing.T) {
+	c := established(t, 3)
+	c.s.adoptConfig(2, configBody(t, 2))
+	c.s.adoptTable(c.now, table(1, 1, "vm-2", 1))
+	if c.s.configVersion() != 3 || c.s.tables["catania"].Version.Sequence != 2 {
+		t.Errorf("configuration %d, table %v", c.s.configVersion(), c.s.tables["catania"].Version)
+	}
+	c.s.adoptConfig(9, configBody(t, 8))
+	c.s.adoptConfig(9, []byte("{"))
+	if c.s.configVersion() != 3 {
+		t.Errorf("an unusable configuration is in force as version %d", c.s.configVersion())
+	}
+}
+
+// Guards against a restarted router that takes over the groups of its former process.
+func TestRestartedRouterHoldsNothing(t *testing.T) {
+	c := newCluster(t, 3)
+	c.answers["controller-2"] = c.controller(1, table(1, 5, "vm-1", 10), c.roster(3))
+	c.run(2 * time.Second)
+	if c.holds() {
+		t.Error("the group of the former process is held")
+	}
+	c.answers["controller-2"] = c.controller(1, table(1, 6, "vm-1", 11), c.roster(3))
+	c.run(time.Second)
+	if !c.holds() {
+		t.Error("the grant to the new process is ignored")
+	}
+}
+
+// Guards against a fresh router that can't serve while no controller exists, and one that holds groups then.
+func TestFreshRouterWithoutController(t *testing.T) {
+	c := newCluster(t, 3)
+	c.router(2, 1, table(1, 5, "vm-1", 10), 3, 900)
+	c.run(2 * time.Second)
+	if c.s.config == nil || c.s.tables["catania"] == nil || c.now >= c.s.entryEnd() {
+		t.Fatal("the router doesn't serve although a router with authority vouches for it")
+	}
+	if c.holds() || c.s.holdingEnd() != 0 {
+		t.Error("a router without lease holds a group")
+	}
+	c.router(2, 1, table(1, 5, "vm-1", 10), 3, 0)
+	c.run(2 * time.Second)
+	if c.now < c.s.entryEnd() {
+		t.Error("a router without authority vouches for another one")
+	}
+}
+
+// Guards against a fresh router without peers that doesn't refuse.
+func TestFreshRouterAlone(t *testing.T) {
+	c := newCluster(t, 1)
+	c.run(3 * time.Second)
+	if c.now < c.s.entryEnd() || c.s.config != nil {
+		t.Error("a router that is alone has authority")
+	}
+}
+
+// Guards against vouching for an outdated configuration.
+func TestBorrowedAuthorityNeedsConfig(t *testing.T) {
+	c := newCluster(t, 2)
+	c.s.adoptConfig(3, configBody(t, 3))
+	c.s.onWitness(call{address: "router-2", asked: c.now}, &wire.WitnessReply{Member: member(2), ConfigVersion: 4, AuthorityMillis: 1000})
+	if c.s.entryEnd() != 0 {
+		t.Error("authority with an outdated configuration")
+	}
+	c.s.onWitness(call{address: "router-2", asked: c.now}, &wire.WitnessReply{Member: member(2), ConfigVersion: 3, AuthorityMillis: 1000})
+	if got := c.s.entryEnd().Sub(c.now); got <= 0 || got >= time.Second {
+		t.Errorf("borrowed authority for %v", got)
+	}
+	if c.s.witness(c.now, &wire.Witness{Cell: "catania"}).AuthorityMillis != 0 {
+		t.Error("borrowed authority is lent again")
+	}
+}
+
+// Guards against a leaving router that ends while it still holds a group.
+func TestLeave(t *testing.T) {
+	c := established(t, 3)
+	c.h.held = []wire.Held{{Group: "archivio/catania-a/0", Epoch: 10, State: wire.HoldActive}}
+	if c.s.leave(c.now, c.h.Report()) {
+		t.Fatal("the router may leave with a group")
+	}
+	leaving := false
+	inner := c.answers["controller-2"]
+	c.answers["controller-2"] = func(call call) any {
+		if hb, ok := call.request.(wire.Heartbeat); ok {
+			leaving = leaving || hb.Leaving
+		}
+		return inner(call)
+	}
+	c.run(tickInterval)
+	if !leaving {
+		t.Error("the controller isn't told at once")
+	}
+	c.s.adoptTable(c.now, table(1, 3, "", 10))
+	c.h.held[0].State = wire.HoldDraining
+	if c.s.leave(c.now, c.h.Report()) {
+		t.Error("the router may leave while requests are in flight")
+	}
+	c.h.held[0].State = wire.HoldReleased
+	if !c.s.leave(c.now, c.h.Report()) {
+		t.Error("the router may not leave although it has released everything")
+	}
+}
+
+// Guards against dumps that contain more than control state.
+func TestDump(t *testing.T) {
+	c := established(t, 3)
+	d := c.s.dump(c.now)
+	if d.Term != 1 || d.ConfigVersion != 3 || !strings.HasPrefix(d.Controller, "controller-") || d.HoldingMillis <= 0 {
+		t.Errorf("%+v", d)
+	}
+}
