Make the metrics registry start

Cause: metric.NewRegistry panics: tally's gauges of its own cardinality have names that Prometheus doesn't allow. Two registries in one process would also collide in the default registerer.

Change: names are sanitized, the cardinality gauges are omitted, and each registry has a Prometheus registry of its own with the Go and process collectors.

Ruled out: ignoring registration errors (a metric would be missing without a sign).

Conclusion: processes can start.

--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -19,13 +21,19 @@
 	reporter promreporter.Reporter
 }
 
-// NewRegistry returns a registry whose metrics start with the given prefix.
+// NewRegistry returns a registry whose metrics start with the given prefix. Each registry is independent of all others.
 func NewRegistry(prefix string) *Registry {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      promreporter.DefaultSeparator,
+		Prefix:          prefix,
+		CachedReporter:  reporter,
+		Separator:       promreporter.DefaultSeparator,
+		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
+		// tally's gauges of its own cardinality have names that Prometheus doesn't allow.
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{scope: scope, closer: closer, reporter: reporter}
 }
