Add end-to-end tests of the router

Cause: truncated answers, the region guard, repeated orders, a lone router, configuration changes and the graceful stop need tests with real sockets.

Change: tests in pkg/router. TestGracefulStopCutsNoRequest fails at this commit: a new gateway waits for the longest deadline after a planned move, and a cold target's only slot is taken by the test's upload.

--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -1,12 +1,20 @@
 package router
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/settings"
 )
 
 // Guards against a route, a body or an outcome that gets lost between caller and target, with local and remote gateways.
@@ -26,3 +34,285 @@
 		}
 	}
 }
+
+// Guards against an answer that breaks half-way and reaches the caller as a clean end.
+func TestTruncatedAnswer(t *testing.T) {
+	const length = 300_000
+	w := newWorld(t, 2, func(rw http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "broken") {
+			return
+		}
+		if strings.Contains(r.URL.Path, "announced") {
+			rw.Header().Set("Content-Length", fmt.Sprint(length))
+		}
+		_, _ = rw.Write(make([]byte, length/2))
+		_ = http.NewResponseController(rw).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	for i, n := range w.routers {
+		for _, path := range []string{"/archivio/broken", "/archivio/broken-announced", "/stato/broken"} {
+			response := send(t, "GET", n.url(path), "")
+			got, err := io.ReadAll(response.Body)
+			if err == nil {
+				t.Errorf("router %d, %s: %d bytes and a clean end", i, path, len(got))
+			}
+		}
+	}
+}
+
+// Guards against reading or inviting the body of a request that is bound to another region.
+func TestRegionGuardBeforeBody(t *testing.T) {
+	w := newWorld(t, 1, echo)
+	before := w.hits.Load()
+	c, err := net.Dial("tcp", w.routers[0].CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	head := "POST /palermo/x HTTP/1.1\r\nHost: r\r\nContent-Length: 1000000\r\nExpect: 100-continue\r\n\r\n"
+	if _, err := io.WriteString(c, head); err != nil {
+		t.Fatal(err)
+	}
+	// The client sends no byte of the body; an invitation would be a 100.
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusMisdirectedRequest || !strings.Contains(string(body), "https://palermo.example") {
+		t.Errorf("%d %s", response.StatusCode, body)
+	}
+	if response.Header.Get("Bronzelever-Home-Regions") != "palermo" || response.Header.Get(problem.HeaderOutcome) != string(problem.NotRun) {
+		t.Errorf("headers %v", response.Header)
+	}
+	if w.hits.Load() != before {
+		t.Error("a target was reached")
+	}
+}
+
+// Guards against a non-idempotent request that is sent to a target twice after a byte of it left.
+func TestOrderIsNotResent(t *testing.T) {
+	var orders atomic.Int64
+	w := newWorld(t, 2, func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ordini" {
+			orders.Add(1)
+			_, _ = io.Copy(io.Discard, r.Body)
+			panic(http.ErrAbortHandler)
+		}
+	})
+	for i, n := range w.routers {
+		for k := range 4 {
+			before := orders.Load()
+			key := fmt.Sprintf("order-%d-%d", i, k)
+			response := send(t, "POST", n.url("/ordini"), "one", "Idempotency-Key", key)
+			if orders.Load()-before > 1 {
+				t.Fatalf("%s reached targets %d times", key, orders.Load()-before)
+			}
+			outcome := response.Header.Get(problem.HeaderOutcome)
+			if response.StatusCode < 500 || orders.Load() != before && outcome != string(problem.Unknown) {
+				t.Errorf("%s: %d, outcome %s", key, response.StatusCode, outcome)
+			}
+		}
+	}
+	if orders.Load() == 0 {
+		t.Error("no order reached a target")
+	}
+}
+
+// Guards against bodies of the wrong length that reach a target, and against a caller that waits for the answer.
+func TestBodyShorterThanAnnounced(t *testing.T) {
+	w := newWorld(t, 1, echo)
+	before := w.hits.Load()
+	c, err := net.Dial("tcp", w.routers[0].CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /ordini HTTP/1.1\r\nHost: r\r\nIdempotency-Key: k\r\nContent-Length: 10\r\n\r\nshort")
+	_ = c.(*net.TCPConn).CloseWrite()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusBadRequest || response.Header.Get(problem.HeaderOutcome) != string(problem.NotRun) {
+		t.Errorf("%d, headers %v", response.StatusCode, response.Header)
+	}
+	if w.hits.Load() != before {
+		t.Error("a target was reached")
+	}
+}
+
+// Guards against a router that serves although it is cut off alone.
+func TestLoneRouterRefuses(t *testing.T) {
+	s := settings.Router{
+		Identity:     settings.Identity{VM: "vm-0", Cell: "catania", Region: "catania", Domain: "catania-a"},
+		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		Peers: []settings.Peer{{VM: "vm-1", Router: "127.0.0.1:9", Controller: "127.0.0.1:9", Cell: "catania"}},
+		Drain: settings.Drain{TimeoutMillis: 1000},
+	}
+	n := startRouter(t, s, event.Discard())
+	response := send(t, "GET", n.url("/archivio/x"), "")
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get(problem.HeaderOutcome) != string(problem.NotRun) || response.Header.Get("Retry-After") == "" {
+		t.Errorf("%d, headers %v", response.StatusCode, response.Header)
+	}
+	ready, err := http.Get("http://" + n.AdminAddress() + "/readyz")
+	if err != nil || drop(ready) != http.StatusServiceUnavailable {
+		t.Errorf("readiness: %v", err)
+	}
+	live, err := http.Get("http://" + n.AdminAddress() + "/livez")
+	if err != nil || drop(live) != http.StatusOK {
+		t.Errorf("liveness: %v", err)
+	}
+	n.stop()
+	if err := <-n.done; err != nil {
+		t.Errorf("a router without groups ends with %v", err)
+	}
+}
+
+// Guards against a configuration that doesn't come into force, or that goes back.
+func TestConfigurationFollowsStore(t *testing.T) {
+	w := newWorld(t, 2, echo)
+	next := *w.cfg
+	next.Version = 2
+	next.Routes = next.Routes[:1]
+	w.apply(&next)
+	w.eventually("version 2 in force everywhere", func() bool {
+		return w.routers[0].Agent().View().Config.Version == 2 && w.routers[1].Agent().View().Config.Version == 2
+	})
+	for _, n := range w.routers {
+		if response := send(t, "GET", n.url("/stato/x"), ""); response.StatusCode != http.StatusNotFound {
+			t.Errorf("a removed route answers %d", response.StatusCode)
+		}
+	}
+}
+
+// load sends requests until it is stopped and counts those that failed.
+type load struct {
+	stop           chan struct{}
+	wait           sync.WaitGroup
+	sent, failures atomic.Int64
+	first          atomic.Pointer[string]
+}
+
+// start runs callers against the router that next returns, as a balancer does. Connections are kept alive.
+func (l *load) start(callers int, next func() *node, request func(i int64) *http.Request) {
+	l.stop = make(chan struct{})
+	transport := &http.Transport{MaxIdleConnsPerHost: callers}
+	for range callers {
+		l.wait.Go(func() {
+			for {
+				select {
+				case <-l.stop:
+					return
+				default:
+				}
+				i := l.sent.Add(1)
+				r := request(i)
+				r.URL.Scheme = "http"
+				r.URL.Host = next().CallerAddress()
+				l.check(transport.RoundTrip(r))
+			}
+		})
+	}
+}
+
+func (l *load) check(response *http.Response, err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	} else {
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || response.StatusCode != http.StatusOK {
+			text = fmt.Sprintf("%d %s %v", response.StatusCode, body, err)
+		}
+	}
+	if text != "" {
+		l.failures.Add(1)
+		l.first.CompareAndSwap(nil, &text)
+	}
+}
+
+func (l *load) end(t *testing.T) {
+	close(l.stop)
+	l.wait.Wait()
+	t.Logf("%d requests, %d failures", l.sent.Load(), l.failures.Load())
+	if l.failures.Load() > 0 {
+		t.Errorf("%d of %d requests failed, the first with: %s", l.failures.Load(), l.sent.Load(), *l.first.Load())
+	}
+}
+
+// Guards against a graceful stop that cuts a request: short requests of all kinds and a long upload, while the balancer
+// learns of the end late.
+func TestGracefulStopCutsNoRequest(t *testing.T) {
+	w := newWorld(t, 3, func(rw http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprint(rw, len(body))
+	})
+	leaving := w.routers[w.gatewayOf("stato/catania-a/0")]
+	ready := func(n *node) bool { return !n.draining.Load() }
+	var turn atomic.Int64
+	// The balancer sees readiness with a lag below the settings' 200 ms.
+	var seen sync.Map
+	balancer := func() *node {
+		for {
+			n := w.routers[int(turn.Add(1))%len(w.routers)]
+			if ready(n) {
+				return n
+			}
+			first, _ := seen.LoadOrStore(n, time.Now())
+			if time.Since(first.(time.Time)) < 100*time.Millisecond {
+				return n
+			}
+		}
+	}
+	l := &load{}
+	l.start(16, balancer, func(i int64) *http.Request {
+		path := []string{"/archivio/x", fmt.Sprintf("/stato/%d", i), "/ordini"}[i%3]
+		r, err := http.NewRequest("POST", path, strings.NewReader("body"))
+		if err != nil {
+			panic(err)
+		}
+		r.Header.Set("Idempotency-Key", fmt.Sprint(i))
+		return r
+	})
+	upload, writer := io.Pipe()
+	uploaded := make(chan string, 1)
+	go func() {
+		response, err := http.Post(leaving.url("/archivio/upload"), "", upload)
+		if err != nil {
+			uploaded <- err.Error()
+			return
+		}
+		body, err := io.ReadAll(response.Body)
+		uploaded <- fmt.Sprintf("%d %s %v", response.StatusCode, body, err)
+	}()
+	if _, err := writer.Write(make([]byte, 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	w.eventually("some load", func() bool { return l.sent.Load() > 300 })
+	leaving.stop()
+	w.eventually("the callers' listener closed", func() bool {
+		c, err := net.Dial("tcp", leaving.CallerAddress())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	if _, err := writer.Write(make([]byte, 100_000)); err != nil {
+		t.Errorf("the upload was cut: %v", err)
+	}
+	_ = writer.Close()
+	if got := <-uploaded; got != "200 200000 <nil>" {
+		t.Errorf("upload: %s", got)
+	}
+	if err := <-leaving.done; err != nil {
+		t.Errorf("the router ended with %v", err)
+	}
+	at := l.sent.Load()
+	w.eventually("load after the stop", func() bool { return l.sent.Load() > at+300 })
+	l.end(t)
+}
--- a/pkg/router/world_test.go
+++ b/pkg/router/world_test.go
@@ -175,7 +175,7 @@
 }
 
 func (w *world) controller(l net.Listener) {
-	options := controller.Options{VM: "vm-c", Cell: "catania", Region: "catania", Domain: "catania-a", Address: l.Addr().String(), Incarnation: 1, Log: w.log}
+	options := controller.Options{VM: "vm-c", Cell: "catania", Region: "catania", Domain: "catania-a", Address: l.Addr().String(), Incarnation: 1, Log: w.log, Parse: config.Parse}
 	client := peer.NewClient("vm-c")
 	c := controller.NewController(options, clock.Boottime{}, w.store, client, tally.NoopScope)
 	server := peer.NewServer("vm-c")
