Use the gateway's own registration of cell calls

Change: the router calls Gateway.Register; the paging of claims in pkg/router goes away again.

Ruled out: keeping both (two encodings of one message).

--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -27,6 +27,7 @@
 	"github.com/bronzelever/bronzelever/pkg/filter/region"
 	"github.com/bronzelever/bronzelever/pkg/filter/requestid"
 	"github.com/bronzelever/bronzelever/pkg/filter/route"
+	"github.com/bronzelever/bronzelever/pkg/gateway"
 	"github.com/bronzelever/bronzelever/pkg/metric"
 	"github.com/bronzelever/bronzelever/pkg/peer"
 	"github.com/bronzelever/bronzelever/pkg/settings"
@@ -105,8 +106,8 @@
 	holdings.Holdings = r.gateway
 	r.agent.Register(r.peers)
 	r.peers.HandleRequests(r.gateway)
-	if g, ok := r.gateway.(cellGateway); ok {
-		registerCell(r.peers, g)
+	if g, ok := r.gateway.(registrar); ok {
+		g.Register(r.peers)
 	}
 	r.http = r.callerServer()
 	r.admin = &http.Server{
@@ -117,6 +118,11 @@
 	return r, nil
 }
 
+// registrar is implemented by gateways that answer other routers' gateways.
+type registrar interface {
+	Register(s gateway.CallServer)
+}
+
 // lateHoldings breaks the cycle between the agent, which needs the holdings, and the gateway, which needs the agent's
 // authority.
 type lateHoldings struct {
--- a/pkg/wire/request.go
+++ b/pkg/wire/request.go
@@ -118,11 +118,9 @@
 // FetchClaims asks a router for what it has of a group's claims, as holder or mirror.
 type FetchClaims struct {
 	Group topology.GroupID `msgpack:"group"`
-	// After asks for the claims with greater keys only, in the order of the keys.
-	After string `msgpack:"after"`
 }
 
-// ClaimsReply answers FetchClaims. More tells that further claims follow the last key of Claims.
+// ClaimsReply answers FetchClaims. The claims of a group fit in several frames; More announces another one.
 type ClaimsReply struct {
 	Claims []Claim `msgpack:"claims"`
 	// Since tells the epoch from which on the router has every claim; 0 if it has none.
