Test lost routers, controller and store outages, streams and protocols

Cause: these cases cross the boundaries of the packages and were tested in none.

Change: tests in pkg/router with a lost router, a lost controller and store, streamed answers, stalled uploads, HTTP/2 and HEAD.

Ruled out: sleeping for fixed times; conditions are polled.

--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -320,3 +322,156 @@
 	w.eventually("load after the stop", func() bool { return l.sent.Load() > at+300 })
 	l.end(t)
 }
+
+// Guards against callers that are held, or told a wrong outcome, while a lost router's groups have no gateway, and against
+// groups that stay lost.
+func TestLostRouter(t *testing.T) {
+	w := newWorld(t, 3, echo)
+	lost := w.gatewayOf("stato/catania-a/0")
+	key := 0
+	for w.owner(fmt.Sprint(key)) != "stato-1" {
+		key++
+	}
+	entry := w.routers[(lost+1)%3]
+	w.routers[lost].kill()
+	w.eventually("the key is served again", func() bool {
+		began := time.Now()
+		response, err := http.Get(entry.url(fmt.Sprintf("/stato/%d", key)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		outcome := response.Header.Get(problem.HeaderOutcome)
+		status := drop(response)
+		if status == http.StatusOK {
+			return true
+		}
+		if took := time.Since(began); took > 1500*time.Millisecond {
+			t.Errorf("refused with %d after %v", status, took)
+		}
+		if outcome == string(problem.Ran) || response.Header.Get("Retry-After") == "" && outcome == string(problem.NotRun) {
+			t.Errorf("%d: outcome %s, headers %v", status, outcome, response.Header)
+		}
+		return false
+	})
+}
+
+// Guards against an outage of controller and store that stops routers which can still see each other, and against routers
+// that go on when they can't.
+func TestControllerAndStoreLost(t *testing.T) {
+	w := newWorld(t, 3, echo)
+	w.stopController()
+	w.store.SetDown(true)
+	end := time.Now().Add(4 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		response := send(t, "GET", w.routers[i%3].url(fmt.Sprintf("/stato/%d", i)), "")
+		if status := drop(response); status != http.StatusOK {
+			t.Fatalf("status %d without controller and store", status)
+		}
+	}
+	w.routers[1].kill()
+	w.routers[2].kill()
+	w.eventually("the last router refuses", func() bool {
+		response := send(t, "GET", w.routers[0].url("/archivio/x"), "")
+		return drop(response) == http.StatusServiceUnavailable && response.Header.Get(problem.HeaderOutcome) == string(problem.NotRun)
+	})
+}
+
+// Guards against parts of a streamed answer that are held back, and against a stream that outlives its deadline unnoticed.
+func TestStreamedAnswer(t *testing.T) {
+	proceed := make(chan struct{})
+	w := newWorld(t, 2, func(rw http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "stream") {
+			return
+		}
+		for _, part := range []string{"one", "two"} {
+			_, _ = io.WriteString(rw, part)
+			_ = http.NewResponseController(rw).Flush()
+			select {
+			case <-proceed:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	for _, n := range w.routers {
+		response := send(t, "GET", n.url("/archivio/stream"), "")
+		buf := make([]byte, 3)
+		for _, want := range []string{"one", "two"} {
+			if _, err := io.ReadFull(response.Body, buf); err != nil || string(buf) != want {
+				t.Fatalf("%q, %v", buf, err)
+			}
+			proceed <- struct{}{}
+		}
+		if rest, err := io.ReadAll(response.Body); len(rest) > 0 || err != nil {
+			t.Errorf("%q, %v", rest, err)
+		}
+		stalled := send(t, "GET", n.url("/archivio/stream"), "", "Request-Timeout-Ms", "300")
+		if got, err := io.ReadAll(stalled.Body); err == nil {
+			t.Errorf("%q and a clean end after the deadline", got)
+		}
+	}
+}
+
+// Guards against a stalled upload that holds a router's resources beyond the deadline.
+func TestStalledUpload(t *testing.T) {
+	w := newWorld(t, 1, echo)
+	c, err := net.Dial("tcp", w.routers[0].CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "POST /archivio/x HTTP/1.1\r\nHost: r\r\nRequest-Timeout-Ms: 200\r\nContent-Length: 10\r\n\r\nshort")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusGatewayTimeout || response.Header.Get(problem.HeaderOutcome) != string(problem.NotRun) {
+		t.Errorf("%d, headers %v", response.StatusCode, response.Header)
+	}
+}
+
+// Guards against HTTP/2 callers that are refused, and against connections that HTTP/1.1 callers can't use again.
+func TestProtocols(t *testing.T) {
+	w := newWorld(t, 2, echo)
+	for _, http2 := range []bool{false, true} {
+		protocols := &http.Protocols{}
+		protocols.SetHTTP1(!http2)
+		protocols.SetUnencryptedHTTP2(http2)
+		client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+		var local []string
+		for i := range 5 {
+			r, err := http.NewRequest("POST", w.routers[0].url("/archivio/x"), strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { local = append(local, i.Conn.LocalAddr().String()) }}
+			response, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			if string(body) != "body" || err != nil || response.ProtoMajor != 1 != http2 {
+				t.Errorf("request %d: %s, %q, %v", i, response.Proto, body, err)
+			}
+		}
+		if len(slices.Compact(local)) != 1 {
+			t.Errorf("HTTP/2 %v: connections %v", http2, local)
+		}
+	}
+}
+
+// Guards against an answer to HEAD that is taken for a broken transfer.
+func TestHead(t *testing.T) {
+	w := newWorld(t, 2, func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodHead {
+			rw.Header().Set("Content-Length", "1234")
+		}
+	})
+	for _, n := range w.routers {
+		response := send(t, "HEAD", n.url("/archivio/x"), "")
+		if response.StatusCode != http.StatusOK || response.ContentLength != 1234 {
+			t.Errorf("%d, length %d", response.StatusCode, response.ContentLength)
+		}
+	}
+}
--- a/pkg/router/world_test.go
+++ b/pkg/router/world_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -37,6 +38,8 @@
 	peers   []settings.Peer
 	routers []*node
 	log     *event.Logger
+	// stopController ends the controller as a lost VM does.
+	stopController func()
 	// hits counts the requests that reached targets.
 	hits atomic.Int64
 }
@@ -183,13 +186,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	go func() { _ = server.Serve(l) }()
-	w.t.Cleanup(func() {
+	w.stopController = sync.OnceFunc(func() {
 		cancel()
 		client.Close()
 		ended, cancelShutdown := context.WithCancel(context.Background())
 		cancelShutdown()
 		_ = server.Shutdown(ended)
 	})
+	w.t.Cleanup(w.stopController)
 }
 
 // start runs the i-th router.
