--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -34,7 +34,11 @@
 	targets []*target
 	shared  queue
 	queued  int
+	// granted counts the requests sent to targets.
+	granted int64
 	slices  []*heldSlice
+	// choose is the policy for unkeyed requests; nil if the request should wait.
+	choose func(*chooser, *waiter) *target
 	// superseded is set once a target reports a newer holder.
 	superseded bool
 	wake       chan struct{}
@@ -52,6 +56,7 @@
 		id:      id,
 		epoch:   epoch,
 		pool:    pool,
+		choose:  (*chooser).choose,
 		state:   wire.HoldActive,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
