Retry unkeyed requests during a handover without the budget

Cause: TestGracefulStopCutsNoRequest shows unkeyed requests refused with stale-ownership: the budget for retries is used up by the requests that met a group between two gateways.

Change: an attempt that met no gateway isn't paid from the budget, because it has put no load on any target. When all groups have been tried, the request waits for a newer table within the same bound as keyed requests.

Ruled out: a larger budget (it bounds the load that slow targets get).

Figures: TestAnywhereHandover fails before the change and passes after it.

--- a/pkg/filter/dispatch/anywhere.go
+++ b/pkg/filter/dispatch/anywhere.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/filter"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/topology"
 )
 
 // maxAttempts bounds the attempts of one request, hedges included.
@@ -34,6 +35,8 @@
 	results    chan result
 	cancels    []context.CancelFunc
 	running    int
+	// attempts counts towards maxAttempts.
+	attempts int
 	// hedged is the index of the hedge, 0 if there is none.
 	hedged int
 }
@@ -46,9 +49,12 @@
 		ctx:        ctx,
 		x:          x,
 		started:    time.Now(),
-		candidates: f.candidates(x),
+		candidates: f.candidates(x, x.View),
 		results:    make(chan result, maxAttempts),
 	}
+	if len(r.candidates) == 0 {
+		r.renew(false)
+	}
 	if !r.start() {
 		return nil, noOwner("no target group of the pool has a gateway at the moment")
 	}
@@ -62,10 +68,10 @@
 }
 
 // candidates returns the groups that may serve a request.
-func (f *Filter) candidates(x *filter.Exchange) []place {
-	cfg := x.View.Config
+func (f *Filter) candidates(x *filter.Exchange, view *exchange.View) []place {
+	cfg := view.Config
 	var out []place
-	for cell, table := range x.View.Tables {
+	for cell, table := range view.Tables {
 		for i := range table.Groups {
 			g := &table.Groups[i]
 			if g.Gateway == "" || g.ID.Pool() != x.Pool.Name || cfg.DomainOut(g.ID.Domain()) {
@@ -114,7 +120,7 @@
 
 // start begins an attempt if there is a group to try.
 func (r *race) start() bool {
-	if len(r.cancels) >= maxAttempts {
+	if r.attempts >= maxAttempts {
 		return false
 	}
 	p, ok := r.pick()
@@ -125,6 +131,7 @@
 	index := len(r.cancels)
 	r.cancels = append(r.cancels, cancel)
 	r.running++
+	r.attempts++
 	go func() {
 		response, err := r.f.attempt(ctx, r.x, p)
 		r.results <- result{index: index, response: response, err: err, cancel: cancel}
@@ -145,7 +152,7 @@
 			res.cancel()
 			lastErr = truthful(lastErr, res.err)
 			if r.running == 0 && r.retriable(res.err) {
-				r.retry()
+				r.retry(res.err)
 			}
 		case <-hedge:
 			hedge = nil
@@ -193,15 +200,63 @@
 	}
 }
 
-func (r *race) retry() {
-	if len(r.candidates) == 0 || !r.x.Body.Replayable() || !r.f.budget.spend() {
+// retry tries another group. An attempt that met no gateway has put no load on any target, so that it isn't paid from the
+// budget; when all groups are tried, those of a newer table are.
+func (r *race) retry(err error) {
+	if !r.x.Body.Replayable() {
+		return
+	}
+	if !unowned(err) {
+		if len(r.candidates) > 0 && r.f.budget.spend() && r.start() {
+			r.f.m.retries.Inc(1)
+		}
+		return
+	}
+	if len(r.candidates) == 0 && !r.renew(lost(err)) {
 		return
 	}
+	r.attempts = 0
 	if r.start() {
 		r.f.m.retries.Inc(1)
 	}
 }
 
+// renew waits for a newer table, as a planned handover brings one soon, and starts with its groups. Groups whose gateways
+// couldn't be reached are tried again only with a newer table.
+func (r *race) renew(needNewer bool) bool {
+	if r.ctx.Err() != nil || time.Since(r.started) > handoverTime(r.ctx) {
+		return false
+	}
+	pause, cancel := context.WithTimeout(r.ctx, handoverPause)
+	defer cancel()
+	own := r.f.o.Tables.View()
+	var have topology.Version
+	if t := own.Tables[own.Cell]; t != nil {
+		have = t.Version
+	}
+	r.f.m.refreshes.Inc(1)
+	newer := r.f.o.Tables.Refresh(pause, own.Cell, have, "")
+	if needNewer && !newer {
+		return false
+	}
+	r.candidates = r.f.candidates(r.x, r.f.o.Tables.View())
+	return len(r.candidates) > 0
+}
+
+// unowned tells whether a request certainly didn't reach a target because the gateway doesn't hold the group any more or
+// couldn't be reached.
+func unowned(err error) bool {
+	var e *problem.Error
+	if !errors.As(err, &e) || e.Outcome != problem.NotRun {
+		return false
+	}
+	switch e.Code {
+	case problem.CodeStaleOwnership, problem.CodeNoOwner, problem.CodeNoAuthority, problem.CodeGatewayLost:
+		return true
+	}
+	return false
+}
+
 // retriable tells whether another group may answer what this one didn't. Refusals that concern the request itself are
 // final.
 func (r *race) retriable(err error) bool {
--- a/pkg/filter/dispatch/dispatch_test.go
+++ b/pkg/filter/dispatch/dispatch_test.go
@@ -306,6 +306,29 @@
 	}
 }
 
+// Guards against an unkeyed request that is refused while its pool's groups are handed over, or that is held when all
+// gateways are lost.
+func TestAnywhereHandover(t *testing.T) {
+	f := newFixture("north")
+	f.tables.next = []*exchange.View{view(2)}
+	f.gateways.answer = func(_ context.Context, _ string, r *wire.Request, _ io.Reader) (*exchange.Response, error) {
+		if f.gateways.count() <= 3 {
+			return nil, refuseWith(problem.CodeStaleOwnership, problem.NotRun)
+		}
+		return ok(r), nil
+	}
+	if _, err := f.run(t, f.exchange(t, "GET", "/plain", "plain", "")); err != nil || f.gateways.count() != 4 {
+		t.Errorf("%v after %d attempts", err, f.gateways.count())
+	}
+	f = newFixture("north")
+	f.gateways.answer = func(context.Context, string, *wire.Request, io.Reader) (*exchange.Response, error) {
+		return nil, refuseWith(problem.CodeGatewayLost, problem.NotRun)
+	}
+	if _, err := f.run(t, f.exchange(t, "GET", "/plain", "plain", "")); err == nil || f.gateways.count() != 3 {
+		t.Errorf("%v after %d attempts", err, f.gateways.count())
+	}
+}
+
 // Guards against callers that are refused together and return together.
 func TestRetryAfterIsSpread(t *testing.T) {
 	seen := map[time.Duration]bool{}
