--- a/pkg/metric/metric.go
+++ b/pkg/metric/metric.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -19,16 +21,18 @@
 	reporter promreporter.Reporter
 }
 
-// NewRegistry returns a registry whose metrics start with the given prefix.
+// NewRegistry returns a registry whose metrics start with the given prefix. Each registry is independent of all others.
 func NewRegistry(prefix string) *Registry {
-	reporter := promreporter.NewReporter(promreporter.Options{})
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      promreporter.DefaultSeparator,
-		// Without it a metric name with a dot makes the reporter panic.
+		Prefix:          prefix,
+		CachedReporter:  reporter,
+		Separator:       promreporter.DefaultSeparator,
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts,
-		// tally's metrics about itself have names that Prometheus refuses.
+		// tally's gauges of its own cardinality have names that Prometheus doesn't allow.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{scope: scope, closer: closer, reporter: reporter}
