--- a/pkg/store/memstore/memstore.go
+++ b/pkg/store/memstore/memstore.go
@@ -21,6 +21,8 @@
 	delayCount int
 	writes     int
 	reads      int
+	// history holds every row that took effect, by key in the order of revisions.
+	history map[string][]store.Row
 }
 
 type delayedPut struct {
@@ -32,7 +34,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{rows: map[string]store.Row{}, objects: map[string][]byte{}}
+	return &Store{rows: map[string]store.Row{}, objects: map[string][]byte{}, history: map[string][]store.Row{}}
 }
 
 // SetDown makes every operation fail without effect.
@@ -73,6 +75,13 @@
 	return s.reads, s.writes
 }
 
+// History returns every row that a key has had, in the order of revisions.
+func (s *Store) History(key string) []store.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]store.Row(nil), s.history[key]...)
+}
+
 // Get implements store.Table.
 func (s *Store) Get(_ context.Context, key string) (store.Row, error) {
 	s.mu.Lock()
@@ -116,6 +125,7 @@
 	}
 	rev := p.expected + 1
 	s.rows[p.key] = store.Row{Key: p.key, Value: p.value, Revision: rev, Token: p.token}
+	s.history[p.key] = append(s.history[p.key], s.rows[p.key])
 	return rev, nil
 }
 
