--- /dev/null
+++ b/pkg/event/store.go
@@ -0,0 +1,10 @@
+package event
+
+import "github.com/charmbracelet/log"
+
+// Events of the platform's services: 600 to 699.
+var (
+	VMListUnavailable = define(610, log.WarnLevel, "list of VMs is stale")
+	VMListAvailable   = define(611, log.InfoLevel, "list of VMs is current again")
+	VMListChanged     = define(612, log.InfoLevel, "list of VMs changed")
+)
