--- a/internal/standin/target/service.go
+++ b/internal/standin/target/service.go
@@ -145,6 +145,7 @@
 		t.writeAborted(w, reason)
 		return
 	}
+	t.guardTransfer(w, x)
 	h := bundle.NewHash()
 	n, err := io.CopyBuffer(allowedWriter{t, x, h}, r.Body, make([]byte, chunkBytes))
 	if err != nil {
@@ -183,6 +184,7 @@
 		t.writeAborted(w, reason)
 		return
 	}
+	t.guardTransfer(w, x)
 	t.sendPhoto(w, x, r.PathValue("name"), size)
 }
 
