Test contending writers through the real client under faults

Cause: the outcomes of store.Write were only tested against the in-memory store.

Change: three writers, each behind a front of the platform stand-in with faults of its own, write one row through the SDK. Every revision must be told to exactly one of them.

Ruled out: requiring that no write is forgotten; a slow machine may let 16 writes pass during one time-out, so that the test counts these instead.

--- a/pkg/store/dynamo/dynamo_test.go
+++ b/pkg/store/dynamo/dynamo_test.go
@@ -27,7 +27,17 @@
 	t.Helper()
 	t.Setenv("TEST_ACCESS_KEY", "access")
 	t.Setenv("TEST_SECRET_KEY", "secret")
-	p := platform.New(s)
+	return fixtureOf(t, platform.New(s))
+}
+
+// another returns a client behind another front of the same platform.
+func (f *fixture) another(t *testing.T) *fixture {
+	t.Helper()
+	return fixtureOf(t, f.platform)
+}
+
+func fixtureOf(t *testing.T, p *platform.Platform) *fixture {
+	t.Helper()
 	front := p.NewFront()
 	server := httptest.NewServer(front)
 	t.Cleanup(server.Close)
