--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,7 @@
 	$(GO) test ./pkg/settings -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/config -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/questionnaire -run '^$$' -fuzz '^FuzzGenerate$$' -fuzztime $(FUZZTIME)
+
+quickstart: build
+	$(GO) build -o bin/ ./internal/cmd/...
+	bin/quickstart
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -31,6 +31,8 @@
 	// answered is set once the answer's head has arrived.
 	answered bool
 	released bool
+	// suspected tells that a crash of the target has been counted for the request.
+	suspected bool
 }
 
 // retryAfter spreads the return of refused callers over [d, 2d).
@@ -122,7 +124,7 @@
 	if median := medianLatency(g.targets); w.target == nil {
 		latency = median
 	}
-	if now < g.notBefore {
+	if now < g.notBefore && !g.asking {
 		wait = g.notBefore.Sub(now)
 	}
 	ahead := q.rank(w)
@@ -166,12 +168,17 @@
 		return false
 	}
 	g.queued--
+	g.unreserve(w)
+	return true
+}
+
+// unreserve ends the reservation of a suspect that doesn't wait any more.
+func (g *group) unreserve(w *waiter) {
 	for _, t := range g.targets {
 		if t.alone == w {
 			t.alone = nil
 		}
 	}
-	return true
 }
 
 // withdraw takes back a waiter whose caller has left.
@@ -188,8 +195,9 @@
 // refuseAll answers every waiter of a queue.
 func (g *group) refuseAll(q *queue, refusal *problem.Error) {
 	for _, w := range q.waiters {
-		w.granted <- refusal
 		g.queued--
+		g.unreserve(w)
+		w.granted <- refusal
 	}
 	q.waiters = nil
 }
@@ -242,7 +250,7 @@
 	if len(g.shared.waiters) == 0 {
 		return
 	}
-	c := chooser{now: now, median: medianLatency(g.targets), targets: g.targets}
+	c := chooser{now: now, median: medianLatency(g.targets), targets: g.targets, granted: g.granted}
 	for i := 0; i < len(g.shared.waiters); {
 		w := g.shared.waiters[i]
 		t := g.pick(&c, w, now)
@@ -253,12 +261,13 @@
 		}
 		g.shared.removeAt(i)
 		g.grantSlot(w, t, now)
+		c.granted = g.granted
 	}
 }
 
 func (g *group) pick(c *chooser, w *waiter, now clock.Instant) *target {
 	if !w.alone {
-		return c.choose(w)
+		return g.choose(c, w)
 	}
 	for _, t := range g.targets {
 		if t.alone == w && t.open(now) {
@@ -282,7 +291,9 @@
 	if w.slice != nil {
 		w.slice.running++
 	}
-	t.slowProbe = now.Add(slowProbeInterval)
+	g.granted++
+	t.triedAt = now
+	t.triedGrant = g.granted
 	w.ticket = k
 	w.granted <- nil
 }
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,8 +30,10 @@
 	endedUnsent
 	// endedCancelled means that the deadline passed or the caller gave up.
 	endedCancelled
-	// endedBroken means that the connection broke or the target violated the protocol.
+	// endedBroken means that the connection broke.
 	endedBroken
+	// endedFaulty means that the target violated the protocol.
+	endedFaulty
 	// endedByCaller means that the request's body could not be read to its end.
 	endedByCaller
 )
@@ -49,15 +53,24 @@
 	writeErr error
 	// callerBroke tells that the request's body could not be read to its announced end.
 	callerBroke atomic.Bool
+	body        *callerBody
 }
 
 // callerBody hides the caller's Close: the body belongs to the caller of Handle.
 type callerBody struct {
 	io.Reader
+	// touched tells that something was read.
+	touched atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.touched.Store(true)
+	return b.Reader.Read(p)
 }
 
 // Close implements io.Closer.
-func (callerBody) Close() error {
+func (*callerBody) Close() error {
 	return nil
 }
 
@@ -145,7 +158,7 @@
 		return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.Unknown,
 			"the target did not answer before the deadline")
 	default:
-		a.end(endedBroken)
+		a.end(endingOf(cause))
 		return problem.New(http.StatusBadGateway, problem.CodeTargetFailed, problem.Unknown,
 			"the target failed: "+cause.Error())
 	}
@@ -160,11 +173,26 @@
 		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.NotRun, "the request body broke off")
 	case ctx.Err() != nil:
 		return deadlineNotRun()
+	case a.body.touched.Load():
+		// A part of the body is gone, so that another attempt would send a truncated one.
+		return refuse(http.StatusBadGateway, problem.CodeTargetFailed, errUnsent.Error(), 0)
 	default:
 		return errUnsent
 	}
 }
 
+// endingOf tells a broken connection, a sign of a crashed target, from a faulty answer.
+func endingOf(cause error) ending {
+	var network net.Error
+	if errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.As(cause, &network) {
+		return endedBroken
+	}
+	return endedFaulty
+}
+
+// errUnreachable means that no connection to the target could be opened.
+var errUnreachable = errors.New("the target accepts no connection")
+
 // errUnsent means that a connection broke before the first byte of the request was written.
 var errUnsent = errors.New("the connection broke before the request was sent")
 
@@ -175,8 +203,8 @@
 
 func (a *attempt) end(how ending) {
 	a.endOnce.Do(func() {
-		a.stop()
-		if how == endedClean {
+		// A cancellation that has begun closes the connection.
+		if untouched := a.stop(); how == endedClean && untouched {
 			a.recycle()
 		} else {
 			a.conn.cancel(a.deadline)
@@ -222,7 +250,7 @@
 	case b.ctx.Err() != nil:
 		b.attempt.end(endedCancelled)
 	default:
-		b.attempt.end(endedBroken)
+		b.attempt.end(endingOf(err))
 	}
 	return n, io.ErrUnexpectedEOF
 }
@@ -256,12 +284,15 @@
 	"Expect":              true,
 }
 
+// ownPrefix is the prefix of header fields that only bronzelever may send to callers.
+const ownPrefix = "Bronzelever-"
+
 // answerHeaders returns the end-to-end header fields of an answer.
 func answerHeaders(h http.Header) []wire.Header {
 	dropped := connectionOptions(h.Values("Connection"))
 	headers := make([]wire.Header, 0, len(h))
 	for name, values := range h {
-		if hopByHop[name] || dropped[name] {
+		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		for _, value := range values {
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -11,9 +11,14 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
+// maxStampAge bounds the time between the computation of the remaining time for the target and the first byte. A process
+// that was paused in between would let the target work beyond the deadline.
+const maxStampAge = 20 * time.Millisecond
+
 // forwarding sends one admitted request to its target.
 type forwarding struct {
 	gateway  *Gateway
@@ -22,37 +27,41 @@
 	request  *wire.Request
 	deadline time.Time
 	sentAt   clock.Instant
-	headSeen bool
 }
 
-// run returns the answer, a refusal, or errUnsent if the target could not be reached.
+// run returns the answer, a refusal, or errUnsent or errUnreachable if nothing was sent.
 func (f *forwarding) run(ctx context.Context, cancel context.CancelFunc, body io.Reader) (*exchange.Response, error) {
 	t := f.ticket.target
 	c, err := t.conns.get(ctx)
 	if err != nil {
 		return nil, f.dialFailed(ctx, err)
 	}
-	r, err := newTargetRequest(f.request, t.address, f.stamp(), time.Until(f.deadline), body)
+	f.sentAt = f.gateway.Clock.Now()
+	sent := &callerBody{Reader: body}
+	r, err := newTargetRequest(f.request, t.address, f.stamp(), time.Until(f.deadline), sent)
 	if err != nil {
 		c.discard()
 		f.group.release(f.ticket)
 		return nil, problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.NotRun, "the path is malformed")
 	}
-	a := &attempt{conn: c, pool: t.conns, request: r, deadline: f.deadline, onEnd: f.ended}
-	f.sentAt = f.gateway.Clock.Now()
+	a := &attempt{conn: c, pool: t.conns, request: r, deadline: f.deadline, onEnd: f.ended, body: sent}
 	response, err := a.run(ctx, f.guard)
 	if err != nil {
 		return nil, f.note(err)
 	}
-	f.headSeen = true
 	f.group.answered(f.ticket, f.gateway.Clock.Now().Sub(f.sentAt))
 	return f.answer(ctx, cancel, a, response)
 }
 
+// note counts unknown outcomes. A request that has just been quarantined is told so.
 func (f *forwarding) note(err error) error {
 	var refusal *problem.Error
-	if errors.As(err, &refusal) && refusal.Outcome == problem.Unknown {
-		f.gateway.metrics.unknown.Inc(1)
+	if !errors.As(err, &refusal) || refusal.Outcome != problem.Unknown {
+		return err
+	}
+	f.gateway.metrics.unknown.Inc(1)
+	if f.gateway.suspects.Verdict(f.request.Fingerprint) == quarantine.Quarantined {
+		return quarantined(problem.Unknown)
 	}
 	return err
 }
@@ -75,9 +84,15 @@
 	if !f.group.mayStart(f.ticket, now) {
 		return refuse(http.StatusServiceUnavailable, problem.CodeStaleOwnership, "the target's grant has expired", 0)
 	}
+	if !f.ticket.waiter.alone && f.gateway.suspects.Verdict(f.request.Fingerprint) != quarantine.Clear {
+		return refuse(http.StatusServiceUnavailable, problem.CodeOverload, "the request has become a suspect meanwhile", 0)
+	}
 	if time.Until(f.deadline) <= 0 {
 		return deadlineNotRun()
 	}
+	if now.Sub(f.sentAt) > maxStampAge {
+		return errUnsent
+	}
 	return nil
 }
 
@@ -88,17 +103,22 @@
 		return deadlineNotRun()
 	}
 	f.group.unreachable(f.ticket.target, errors.Is(err, syscall.ECONNREFUSED))
-	return errUnsent
+	return errUnreachable
 }
 
 // ended settles the slot once the exchange is over.
 func (f *forwarding) ended(how ending, c *conn) {
+	defer f.ticket.waiter.finish()
 	switch how {
-	case endedClean, endedUnsent:
+	case endedClean:
+		f.gateway.succeeded(f.request.Fingerprint)
+		f.group.release(f.ticket)
+		return
+	case endedUnsent:
 		f.group.release(f.ticket)
 		return
 	case endedBroken:
-		f.group.broke(f.ticket)
+		f.gateway.crashed(f.group.broke(f.ticket), f.ticket.waiter.alone)
 	case endedCancelled:
 		f.group.timedOut(f.ticket, time.Until(f.deadline) <= 0)
 	}
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -28,17 +29,25 @@
 	state wire.HoldState
 	// notBefore is when the first request may be sent: requests of an earlier holder may occupy slots until then.
 	notBefore clock.Instant
+	// asking tells that the former holder is being asked whether it has released the group.
+	asking bool
 	// after is an earlier hold of the same router that has to be released first.
 	after   *group
 	targets []*target
 	shared  queue
 	queued  int
+	// granted counts the requests sent to targets.
+	granted int64
 	slices  []*heldSlice
+	// choose is the policy for unkeyed requests; nil if the request should wait.
+	choose func(*chooser, *waiter) *target
 	// superseded is set once a target reports a newer holder.
 	superseded bool
 	wake       chan struct{}
 	done       chan struct{}
 	rates      rateMeter
+	// claims is nil if the pool has no orders.
+	claims *claim.Holder
 }
 
 func newGroup(gw *Gateway, id topology.GroupID, epoch topology.Epoch, pool config.Pool) *group {
@@ -49,6 +58,7 @@
 		id:      id,
 		epoch:   epoch,
 		pool:    pool,
+		choose:  (*chooser).choose,
 		state:   wire.HoldActive,
 		wake:    make(chan struct{}, 1),
 		done:    make(chan struct{}),
@@ -185,7 +195,7 @@
 	t.answered++
 	t.answeredAt = now
 	t.probesFailed = 0
-	if !t.ramp.success(latency, medianLatency(g.targets)) {
+	if !t.ramp.success(latency, mediansOf(g.targets)) {
 		g.noteState(t)
 	}
 	g.rates.hit(k)
@@ -203,14 +213,23 @@
 	g.probeSoon(t)
 }
 
-// broke records a connection that broke during an exchange: the target may have restarted.
-func (g *group) broke(k *ticket) {
+// broke records a connection that broke during an exchange: the target may have restarted. It returns the fingerprints
+// that were in flight at the target and have not been returned for the same crash.
+func (g *group) broke(k *ticket) []uint64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k.target.ramp.chill()
 	k.target.conns.reset()
 	g.probeSoon(k.target)
 	g.noteState(k.target)
+	var fingerprints []uint64
+	for o := range k.target.tickets {
+		if !o.suspected && o.waiter.fingerprint != 0 && !slices.Contains(fingerprints, o.waiter.fingerprint) {
+			fingerprints = append(fingerprints, o.waiter.fingerprint)
+		}
+		o.suspected = true
+	}
+	return fingerprints
 }
 
 // timedOut records an exchange that was given up.
@@ -349,6 +368,9 @@
 	default:
 	}
 	close(g.done)
+	if g.claims != nil {
+		g.claims.Close()
+	}
 	for _, t := range g.targets {
 		t.conns.close()
 	}
