Pass the caller's request ID on and survive a leader without configuration

Change: the gateway sets X-Request-Id only if the caller sent none; candidates() returns nothing without a configuration; the quickstart's poll of keys ends after 15 s.

Ruled out: dropping the check in the load tool; the caller must get back its own ID.

--- a/internal/quickstart/probe.go
+++ b/internal/quickstart/probe.go
@@ -15,6 +15,8 @@
 const (
 	probeTimeout  = time.Second
 	probeInterval = 20 * time.Millisecond
+	// pollTimeout ends the wait for a key that is never served again.
+	pollTimeout = 15 * time.Second
 	// probeKeys is how many keys are looked up to find the ones that a target owns.
 	probeKeys = 400
 )
@@ -68,6 +70,8 @@
 
 // servedAgain polls the keys until each has been answered and returns the longest time from now until its first answer.
 func (p *prober) servedAgain(ctx context.Context, keys []string) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
 	start := time.Now()
 	var mu sync.Mutex
 	var longest time.Duration
--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -281,7 +281,12 @@
 //
 // While the cell isn't settled, only pools whose targets check grants are granted, and those need no roster: every live
 // router will do.
+//
+// A new leader has no configuration until it has read the head; it can't tell who is out before that.
 func (l *leadership) candidates(now clock.Instant) []placement.Router {
+	if l.s.cfg == nil {
+		return nil
+	}
 	var out []placement.Router
 	if !l.settled {
 		for _, r := range l.newestRouters(now) {
--- a/pkg/gateway/headers.go
+++ b/pkg/gateway/headers.go
@@ -97,7 +97,10 @@
 		// Keeps net/http from adding its own.
 		h["User-Agent"] = []string{""}
 	}
-	h.Set(headerRequestID, request.ID)
+	if h.Get(headerRequestID) == "" {
+		// The ID of the exchange differs from the caller's: retries and hedges have IDs of their own.
+		h.Set(headerRequestID, request.ID)
+	}
 	// Rounded down, so that the target never works longer than the gateway assumes.
 	h.Set(headerDeadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
 	if request.IdempotencyKey != "" {
