--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -39,8 +39,10 @@
 	// probesFailed counts consecutive failed probes without an answer in between.
 	probesFailed int
 	// answeredAt is when the target last answered anything.
-	answeredAt     clock.Instant
-	slowProbe      clock.Instant
+	answeredAt clock.Instant
+	// triedAt and triedGrant tell when the target last got a request, by time and by the group's count.
+	triedAt        clock.Instant
+	triedGrant     int64
 	answered       int64
 	answeredBefore int64
 	probeWake      chan struct{}
@@ -126,13 +128,25 @@
 	}
 }
 
-// medianLatency returns the median of the targets' expected latencies, 0 if none is known.
+// medianLatency returns the median of the targets' smoothed latencies, 0 if none is known.
 func medianLatency(targets []*target) time.Duration {
+	return medianOf(targets, func(t *target) time.Duration { return t.ramp.latency })
+}
+
+// mediansOf returns the median latencies of a group.
+func mediansOf(targets []*target) medians {
+	return medians{
+		current: medianLatency(targets),
+		normal:  medianOf(targets, func(t *target) time.Duration { return t.ramp.normal }),
+	}
+}
+
+func medianOf(targets []*target, latency func(*target) time.Duration) time.Duration {
 	var buf [16]time.Duration
 	known := buf[:0]
 	for _, t := range targets {
-		if t.ramp.latency > 0 && !t.lost {
-			known = append(known, t.ramp.latency)
+		if d := latency(t); d > 0 && !t.lost {
+			known = append(known, d)
 		}
 	}
 	if len(known) == 0 {
