--- a/pkg/gateway/cell_test.go
+++ b/pkg/gateway/cell_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -12,11 +13,14 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/peer"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -291,3 +295,51 @@
 		return r.send(within(t, time.Second), "b", newRequest(http.MethodGet, "/status/k")) == nil
 	})
 }
+
+// Guards against messages between gateways that the peer protocol doesn't carry, and against a reply that exceeds a frame.
+func TestCellCallsOverThePeerProtocol(t *testing.T) {
+	f := newFixture(t, defaultPool(1))
+	server := peer.NewServer("b")
+	f.gateway.Register(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown(within(t, time.Second)) })
+	client := peer.NewClient("a")
+	t.Cleanup(client.Close)
+	address := listener.Addr().String()
+	ctx := within(t, 5*time.Second)
+	store := func(c wire.Claim) wire.MirrorClaimReply {
+		var reply wire.MirrorClaimReply
+		message := &wire.MirrorClaim{Group: testGroup, Epoch: 1, Claim: c}
+		if err := client.Call(ctx, address, wire.TypeMirrorClaim, message, wire.TypeMirrorClaimReply, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	store(wire.Claim{State: wire.ClaimFree})
+	body := make([]byte, claim.MaxBodyBytes)
+	for i := range 100 {
+		store(wire.Claim{Key: fmt.Sprint(i), State: wire.ClaimDone, Status: 200, Body: body})
+	}
+	if reply := store(wire.Claim{State: wire.ClaimDone}); !reply.OK || !reply.Complete {
+		t.Fatalf("the copy was not sealed: %+v", reply)
+	}
+	other := peer.NewClient("c")
+	t.Cleanup(other.Close)
+	var claims wire.ClaimsReply
+	err = other.Call(ctx, address, wire.TypeFetchClaims, &wire.FetchClaims{Group: testGroup}, wire.TypeClaimsReply, &claims)
+	if err != nil || claims.Since != 1 || len(claims.Claims) != 100 {
+		t.Errorf("%d claims since %d, error %v", len(claims.Claims), claims.Since, err)
+	}
+	var reply wire.SuspectsReply
+	suspects := &wire.Suspects{Suspects: []wire.Suspect{{Fingerprint: 5, Crashes: 1, TTLMillis: 60000}}}
+	if err := client.Call(ctx, address, wire.TypeSuspects, suspects, wire.TypeSuspectsReply, &reply); err != nil {
+		t.Error(err)
+	}
+	if v := f.gateway.suspects.Verdict(5); v != quarantine.Suspected {
+		t.Errorf("verdict %v", v)
+	}
+}
--- a/pkg/gateway/hold_test.go
+++ b/pkg/gateway/hold_test.go
@@ -356,3 +356,19 @@
 		t.Errorf("the new owner does not serve: %v", err)
 	}
 }
+
+// Guards against a checked pool without keys whose targets refuse everything for want of a grant.
+func TestCheckedPoolWithoutKeys(t *testing.T) {
+	o := defaultPool(2)
+	o.pool.GrantsChecked = true
+	for i := range o.settings {
+		o.settings[i].Fenced = true
+	}
+	f := newFixture(t, o)
+	f.apply()
+	for range 10 {
+		if status, _, err := f.do(within(t, time.Second), newRequest(http.MethodGet, "/status/k"), ""); err != nil || status != http.StatusOK {
+			t.Fatalf("status %d, error %v", status, err)
+		}
+	}
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -8,7 +8,6 @@
 	refusedEstimate tally.Counter
 	refusedFull     tally.Counter
 	unknown         tally.Counter
-	dials           tally.Counter
 	probes          tally.Counter
 	grants          tally.Counter
 }
@@ -19,7 +18,6 @@
 		refusedEstimate: scope.Counter("gateway_refused_by_estimate"),
 		refusedFull:     scope.Counter("gateway_refused_queue_full"),
 		unknown:         scope.Counter("gateway_outcomes_unknown"),
-		dials:           scope.Counter("gateway_connections_opened"),
 		probes:          scope.Counter("gateway_health_probes"),
 		grants:          scope.Counter("gateway_grants_sent"),
 	}
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -84,6 +84,9 @@
 	if t.group.pool.Keyed {
 		return !t.draining || now.Sub(t.drainingAt) < keyedDrainGrace
 	}
+	if t.group.pool.GrantsChecked && now >= t.grant.validUntil {
+		return false
+	}
 	return !t.draining && !t.out
 }
 
