Fail no order in a planned hand-over

Change: the mirror forgets a claim when the holder frees it. The holder frees a key only after the mirror has confirmed that or has been given up, so that no late message can free a newer claim. Of two copies of the same epoch the former holder's own is taken. An order waits up to 500 ms for the claims of the former holder. For keyed pools an owner that accepts no connection is answered with no-owner, for which the entry router waits.

Ruled out: freeing at the mirror without waiting, for the reason above.

--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -85,7 +85,9 @@
 	reply := r.mirror.Fetch("", m.Group)
 	if r.holder != nil {
 		own := r.holder.Export()
-		reply = *newest(&reply, &own)
+		if own.Since > reply.Since {
+			reply = own
+		}
 	}
 	return &reply, nil
 }
@@ -114,7 +116,7 @@
 	h := newTestHolder(t, c, cell, epoch)
 	result := make(chan bool, 1)
 	none := func() wire.ClaimsReply { return wire.ClaimsReply{} }
-	h.StartRecover(former, 0, none, func(found bool, _ int) { result <- found })
+	h.StartRecover(Former{VM: "h", Epoch: former}, 0, none, func(found bool, _ int) { result <- found })
 	for {
 		select {
 		case found := <-result:
@@ -190,6 +192,21 @@
 	}
 }
 
+// Guards against an order that is refused as "not run" and answered "unknown" after a takeover.
+func TestMirrorForgetsFreedClaims(t *testing.T) {
+	c := clock.NewVirtual(1)
+	cell := newCell(c, "m1")
+	h := newTestHolder(t, c, cell, 1)
+	h.StartEmpty()
+	claimOrder(h, "a")
+	h.Free("a")
+	h.Close()
+	next, _ := recoverHolder(t, c, cell, 2, 1)
+	if v := claimOrder(next, "a"); v != Run {
+		t.Errorf("verdict %v", v)
+	}
+}
+
 // Guards against a second execution after holder and mirror are lost together.
 func TestLossOfHolderAndMirrorRefusesForTheWindow(t *testing.T) {
 	c := clock.NewVirtual(1)
--- a/pkg/claim/holder.go
+++ b/pkg/claim/holder.go
@@ -18,6 +18,10 @@
 	// recoverTimeout bounds the search for the claims of a former holder.
 	recoverTimeout = 2 * time.Second
 	recoverRetry   = 200 * time.Millisecond
+	// mirrorAttempts is the number of mirrors that are tried for one claim.
+	mirrorAttempts = 2
+	// readyWait bounds how long an order waits for the claims of the former holder.
+	readyWait = 500 * time.Millisecond
 )
 
 // Cell reaches the other routers of the cell.
@@ -28,6 +32,12 @@
 	FetchClaims(ctx context.Context, vm string, message *wire.FetchClaims) (*wire.ClaimsReply, error)
 }
 
+// Former is the last holder of a group before this one. The zero value means that it is not known.
+type Former struct {
+	VM    string
+	Epoch topology.Epoch
+}
+
 // Verdict tells what to do with an order.
 type Verdict int
 
@@ -95,8 +105,8 @@
 
 	mu      sync.Mutex
 	records *records
-	// ready is false until the claims of the former holder are there or given up.
-	ready bool
+	// ready is closed once the claims of the former holder are there or given up.
+	ready chan struct{}
 	// lostUntil is when the last order whose claim was lost can no longer be repeated.
 	lostUntil clock.Instant
 	phase     mirrorPhase
@@ -111,14 +121,12 @@
 
 // NewHolder returns a holder that isn't ready. Start or Recover makes it ready.
 func NewHolder(s Settings, c clock.Clock, cell Cell) *Holder {
-	return &Holder{Settings: s, clock: c, cell: cell, records: newRecords(), done: make(chan struct{})}
+	return &Holder{Settings: s, clock: c, cell: cell, records: newRecords(), ready: make(chan struct{}), done: make(chan struct{})}
 }
 
 // StartEmpty makes the holder ready for a group that had no earlier holder.
 func (h *Holder) StartEmpty() {
-	h.mu.Lock()
-	h.ready = true
-	h.mu.Unlock()
+	close(h.ready)
 	go h.keepMirror()
 }
 
@@ -127,10 +135,10 @@
 	former.mu.Lock()
 	lostUntil := former.lostUntil
 	former.mu.Unlock()
-	h.adopt(former.Export().Claims)
 	h.mu.Lock()
 	h.lostUntil = lostUntil
 	h.mu.Unlock()
+	h.adopt(former.Export().Claims)
 	go h.keepMirror()
 }
 
@@ -142,7 +150,7 @@
 
 // StartRecover fetches the claims that belong to the former epoch, for at least recoverTimeout and as long as nothing may
 // run anyway, and reports whether they were found.
-func (h *Holder) StartRecover(former topology.Epoch, idle time.Duration, extra func() wire.ClaimsReply, report func(found bool, claims int)) {
+func (h *Holder) StartRecover(former Former, idle time.Duration, extra func() wire.ClaimsReply, report func(found bool, claims int)) {
 	go func() {
 		claims, found := h.search(former, max(idle, recoverTimeout), extra)
 		if found {
@@ -158,7 +166,7 @@
 func (h *Holder) lose() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.ready = true
+	close(h.ready)
 	h.lostUntil = h.clock.Now().Add(clock.WithDrift(h.Window))
 }
 
@@ -174,18 +182,22 @@
 		}
 		h.records.merge(&c, h.Window, now)
 	}
-	h.ready = true
+	close(h.ready)
 }
 
-func (h *Holder) search(former topology.Epoch, timeout time.Duration, extra func() wire.ClaimsReply) ([]wire.Claim, bool) {
-	if former == 0 {
+// search looks for the claims of the former epoch. A released holder's own claims are preferred to its mirror's copy, which
+// may be a little older.
+func (h *Holder) search(former Former, timeout time.Duration, extra func() wire.ClaimsReply) ([]wire.Claim, bool) {
+	if former.Epoch == 0 {
 		return nil, false
 	}
 	give := h.clock.Now().Add(timeout)
 	for {
-		own := extra()
-		best := newest(&own, h.ask())
-		if best.Since >= former {
+		best := h.ask(former.VM)
+		if own := extra(); own.Since > best.Since {
+			best = &own
+		}
+		if best.Since >= former.Epoch {
 			return best.Claims, true
 		}
 		if h.clock.Now() >= give {
@@ -199,18 +211,15 @@
 	}
 }
 
-func newest(a, b *wire.ClaimsReply) *wire.ClaimsReply {
-	if b.Since > a.Since {
-		return b
+// ask asks all routers at once and returns the reply of the newest epoch, of equal ones that of the former holder. A holder
+// whose tenure this router has not seen answers with a newer epoch than the known former one.
+func (h *Holder) ask(former string) *wire.ClaimsReply {
+	type answer struct {
+		vm    string
+		reply *wire.ClaimsReply
 	}
-	return a
-}
-
-// ask asks all routers at once and returns the reply of the newest epoch. A holder whose tenure this router has not seen
-// answers with a newer epoch than the known former one.
-func (h *Holder) ask() *wire.ClaimsReply {
 	members := h.cell.Members()
-	replies := make(chan *wire.ClaimsReply, len(members))
+	answers := make(chan answer, len(members))
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	for _, m := range members {
@@ -219,25 +228,45 @@
 			if err != nil {
 				reply = &wire.ClaimsReply{}
 			}
-			replies <- reply
+			answers <- answer{m.VM, reply}
 		}()
 	}
 	best := &wire.ClaimsReply{}
 	for range members {
-		best = newest(best, <-replies)
+		a := <-answers
+		if a.reply.Since > best.Since || a.reply.Since == best.Since && a.vm == former {
+			best = a.reply
+		}
 	}
 	return best
 }
 
+// awaitReady waits for the claims of the former holder. In a planned hand-over they are there within milliseconds.
+func (h *Holder) awaitReady(ctx context.Context) {
+	if h.Ready() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	select {
+	case <-h.ready:
+	case <-h.done:
+	case <-ctx.Done():
+	}
+}
+
 // Claim claims a key. After Run the claim is stored here and at the mirror.
 func (h *Holder) Claim(ctx context.Context, key string, fingerprint uint64) Decision {
+	h.awaitReady(ctx)
 	d := h.claim(key, fingerprint)
 	if d.Verdict != Run {
 		return d
 	}
 	// A mirror that refuses doesn't vouch any more, and another one can be filled at once.
-	if h.mirrored(ctx, key) || h.mirrored(ctx, key) {
-		return d
+	for range mirrorAttempts {
+		if h.mirrored(ctx, key) {
+			return d
+		}
 	}
 	h.Free(key)
 	return Decision{Verdict: NotReady, NotRun: true, Wait: callTimeout}
@@ -248,7 +277,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	h.records.sweep(now)
-	if !h.ready || h.closed {
+	if !h.Ready() || h.closed {
 		return Decision{Verdict: NotReady, Wait: recoverRetry}
 	}
 	if c := h.records.get(key, now); c != nil {
@@ -313,14 +342,27 @@
 	}
 }
 
-// Free releases the claim of an order that certainly didn't run. The mirror keeps it as running: a message that frees it
-// could arrive after the next claim of the same key and would let a successor run the order again.
+// Free releases the claim of an order that certainly didn't run. The key can be claimed again only after the mirror has
+// confirmed it or is given up: a message that arrives after the next claim of the key would let a successor run the order
+// again.
 func (h *Holder) Free(key string) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if c := h.records.byKey[key]; c != nil && c.state == wire.ClaimRunning {
-		h.records.remove(key, c)
+	c := h.records.byKey[key]
+	running := c != nil && c.state == wire.ClaimRunning
+	told, vm := h.phase == mirrorReady, h.mirror
+	h.mu.Unlock()
+	if !running {
+		return
 	}
+	if told {
+		reply, err := h.tell(context.Background(), vm, wire.Claim{Key: key, State: wire.ClaimFree})
+		if err != nil || !reply.OK || !reply.Complete {
+			h.dropMirror(vm, err == nil)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.records.remove(key, c)
 }
 
 // Export returns all claims for a successor. Since is the holder's epoch once it is ready and its claims are complete.
@@ -329,7 +371,7 @@
 	defer h.mu.Unlock()
 	now := h.clock.Now()
 	reply := wire.ClaimsReply{Claims: h.records.exportAll(now)}
-	if h.ready && now >= h.lostUntil {
+	if h.Ready() && now >= h.lostUntil {
 		reply.Since = h.Epoch
 	}
 	return reply
@@ -337,9 +379,12 @@
 
 // Ready tells whether the claims of the former holder have been fetched or given up.
 func (h *Holder) Ready() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.ready
+	select {
+	case <-h.ready:
+		return true
+	default:
+		return false
+	}
 }
 
 // Close stops claims and the mirror's refreshes. The claims can still be exported.
--- a/pkg/claim/keep.go
+++ b/pkg/claim/keep.go
@@ -97,7 +97,7 @@
 	h.filling.Lock()
 	defer h.filling.Unlock()
 	h.mu.Lock()
-	needed := h.phase == mirrorNone && !h.closed && h.ready && h.clock.Now() >= h.lostUntil
+	needed := h.phase == mirrorNone && !h.closed && h.Ready() && h.clock.Now() >= h.lostUntil
 	h.mu.Unlock()
 	if !needed {
 		return
--- a/pkg/claim/mirror.go
+++ b/pkg/claim/mirror.go
@@ -78,6 +78,10 @@
 		return c.control(message.Claim.State)
 	}
 	c.records.sweep(now)
+	if message.Claim.State == wire.ClaimFree {
+		c.records.free(message.Claim.Key)
+		return wire.MirrorClaimReply{OK: true, Complete: c.complete}
+	}
 	ok := c.records.merge(&message.Claim, mirrorWindow, now)
 	c.complete = c.complete && ok
 	return wire.MirrorClaimReply{OK: ok, Complete: c.complete}
--- a/pkg/claim/records.go
+++ b/pkg/claim/records.go
@@ -77,6 +77,13 @@
 	delete(r.byKey, key)
 }
 
+// free removes a claim unless its order has been settled.
+func (r *records) free(key string) {
+	if c := r.byKey[key]; c != nil && c.state == wire.ClaimRunning {
+		r.remove(key, c)
+	}
+}
+
 func (r *records) get(key string, now clock.Instant) *record {
 	c := r.byKey[key]
 	if c != nil && c.expired(now) {
--- a/pkg/gateway/cell_test.go
+++ b/pkg/gateway/cell_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -343,3 +344,69 @@
 		t.Errorf("verdict %v", v)
 	}
 }
+
+// Guards against a planned hand-over that fails an order: each one either runs once or is refused as "not run", so that the
+// entry router sends it to the new holder.
+func TestPlannedHandOverFailsNoOrder(t *testing.T) {
+	f := newFixture(t, defaultPool(3))
+	r := newRouters(f, "a", "b", "c")
+	var holder atomic.Value
+	holder.Store("a")
+	var stop atomic.Bool
+	var sent, retries atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				key := fmt.Sprintf("order-%d-%d", i, n)
+				for {
+					err := r.send(within(t, 2*time.Second), holder.Load().(string), newOrder(key, 1))
+					if err == nil {
+						sent.Add(1)
+						break
+					}
+					if outcomeOf(err) != problem.NotRun {
+						t.Errorf("%s: %v", key, err)
+						break
+					}
+					retries.Add(1)
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		time.Sleep(50 * time.Millisecond)
+		from, to := r.order[i%3], r.order[(i+1)%3]
+		epoch := topology.NewGroupEpoch(1, uint64(i+1))
+		r.hold("", epoch)
+		eventually(t, "the group is released", func() bool {
+			for _, held := range r.gateways[from].Report().Held {
+				if held.Epoch == epoch {
+					return held.State == wire.HoldReleased
+				}
+			}
+			return true
+		})
+		r.hold(to, epoch+1)
+		holder.Store(to)
+	}
+	time.Sleep(50 * time.Millisecond)
+	stop.Store(true)
+	wg.Wait()
+	runs := map[string]int{}
+	for _, b := range f.backends {
+		for _, e := range b.executions() {
+			runs[e.OrderKey]++
+		}
+	}
+	for key, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	if int64(len(runs)) != sent.Load() {
+		t.Errorf("%d orders were answered, %d ran", sent.Load(), len(runs))
+	}
+	t.Logf("%d orders answered, %d refused as \"not run\" and sent again", sent.Load(), retries.Load())
+}
--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -13,7 +13,6 @@
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/problem"
-	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -25,9 +24,8 @@
 	// empty tells that the group had no holder before.
 	empty bool
 	// own is an earlier hold of this router.
-	own *claim.Holder
-	// former is the epoch of the last holder, 0 if unknown.
-	former topology.Epoch
+	own    *claim.Holder
+	former claim.Former
 }
 
 // startClaims prepares the claims of a group whose pool has orders.
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -292,7 +292,8 @@
 	dropped := connectionOptions(h.Values("Connection"))
 	headers := make([]wire.Header, 0, len(h))
 	for name, values := range h {
-		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+		// The target knows the attempt's ID; the entry router sends the caller the request's own.
+		if hopByHop[name] || dropped[name] || name == headerRequestID || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		for _, value := range values {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -158,6 +158,10 @@
 		}
 		w = w.again(unreachable)
 	}
+	if request.Keyed {
+		// The entry router waits for the next owner.
+		return nil, refuse(http.StatusServiceUnavailable, problem.CodeNoOwner, "the owner accepts no connection", sliceRetry)
+	}
 	return nil, refuse(http.StatusBadGateway, problem.CodeTargetFailed, "no target accepts a connection", time.Second)
 }
 
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
@@ -103,7 +104,7 @@
 		gw.startClaims(g, view, claimSource{empty: true})
 	default:
 		g.notBefore = now.Add(clock.WithDrift(g.longest()))
-		gw.startClaims(g, view, claimSource{former: former.epoch})
+		gw.startClaims(g, view, claimSource{former: claim.Former{VM: former.vm, Epoch: former.epoch}})
 		if known && former.vm != view.VM {
 			g.asking = true
 			go gw.askFormer(g, former)
