--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -17,7 +19,7 @@
 	// groupMoveInterval is the least time between two planned moves of groups.
 	groupMoveInterval = 2 * time.Second
 	// missingAfter is how long a holder that has the table of its grant may fail to report the group.
-	missingAfter = time.Second
+	missingAfter = 600 * time.Millisecond
 )
 
 // groupState is the state of a group at the controller.
@@ -43,6 +45,8 @@
 	epoch  topology.Epoch
 	// shown is the first table that shows the grant; zero while it isn't published.
 	shown topology.Version
+	// clean tells that no request of an earlier holder was running at the time of the grant.
+	clean bool
 	// missingSince is when the holder first failed to report a group that it must know of; 0 if it reports it.
 	missingSince clock.Instant
 	// fence is the first table without the holder; zero while it isn't published. known counts who has that table.
@@ -50,8 +54,6 @@
 	known *witness.Acceptance
 	// goneAt is when the last holder ended without a report: its requests may be running for the longest deadline.
 	goneAt clock.Instant
-	// freeSince is when the group last became free.
-	freeSince clock.Instant
 }
 
 // adoptHeld takes in what a router reports to hold.
@@ -59,7 +61,10 @@
 	l := s.lead
 	r.held = make(map[topology.GroupID]wire.Held, len(held))
 	for _, h := range held {
-		r.held[h.Group] = h
+		// A router may report an older hold that it has released besides the present one.
+		if old, ok := r.held[h.Group]; !ok || old.Epoch < h.Epoch {
+			r.held[h.Group] = h
+		}
 		g, ok := l.groups[h.Group]
 		if !ok && l.collected {
 			// Not configured; the router gives the group up when it gets the table.
@@ -80,7 +85,7 @@
 // adopt records a holder from before the term. Within the term only this controller grants, and it raises the epoch each
 // time, so that an older report can't replace a newer grant.
 func (l *leadership) adopt(g *group, r *router, h wire.Held) {
-	if l.collected || h.Epoch <= g.epoch || h.Epoch >= topology.NewGroupEpoch(l.term, 0) {
+	if l.collected && !l.blocked(h.Group) || h.Epoch <= g.epoch || h.Epoch >= topology.NewGroupEpoch(l.term, 0) {
 		return
 	}
 	g.state = groupHeld
@@ -94,16 +99,36 @@
 	if g.state == groupFree || g.holder != identityOf(r.member) || g.epoch != h.Epoch {
 		return
 	}
-	l.free(now, g)
+	if now >= l.quietAt(g) {
+		l.releasedBy(g)
+	}
+	l.free(g)
+}
+
+// actsFor tells whether a router still says that it acts for a group under the present epoch.
+func (r *router) actsFor(g *group) bool {
+	h, ok := r.held[g.info.ID]
+	return ok && h.Epoch == g.epoch && h.State != wire.HoldReleased
+}
+
+// releasedBy notes that the gateway of a group has nothing in flight any more: no former owner in the group executes
+// requests. That holds for the slices whose change is published, because the next gateway sees it too.
+func (l *leadership) releasedBy(g *group) {
+	for _, p := range l.pools {
+		for _, sl := range p.slices {
+			if sl.fence != (topology.Version{}) {
+				sl.release(g)
+			}
+		}
+	}
 }
 
-func (l *leadership) free(now clock.Instant, g *group) {
+func (l *leadership) free(g *group) {
 	g.state = groupFree
 	g.holder = identity{}
 	g.shown, g.fence = topology.Version{}, topology.Version{}
 	g.known = nil
 	g.missingSince = 0
-	g.freeSince = now
 	l.dirty = true
 	l.s.o.Log.Emit(event.GroupFreed, "group", string(g.info.ID), "epoch", uint64(g.epoch))
 }
@@ -129,7 +154,7 @@
 			l.checkHolder(now, g)
 		case groupRevoking:
 			if l.holderGone(now, g) {
-				l.free(now, g)
+				l.free(g)
 			}
 		case groupFree:
 			if len(g.info.Targets) == 0 {
@@ -181,7 +206,7 @@
 // missing tells whether a holder that knows of its grant doesn't report the group: it has lost its authority meanwhile
 // and doesn't take the group up by itself again.
 func (l *leadership) missing(now clock.Instant, g *group, r *router) bool {
-	_, reported := r.held[g.info.ID]
+	reported := r.actsFor(g)
 	knows := g.shown != topology.Version{} && !r.table.Less(g.shown)
 	if reported || !knows {
 		g.missingSince = 0
@@ -205,19 +230,14 @@
 		return false
 	}
 	r := l.routers[g.holder]
-	if r != nil && !r.table.Less(g.fence) {
-		_, reported := r.held[g.info.ID]
-		if !reported {
-			return true
-		}
+	if r != nil && !r.table.Less(g.fence) && !r.actsFor(g) {
+		// It lost its authority before, so that requests may be running.
+		g.goneAt = now
+		return true
 	}
 	if r != nil && now < r.leaseEnd {
 		return false
 	}
-	if l.s.o.unconfirmed {
-		g.goneAt = now
-		return true
-	}
 	known, ok := g.known.Half()
 	if ok && now >= lease.GrantorEnd(known, lease.TTL) {
 		g.goneAt = now
@@ -258,8 +278,22 @@
 
 // candidates are the routers that may be granted a group: live, staying, recorded in the current roster with this
 // incarnation, and knowing the rosters that bind them.
+//
+// While the cell isn't settled, only pools whose targets check grants are granted, and those need no roster: every live
+// router will do.
+//
+// A new leader has no configuration until it has read the head; it can't tell who is out before that.
 func (l *leadership) candidates(now clock.Instant) []placement.Router {
+	if l.s.cfg == nil {
+		return nil
+	}
 	var out []placement.Router
+	if !l.settled {
+		for _, r := range l.newestRouters(now) {
+			out = append(out, placement.Router{VM: r.member.VM, Domain: r.member.Domain, Out: l.routerOut(r.member)})
+		}
+		return out
+	}
 	for _, m := range l.s.record.Roster.Members {
 		r, ok := l.routers[identityOf(m)]
 		if !ok || !r.live(now) || r.leaving || r.rosterVersion < l.rosterBase || l.rosterBase == 0 {
@@ -278,7 +312,7 @@
 	var out []placement.GroupLoad
 	for _, id := range l.groupIDs() {
 		g := l.groups[id]
-		if len(g.info.Targets) == 0 {
+		if len(g.info.Targets) == 0 || g.state == groupFree && l.blocked(id) {
 			continue
 		}
 		p, _ := l.s.cfg.Pool(id.Pool())
@@ -296,7 +330,7 @@
 }
 
 func (l *leadership) grant(now clock.Instant, g *group, vm string) {
-	r := l.recorded(vm)
+	r := l.process(now, vm)
 	if g.state != groupFree || r == nil {
 		return
 	}
@@ -306,12 +340,33 @@
 	g.epoch = topology.NewGroupEpoch(l.term, l.epochs)
 	g.shown = topology.Version{}
 	g.missingSince = 0
+	g.clean = g.goneAt == 0 || now >= g.goneAt.Add(clock.WithDrift(l.longest(g.info.ID)))
 	l.dirty = true
 	l.s.o.Log.Emit(event.GroupGranted, "group", string(g.info.ID), "router", vm, "epoch", uint64(g.epoch))
 }
 
-// recorded returns the router process that the current roster records for a VM.
-func (l *leadership) recorded(vm string) *router {
+// newestRouters returns the newest live process of each VM that stays, sorted by VM.
+func (l *leadership) newestRouters(now clock.Instant) []*router {
+	newest := map[string]*router{}
+	for id, r := range l.routers {
+		old, ok := newest[id.vm]
+		if r.live(now) && !r.leaving && (!ok || old.firstSeen < r.firstSeen) {
+			newest[id.vm] = r
+		}
+	}
+	return slices.SortedFunc(maps.Values(newest), func(a, b *router) int { return cmp.Compare(a.member.VM, b.member.VM) })
+}
+
+// process returns the router process of a VM that may be granted groups; see candidates.
+func (l *leadership) process(now clock.Instant, vm string) *router {
+	if !l.settled {
+		all := l.newestRouters(now)
+		i := slices.IndexFunc(all, func(r *router) bool { return r.member.VM == vm })
+		if i < 0 {
+			return nil
+		}
+		return all[i]
+	}
 	for _, m := range l.s.record.Roster.Members {
 		if m.VM == vm {
 			return l.routers[identityOf(m)]
