--- a/pkg/gateway/cell_test.go
+++ b/pkg/gateway/cell_test.go
@@ -5,18 +5,23 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bronzelever/bronzelever/pkg/claim"
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/exchange"
+	"github.com/bronzelever/bronzelever/pkg/peer"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -291,3 +296,117 @@
 		return r.send(within(t, time.Second), "b", newRequest(http.MethodGet, "/status/k")) == nil
 	})
 }
+
+// Guards against messages between gateways that the peer protocol doesn't carry, and against a reply that exceeds a frame.
+func TestCellCallsOverThePeerProtocol(t *testing.T) {
+	f := newFixture(t, defaultPool(1))
+	server := peer.NewServer("b")
+	f.gateway.Register(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Shutdown(within(t, time.Second)) })
+	client := peer.NewClient("a")
+	t.Cleanup(client.Close)
+	address := listener.Addr().String()
+	ctx := within(t, 5*time.Second)
+	store := func(c wire.Claim) wire.MirrorClaimReply {
+		var reply wire.MirrorClaimReply
+		message := &wire.MirrorClaim{Group: testGroup, Epoch: 1, Claim: c}
+		if err := client.Call(ctx, address, wire.TypeMirrorClaim, message, wire.TypeMirrorClaimReply, &reply); err != nil {
+			t.Fatal(err)
+		}
+		return reply
+	}
+	store(wire.Claim{State: wire.ClaimFree})
+	body := make([]byte, claim.MaxBodyBytes)
+	for i := range 100 {
+		store(wire.Claim{Key: fmt.Sprint(i), State: wire.ClaimDone, Status: 200, Body: body})
+	}
+	if reply := store(wire.Claim{State: wire.ClaimDone}); !reply.OK || !reply.Complete {
+		t.Fatalf("the copy was not sealed: %+v", reply)
+	}
+	other := peer.NewClient("c")
+	t.Cleanup(other.Close)
+	var claims wire.ClaimsReply
+	err = other.Call(ctx, address, wire.TypeFetchClaims, &wire.FetchClaims{Group: testGroup}, wire.TypeClaimsReply, &claims)
+	if err != nil || claims.Since != 1 || len(claims.Claims) != 100 {
+		t.Errorf("%d claims since %d, error %v", len(claims.Claims), claims.Since, err)
+	}
+	var reply wire.SuspectsReply
+	suspects := &wire.Suspects{Suspects: []wire.Suspect{{Fingerprint: 5, Crashes: 1, TTLMillis: 60000}}}
+	if err := client.Call(ctx, address, wire.TypeSuspects, suspects, wire.TypeSuspectsReply, &reply); err != nil {
+		t.Error(err)
+	}
+	if v := f.gateway.suspects.Verdict(5); v != quarantine.Suspected {
+		t.Errorf("verdict %v", v)
+	}
+}
+
+// Guards against a planned hand-over that fails an order: each one either runs once or is refused as "not run", so that the
+// entry router sends it to the new holder.
+func TestPlannedHandOverFailsNoOrder(t *testing.T) {
+	f := newFixture(t, defaultPool(3))
+	r := newRouters(f, "a", "b", "c")
+	var holder atomic.Value
+	holder.Store("a")
+	var stop atomic.Bool
+	var sent, retries atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			for n := 0; !stop.Load(); n++ {
+				key := fmt.Sprintf("order-%d-%d", i, n)
+				for {
+					err := r.send(within(t, 2*time.Second), holder.Load().(string), newOrder(key, 1))
+					if err == nil {
+						sent.Add(1)
+						break
+					}
+					if outcomeOf(err) != problem.NotRun {
+						t.Errorf("%s: %v", key, err)
+						break
+					}
+					retries.Add(1)
+					time.Sleep(2 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for i := range 6 {
+		time.Sleep(50 * time.Millisecond)
+		from, to := r.order[i%3], r.order[(i+1)%3]
+		epoch := topology.NewGroupEpoch(1, uint64(i+1))
+		r.hold("", epoch)
+		eventually(t, "the group is released", func() bool {
+			for _, held := range r.gateways[from].Report().Held {
+				if held.Epoch == epoch {
+					return held.State == wire.HoldReleased
+				}
+			}
+			return true
+		})
+		r.hold(to, epoch+1)
+		holder.Store(to)
+	}
+	time.Sleep(50 * time.Millisecond)
+	stop.Store(true)
+	wg.Wait()
+	runs := map[string]int{}
+	for _, b := range f.backends {
+		for _, e := range b.executions() {
+			runs[e.OrderKey]++
+		}
+	}
+	for key, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", key, n)
+		}
+	}
+	if int64(len(runs)) != sent.Load() {
+		t.Errorf("%d orders were answered, %d ran", sent.Load(), len(runs))
+	}
+	t.Logf("%d orders answered, %d refused as \"not run\" and sent again", sent.Load(), retries.Load())
+}
