--- a/pkg/filter/body.go
+++ b/pkg/filter/body.go
@@ -22,20 +22,29 @@
 )
 
 // Body is a caller's body with a bounded prefix in memory.
+//
+// Invariant: bytes behind the prefix go to one reader only. A reader that was left behind by Rewind gets none, so that the
+// rest of an abandoned attempt can't take bytes from the next one.
 type Body struct {
 	// length is the announced length, -1 if unknown.
 	length int64
 	max    int64
 
+	// reading serializes reads from the source, which may block.
+	reading sync.Mutex
+	source  io.Reader
+	read    int64
+
+	// mu guards the fields below; it is never held while the source is read.
 	mu     sync.Mutex
-	source io.Reader
-	read   int64
 	prefix []byte
 	// whole tells that the prefix is the whole body.
 	whole bool
-	// taken tells that bytes behind the prefix have been handed out.
+	// taken tells that a reader has asked for bytes behind the prefix.
 	taken bool
-	err   error
+	// generation numbers the readers that may take these bytes.
+	generation int
+	err        error
 }
 
 // NewBody returns the body of a request with the announced length, or -1. At most limit bytes are accepted.
@@ -48,10 +57,8 @@
 
 // Prefix reads up to PrefixBytes and returns them. It is called once, before Reader.
 func (b *Body) Prefix() ([]byte, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.whole || b.prefix != nil {
-		return b.prefix, b.err
+	if b.Whole() {
+		return b.prefix, nil
 	}
 	size := int64(PrefixBytes)
 	if b.length >= 0 && b.length < size {
@@ -60,43 +67,55 @@
 	}
 	buf := make([]byte, size)
 	n := 0
-	for n < len(buf) {
-		m, err := b.readSource(buf[n:])
+	var err error
+	for n < len(buf) && err == nil {
+		var m int
+		m, err = b.readSource(buf[n:])
 		n += m
-		if errors.Is(err, io.EOF) {
-			b.whole = true
-			break
-		}
-		if err != nil {
-			b.prefix = buf[:n]
-			return b.prefix, err
-		}
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.prefix = buf[:n]
-	return b.prefix, nil
+	b.whole = errors.Is(err, io.EOF)
+	if b.whole {
+		err = nil
+	}
+	return b.prefix, err
 }
 
-// readSource reads from the caller and checks the length. The caller of readSource holds mu.
+// readSource reads from the caller and checks the length.
 func (b *Body) readSource(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if err := b.failure(); err != nil {
+		return 0, err
 	}
 	n, err := b.source.Read(p)
 	b.read += int64(n)
 	switch {
 	case b.read > b.max:
-		b.err = errBodyTooLarge
+		err = errBodyTooLarge
 	case b.length >= 0 && b.read > b.length:
-		b.err = errBodyLong
+		err = errBodyLong
 	case errors.Is(err, io.EOF) && b.length >= 0 && b.read < b.length, errors.Is(err, io.ErrUnexpectedEOF):
-		b.err = errBodyShort
-	case err != nil:
-		b.err = err
+		err = errBodyShort
+	}
+	if err == nil {
+		return n, nil
 	}
-	if b.err != nil && !errors.Is(b.err, io.EOF) {
-		return 0, b.err
+	b.mu.Lock()
+	b.err = err
+	b.mu.Unlock()
+	if !errors.Is(err, io.EOF) {
+		n = 0
 	}
-	return n, b.err
+	return n, err
+}
+
+func (b *Body) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
 }
 
 // Length returns the length of the body: exact if it is in memory, else as announced, -1 if unknown.
@@ -109,11 +128,18 @@
 	return b.length
 }
 
-// Replayable tells whether Reader may be called again: nothing behind the prefix has been handed out.
-func (b *Body) Replayable() bool {
+// Rewind tells whether the body can be sent again, and excludes former readers from the bytes behind the prefix.
+func (b *Body) Rewind() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.whole || !b.taken
+	if b.whole {
+		return true
+	}
+	if b.taken {
+		return false
+	}
+	b.generation++
+	return true
 }
 
 // Whole tells whether the whole body is in memory.
@@ -123,8 +149,8 @@
 	return b.whole
 }
 
-// Reader returns a reader of the body from its start. Readers of a body that isn't whole must not be used at the same
-// time.
+// Reader returns a reader of the body from its start. Between two calls Rewind must have succeeded, unless the body is
+// whole.
 func (b *Body) Reader() io.Reader {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -134,7 +160,7 @@
 	if b.taken {
 		return failingReader{}
 	}
-	return io.MultiReader(bytes.NewReader(b.prefix), rest{b})
+	return io.MultiReader(bytes.NewReader(b.prefix), rest{body: b, generation: b.generation})
 }
 
 // Problem returns why the caller's body was refused, nil if it wasn't.
@@ -155,16 +181,26 @@
 
 // rest reads what follows the prefix.
 type rest struct {
-	body *Body
+	body       *Body
+	generation int
 }
 
 // Read implements io.Reader.
 func (r rest) Read(p []byte) (int, error) {
-	b := r.body
+	if !r.body.take(r.generation) {
+		return 0, errBodyUsed
+	}
+	return r.body.readSource(p)
+}
+
+func (b *Body) take(generation int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if generation != b.generation {
+		return false
+	}
 	b.taken = true
-	return b.readSource(p)
+	return true
 }
 
 // failingReader stands for a body that can't be sent again.
--- a/pkg/filter/dispatch/anywhere.go
+++ b/pkg/filter/dispatch/anywhere.go
@@ -203,7 +203,7 @@
 // retry tries another group. An attempt that met no gateway has put no load on any target, so that it isn't paid from the
 // budget; when all groups are tried, those of a newer table are.
 func (r *race) retry(err error) {
-	if !r.x.Body.Replayable() {
+	if !r.x.Body.Rewind() {
 		return
 	}
 	if !unowned(err) {
--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -149,7 +149,7 @@
 // again tells whether an owned request may be sent again, after it has waited for a newer table.
 func (f *Filter) again(handover context.Context, x *filter.Exchange, p place, err error) bool {
 	var e *problem.Error
-	if !errors.As(err, &e) || e.Outcome != problem.NotRun || !x.Body.Replayable() || p.cell == "" {
+	if !errors.As(err, &e) || e.Outcome != problem.NotRun || !x.Body.Rewind() || p.cell == "" {
 		return false
 	}
 	wait := handoverPause
--- a/pkg/filter/filter_test.go
+++ b/pkg/filter/filter_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -100,8 +101,8 @@
 		t.Fatal(err)
 	}
 	for range 2 {
-		if got, _ := io.ReadAll(small.Reader()); string(got) != "abc" || !small.Replayable() {
-			t.Errorf("%q, replayable %v", got, small.Replayable())
+		if got, _ := io.ReadAll(small.Reader()); string(got) != "abc" || !small.Rewind() {
+			t.Errorf("%q", got)
 		}
 	}
 	data := strings.Repeat("x", PrefixBytes+10)
@@ -109,17 +110,51 @@
 	if _, err := large.Prefix(); err != nil {
 		t.Fatal(err)
 	}
-	_, _ = io.ReadFull(large.Reader(), make([]byte, PrefixBytes))
-	if !large.Replayable() {
+	abandoned := large.Reader()
+	_, _ = io.ReadFull(abandoned, make([]byte, PrefixBytes))
+	if !large.Rewind() {
 		t.Error("a body of which only the prefix was read can't be sent again")
 	}
+	if _, err := abandoned.Read(make([]byte, 5)); !errors.Is(err, errBodyUsed) {
+		t.Errorf("an abandoned reader takes bytes from its successor: %v", err)
+	}
 	if got, err := io.ReadAll(large.Reader()); len(got) != len(data) || err != nil {
 		t.Errorf("%d bytes, %v", len(got), err)
 	}
-	if large.Replayable() {
-		t.Error("a consumed body counts as replayable")
+	if large.Rewind() {
+		t.Error("a consumed body can be sent again")
 	}
 	if _, err := io.ReadAll(large.Reader()); !errors.Is(err, errBodyUsed) {
 		t.Errorf("second reader: %v", err)
 	}
 }
+
+// Guards against a refusal that waits for a caller whose upload has stalled.
+func TestStalledBodyDoesNotBlock(t *testing.T) {
+	source, writer := io.Pipe()
+	b := NewBody(io.MultiReader(strings.NewReader(strings.Repeat("x", PrefixBytes)), source), -1, 1<<20)
+	if _, err := b.Prefix(); err != nil {
+		t.Fatal(err)
+	}
+	reader := b.Reader()
+	_, _ = io.ReadFull(reader, make([]byte, PrefixBytes))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = reader.Read(make([]byte, 1))
+	}()
+	for !b.isTaken() {
+		runtime.Gosched()
+	}
+	if p := b.Problem(problem.NotRun); p != nil || b.Rewind() || b.Length() != -1 {
+		t.Errorf("problem %v", p)
+	}
+	_ = writer.Close()
+	<-done
+}
+
+func (b *Body) isTaken() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken
+}
--- a/pkg/filter/region/region_test.go
+++ b/pkg/filter/region/region_test.go
@@ -1,15 +1,19 @@
 package region
 
 import (
+	"context"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
 	"testing"
 
+	"github.com/bronzelever/bronzelever/pkg/exchange"
 	"github.com/bronzelever/bronzelever/pkg/filter"
 	"github.com/bronzelever/bronzelever/pkg/filter/filtertest"
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
 // unreadable fails the test if a body is read.
@@ -82,3 +86,42 @@
 		t.Error(p)
 	}
 }
+
+type reached struct {
+	n int
+}
+
+func (r *reached) Handle(context.Context, *wire.Request, io.Reader) (*exchange.Response, error) {
+	r.n++
+	return nil, nil
+}
+
+type views struct {
+	view *exchange.View
+}
+
+func (v views) View() *exchange.View { return v.view }
+
+// Guards against an entry router with an older configuration that sends a bound request to another region.
+func TestGatewayGuard(t *testing.T) {
+	view := filtertest.Exchange(t, "GET", "/plain", nil).View
+	for _, c := range []struct {
+		request wire.Request
+		own     string
+		passes  bool
+	}{
+		{wire.Request{Route: "orders"}, "north", true},
+		{wire.Request{Route: "orders", HomeRegions: []string{"south"}}, "north", false},
+		{wire.Request{Route: "orders", HomeRegions: []string{"south"}}, "south", true},
+		{wire.Request{Route: "bound"}, "north", false},
+		{wire.Request{Route: "orders", Tenant: "southern"}, "north", false},
+		{wire.Request{Route: "orders", Tenant: "southern"}, "south", true},
+		{wire.Request{Route: "newer", Tenant: "newer"}, "north", true},
+	} {
+		next := &reached{}
+		_, err := NewGuard(c.own, views{view}, next).Handle(context.Background(), &c.request, unreadable{t})
+		if (next.n == 1) != c.passes || (err == nil) != c.passes {
+			t.Errorf("%+v in %s: %v", c.request, c.own, err)
+		}
+	}
+}
