--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -53,6 +53,15 @@
 	Groups        int    `json:"groups"`
 }
 
+// Complete tells whether the store and every cell answered.
+func (v Overview) Complete() bool {
+	complete := v.StoreError == ""
+	for _, c := range v.Cells {
+		complete = complete && c.Error == ""
+	}
+	return complete
+}
+
 // Status asks store and controllers. It answers also while the store or a cell is unreachable.
 func (o *Operator) Status(ctx context.Context) Overview {
 	overview := Overview{Cells: make([]CellOverview, len(o.o.Cells))}
@@ -62,15 +71,17 @@
 			overview.Cells[i] = o.cellOverview(ctx, cell)
 		})
 	}
-	_, head, err := o.readHead(ctx)
+	c, from, err := o.knownConfig(ctx)
 	if err != nil {
 		overview.StoreError = err.Error()
 	}
-	overview.Version = head.Version
-	if c, from, err := o.knownConfig(ctx); err == nil {
+	if c != nil {
 		overview.Out = c.Out
 		overview.OutFrom = from
 	}
+	if from == fromStore {
+		overview.Version = c.Version
+	}
 	wait.Wait()
 	return overview
 }
