Linger after the groups are released and send orders again whose mirror left

Cause: a leaving router ended its peer server before the new gateways could ask it whether its requests had ended, and before other holders had replaced it as the mirror of their claims.

The test cell can end a router without a graceful stop and names the probe that fails.

Ruled out: ending the peer server when no call arrives for a while (a holder without traffic would find no mirror later).

--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -154,7 +154,8 @@
 	}
 	wait := handoverPause
 	switch e.Code {
-	case problem.CodeStaleOwnership, problem.CodeNoOwner:
+	case problem.CodeStaleOwnership, problem.CodeNoOwner, problem.CodeClaimLost:
+		// claim-lost with "not run" means that the claim's mirror has just left.
 	case problem.CodeGatewayLost:
 		wait = lostGatewayWait
 	default:
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -41,6 +41,9 @@
 	idleTimeout       = 2 * time.Minute
 	// maxHeaderBytes leaves net/http room above the bound of inputcheck, which answers with a problem document.
 	maxHeaderBytes = 2 * inputcheck.MaxHeaderBytes
+	// handoverLinger is how long the peer server goes on after the groups have been released: a new gateway asks after
+	// its next heartbeat, and holders of claims refresh their mirrors every second.
+	handoverLinger = 1500 * time.Millisecond
 	// dumpTimeout bounds the wait for a part of the state dump.
 	dumpTimeout = time.Second
 )
@@ -75,6 +78,9 @@
 	http        *http.Server
 	admin       *http.Server
 	draining    atomic.Bool
+	// running ends with the process; abort ends it without a graceful shutdown.
+	running context.Context
+	abort   context.CancelFunc
 
 	callerListener, peerListener, adminListener net.Listener
 }
@@ -82,6 +88,7 @@
 // New opens the listeners and builds the parts. Run starts them.
 func New(o Options) (*Router, error) {
 	r := &Router{o: o, incarnation: agent.NewIncarnation()}
+	r.running, r.abort = context.WithCancel(context.Background())
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
@@ -221,8 +228,8 @@
 // Run serves until the context ends, then shuts down gracefully. It returns nil after a shutdown that cut nothing,
 // ErrDrainTimeout after one that did, and the cause if a listener fails.
 func (r *Router) Run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
+	running := r.running
+	defer r.abort()
 	failed := make(chan error, 3)
 	serve := func(f func() error) {
 		go func() {
@@ -274,6 +281,12 @@
 	}
 	err = errors.Join(err, r.gateway.Release(ctx))
 	r.step("peers")
+	// The new gateways ask this one whether its requests have ended, and those whose claims it has mirrored look for
+	// another mirror.
+	select {
+	case <-r.o.Clock.After(handoverLinger):
+	case <-ctx.Done():
+	}
 	err = errors.Join(err, r.peers.Shutdown(ctx))
 	r.client.Close()
 	err = errors.Join(err, r.admin.Shutdown(ctx))
--- a/pkg/router/world_test.go
+++ b/pkg/router/world_test.go
@@ -40,6 +40,8 @@
 	log     *event.Logger
 	// stopController ends the controller as a lost VM does.
 	stopController func()
+	// lastFailure is the last answer of a probe that failed.
+	lastFailure string
 	// hits counts the requests that reached targets.
 	hits atomic.Int64
 }
@@ -80,7 +82,7 @@
 	for i := range routers {
 		w.routers = append(w.routers, w.start(i))
 	}
-	w.eventually("every group has a gateway that serves it", w.settled)
+	waitFor(t, "every group has a gateway that serves it", w.settled, func() string { return w.lastFailure })
 	return w
 }
 
@@ -228,6 +230,7 @@
 
 // kill ends a router as a lost VM does.
 func (n *node) kill() {
+	n.abort()
 	_ = n.http.Close()
 	_ = n.admin.Close()
 	ended, cancel := context.WithCancel(context.Background())
@@ -243,14 +246,14 @@
 // eventually waits for a condition.
 func (w *world) eventually(what string, condition func() bool) {
 	w.t.Helper()
-	waitFor(w.t, what, condition)
+	waitFor(w.t, what, condition, func() string { return "" })
 }
 
-func waitFor(t testing.TB, what string, condition func() bool) {
+func waitFor(t testing.TB, what string, condition func() bool, details func() string) {
 	t.Helper()
 	for deadline := time.Now().Add(worldTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("never: %s", what)
+			t.Fatalf("never: %s %s", what, details())
 		}
 	}
 }
@@ -301,7 +304,17 @@
 	}
 	r.Header.Set("Idempotency-Key", id)
 	response, err := http.DefaultClient.Do(r)
-	return err == nil && drop(response) == http.StatusOK
+	if err != nil {
+		w.lastFailure = err.Error()
+		return false
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	if err != nil || response.StatusCode != http.StatusOK {
+		w.lastFailure = fmt.Sprintf("%s: %d %s %v", url, response.StatusCode, body, err)
+		return false
+	}
+	return true
 }
 
 func drop(r *http.Response) int {
