Add make bench: measurements of real processes against their bounds

Cause: the bounds of the design (added latency, memory of large bodies, control per node, tail latency with slowed targets, goodput under overload) had no command that measures them on the binaries.

Ruled out: a counting relay between the processes (routers announce their listen address, so that half of the messages would pass by it); the read and write counters of the kernel per process count all sockets.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,10 @@
 quickstart: build
 	$(GO) build -o bin/ ./internal/cmd/...
 	bin/quickstart
+
+BENCH ?=
+
+# BENCH selects measurements, for example BENCH="latency slow"; bin/bench --help lists them.
+bench: build
+	$(GO) build -o bin/ ./internal/cmd/...
+	bin/bench $(BENCH)
