Keep connections usable after a deadline

Cause: a request that met its deadline set a read deadline on the caller's connection. After the end of a body net/http reads ahead, and an error of that read cancels the context of the connection: every later request on it was answered 400 "the caller has gone".

Change: the read deadline is set only while the body is being read, and the connection closes after such an answer.

Ruled out: closing the connection alone; an answer whose head is written can't announce that any more.

Figures: TestConnectionAfterDeadline fails without the change (status 400 for the next request) and passes with it.

--- a/pkg/router/caller.go
+++ b/pkg/router/caller.go
@@ -66,11 +66,14 @@
 		// Answers may begin before the upload ends. The call fails only for writers of other servers.
 		_ = control.EnableFullDuplex()
 	}
-	interrupt := &interrupt{control: control}
+	body := &trackedBody{ReadCloser: r.Body}
+	body.ended.Store(r.ContentLength == 0)
+	r.Body = body
+	interrupt := &interrupt{control: control, body: body}
 	defer interrupt.reset()
 	x := &filter.Exchange{Request: r, Header: w.Header(), Interrupt: interrupt.fire}
 	response, err := c.chain(ctx, x)
-	if c.draining.Load() {
+	if c.draining.Load() || interrupt.hasFired() {
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
@@ -81,9 +84,29 @@
 	c.answer(w, r, response)
 }
 
+// trackedBody tells whether a body has been read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // interrupt ends the I/O with a caller after the deadline.
+//
+// After the end of a body net/http reads ahead to notice a caller that goes away. A read deadline would end that read and
+// with it the context of the connection, that is, of all later requests on it. The read deadline is therefore set only
+// while the body is being read, and the connection closes after the answer.
 type interrupt struct {
 	control *http.ResponseController
+	body    *trackedBody
 	mu      sync.Mutex
 	fired   bool
 	over    bool
@@ -97,10 +120,18 @@
 	}
 	i.fired = true
 	// Writers without deadlines have nothing to interrupt.
-	_ = i.control.SetReadDeadline(time.Now())
+	if !i.body.ended.Load() {
+		_ = i.control.SetReadDeadline(time.Now())
+	}
 	_ = i.control.SetWriteDeadline(time.Now().Add(writeGrace))
 }
 
+func (i *interrupt) hasFired() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.fired
+}
+
 // reset makes the connection usable for the next request; net/http resets only the read deadline.
 func (i *interrupt) reset() {
 	i.mu.Lock()
--- a/pkg/router/router_test.go
+++ b/pkg/router/router_test.go
@@ -430,6 +430,27 @@
 	}
 }
 
+// Guards against a connection that serves no request any more after one request on it has met its deadline.
+func TestConnectionAfterDeadline(t *testing.T) {
+	w := newWorld(t, 1, func(_ http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "stalled") {
+			<-r.Context().Done()
+		}
+	})
+	for range 3 {
+		for _, body := range []string{"", "body"} {
+			late := send(t, "POST", w.routers[0].url("/archivio/stalled"), body, "Request-Timeout-Ms", "100")
+			if status := drop(late); status != http.StatusGatewayTimeout {
+				t.Errorf("status %d at the deadline", status)
+			}
+			next := send(t, "POST", w.routers[0].url("/archivio/x"), body)
+			if status := drop(next); status != http.StatusOK {
+				t.Errorf("status %d after another request's deadline", status)
+			}
+		}
+	}
+}
+
 // Guards against HTTP/2 callers that are refused, and against connections that HTTP/1.1 callers can't use again.
 func TestProtocols(t *testing.T) {
 	w := newWorld(t, 2, echo)
