Send requests past groups whose gateway still waits after a takeover

Cause: in the quickstart, bundles had a p99 of 19 s: after the loss of a VM they queued at a group whose new gateway may send nothing for the pool's longest deadline of 30 s, while other groups were free.

Change: such a gateway refuses idempotent unkeyed requests at once (no-owner, not-run, with a time to come back); dispatch remembers the announced time and prefers other groups.

Ruled out: sending before the longest deadline has passed, since slots may still be in use.

--- a/pkg/filter/dispatch/anywhere.go
+++ b/pkg/filter/dispatch/anywhere.go
@@ -87,19 +87,32 @@
 	return out
 }
 
-// pick removes and returns the less loaded of two random candidates, from the own region if it has any.
-func (r *race) pick() (place, bool) {
-	local := make([]int, 0, len(r.candidates))
+// preferred returns the candidates to choose among: open groups of the own region, else open groups of other regions, else
+// all.
+func (r *race) preferred() []int {
+	var local, open, all []int
 	for i, c := range r.candidates {
+		all = append(all, i)
+		if r.f.loads.of(c.group.ID).closed() {
+			continue
+		}
+		open = append(open, i)
 		if c.region == r.f.o.Region {
 			local = append(local, i)
 		}
 	}
-	if len(local) == 0 {
-		for i := range r.candidates {
-			local = append(local, i)
-		}
+	switch {
+	case len(local) > 0:
+		return local
+	case len(open) > 0:
+		return open
 	}
+	return all
+}
+
+// pick removes and returns the less loaded of two random candidates, from the own region if it has any.
+func (r *race) pick() (place, bool) {
+	local := r.preferred()
 	if len(local) == 0 {
 		return place{}, false
 	}
--- a/pkg/filter/dispatch/attempt.go
+++ b/pkg/filter/dispatch/attempt.go
@@ -55,10 +55,12 @@
 	response, err := f.handler(x, p).Handle(ctx, request, body)
 	load.inFlight.Add(-1)
 	if err != nil {
+		load.refused(err)
 		return nil, asProblem(x, err)
 	}
 	load.report(&response.Head)
 	if err := check(request, response); err != nil {
+		load.refused(err)
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -72,6 +72,9 @@
 	if err := g.accepts(); err != nil {
 		return err
 	}
+	if err := g.refuseWhileClosed(request); err != nil {
+		return err
+	}
 	if request.Keyed {
 		if err := g.locate(request, w); err != nil {
 			return err
