--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -283,8 +283,12 @@
 	r.step("peers")
 	// The new gateways ask this one whether its requests have ended, and those whose claims it has mirrored look for
 	// another mirror.
+	linger := handoverLinger
+	if deadline, ok := ctx.Deadline(); ok {
+		linger = min(linger, time.Until(deadline)/2)
+	}
 	select {
-	case <-r.o.Clock.After(handoverLinger):
+	case <-r.o.Clock.After(linger):
 	case <-ctx.Done():
 	}
 	err = errors.Join(err, r.peers.Shutdown(ctx))
