--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -21,6 +21,8 @@
 	// of a pool per step, even a whole pool's slices have left after 1.2 s.
 	stepInterval = 300 * time.Millisecond
 	stepShare    = 4
+	// refreshInterval is the time between two checks of the successors.
+	refreshInterval = 500 * time.Millisecond
 	// clearInterval is the least time between a change and the write that only clears former owners.
 	clearInterval = 2 * time.Second
 )
@@ -119,9 +121,10 @@
 	next []SliceRecord
 	base map[uint64]topology.Epoch
 
-	nextStep  clock.Instant
-	changedAt clock.Instant
-	balance   balancing
+	nextStep    clock.Instant
+	nextRefresh clock.Instant
+	changedAt   clock.Instant
+	balance     balancing
 }
 
 // configurePools follows the keyed pools of the configuration.
@@ -377,7 +380,7 @@
 	view := p.view()
 	moves := placement.Evacuate(view, targets, false)
 	if len(moves) == 0 {
-		return p.refreshSuccessors(next, targets) || p.anyPromoted()
+		return p.anyPromoted() || l.refreshDue(now, p) && p.refreshSuccessors(next, targets)
 	}
 	lost := map[string]bool{}
 	for _, t := range targets {
@@ -406,6 +409,16 @@
 	return moved > 0
 }
 
+// refreshDue tells whether the successors are to be checked. Successors matter at the next loss only, and the check looks
+// at every slice.
+func (l *leadership) refreshDue(now clock.Instant, p *pool) bool {
+	if now < p.nextRefresh {
+		return false
+	}
+	p.nextRefresh = now.Add(refreshInterval)
+	return true
+}
+
 // moveRecord gives a slice a new owner. The epoch skips those reserved for the successors, which may be in use.
 func moveRecord(rec *SliceRecord, to string) {
 	rec.Former = addFormer(rec.Former, Former{Owner: rec.Owner, Epoch: rec.Epoch})
--- a/pkg/placement/slices.go
+++ b/pkg/placement/slices.go
@@ -134,14 +134,15 @@
 	if len(successors) > 1 {
 		b = known[successors[1]]
 	}
-	okA := sameGroup(owner, a) || !exists(owner, targets, sameGroup) && (anyOther(owner, a) || !exists(owner, targets, anyOther))
-	rest := slices.DeleteFunc(slices.Clone(targets), func(t Target) bool { return t.ID == a.ID })
-	okB := otherDomain(owner, b) || !exists(owner, rest, otherDomain) && (anyOther(owner, b) || !exists(owner, rest, anyOther))
+	okA := sameGroup(owner, a) ||
+		!exists(owner, targets, "", sameGroup) && (anyOther(owner, a) || !exists(owner, targets, "", anyOther))
+	okB := otherDomain(owner, b) ||
+		!exists(owner, targets, a.ID, otherDomain) && (anyOther(owner, b) || !exists(owner, targets, a.ID, anyOther))
 	return okA && okB && (a.ID != b.ID || a.ID == "")
 }
 
-func exists(owner Target, targets []Target, eligible func(owner, t Target) bool) bool {
-	return slices.ContainsFunc(targets, func(t Target) bool { return eligible(owner, t) })
+func exists(owner Target, targets []Target, not string, eligible func(owner, t Target) bool) bool {
+	return slices.ContainsFunc(targets, func(t Target) bool { return t.ID != not && eligible(owner, t) })
 }
 
 func pickSuccessors(owner Target, targets []Target, first, second map[string]int) []string {
