--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -37,6 +37,8 @@
 	reads, writes float64
 	tableSlices   int
 	tableGroups   int
+	// inForce is the time until a change of the configuration was accepted; 0 if none was made.
+	inForce time.Duration
 }
 
 // observe measures all processes over a time without load.
--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -68,6 +68,7 @@
 		r.report.note(c.Name+": sent / answered / not run / unknown / wrong", "%d / %d / %d / %d / %d",
 			c.Sent, c.Answered, c.RefusedNotRun, c.Unknown+c.Failed+c.Unreachable, c.Wrong)
 		r.report.note(c.Name+": p50 / p99", "%v / %v", c.Latency.P50, c.Latency.P99)
+		r.report.note(c.Name+": statuses", "%v", c.Statuses)
 	}
 	seconds := result.Duration.Seconds()
 	heavy, _ := result.Class("heavy")
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/controller"
+	"github.com/bronzelever/bronzelever/pkg/operator"
 	"github.com/bronzelever/bronzelever/pkg/placement"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
@@ -75,6 +79,9 @@
 		r.report.note(fmt.Sprintf("encoded table, %d groups, %d slices", len(table.Groups), len(table.Slices)), "%d bytes", len(data))
 	}
 	r.report.note("bytes per slice", "%.0f", fit(x, y).slope)
+	if err := r.rows(); err != nil {
+		return trace.Wrap(err)
+	}
 	x, y = nil, nil
 	for _, targets := range []int{20, 80, 240} {
 		table := syntheticTable(targets, 1)
@@ -94,6 +101,41 @@
 	return trace.Wrap(r.heartbeats())
 }
 
+// rows measures the store's row of a pool's slices in a cell, and the size of a configuration.
+func (r *runner) rows() error {
+	var x, y []float64
+	for _, perTarget := range []int{16, 64, 256} {
+		row := controller.SlicesRecord{Term: 7}
+		for _, s := range syntheticTable(cellTargets, perTarget).Slices {
+			row.Slices = append(row.Slices, controller.SliceRecord{
+				Low: s.Low, High: s.High, Owner: s.Owner, Epoch: s.Epoch, Successors: s.Successors,
+			})
+		}
+		data, err := json.Marshal(row)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		x = append(x, float64(len(row.Slices)))
+		y = append(y, float64(len(data)))
+		r.report.note(fmt.Sprintf("store row, %d slices", len(row.Slices)), "%d bytes", len(data))
+	}
+	r.report.note("store row bytes per slice", "%.0f", fit(x, y).slope)
+	x, y = nil, nil
+	for _, targets := range []int{36, 360, 3600} {
+		cfg := oneRegion()
+		cfg.Pools = []config.Pool{poolOf(cfg, "status", 0, targets)}
+		data, err := json.Marshal(cfg)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		x = append(x, float64(targets))
+		y = append(y, float64(len(data)))
+		r.report.note(fmt.Sprintf("configuration, %d targets", targets), "%d bytes", len(data))
+	}
+	r.report.note("configuration bytes per target", "%.0f", fit(x, y).slope)
+	return nil
+}
+
 // tableMemory measures the heap that decoded tables of many cells occupy.
 func (r *runner) tableMemory() error {
 	data, err := msgpack.Marshal(syntheticTable(cellTargets, 16))
@@ -259,7 +301,29 @@
 		return nil, trace.Wrap(err)
 	}
 	defer d.close()
-	return d.observe(ctx, slopeSettle, slopePhase)
+	o, err := d.observe(ctx, slopeSettle, slopePhase)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	o.inForce, err = d.changeWeight(ctx)
+	return o, trace.Wrap(err)
+}
+
+// changeWeight applies a small change and returns the time until it is accepted, that is in force on every router.
+func (d *deployment) changeWeight(ctx context.Context) (time.Duration, error) {
+	current, err := d.operator.Current(ctx)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	changed := *current.Config
+	changed.Routes = slices.Clone(changed.Routes)
+	changed.Routes[0].Weight++
+	began := time.Now()
+	result := d.operator.Apply(ctx, &changed, operator.ApplyOptions{Reason: "heavier class"})
+	if result.Outcome != operator.Accepted {
+		return 0, trace.BadParameter("change: %s: %s", result.Outcome, result.Message)
+	}
+	return time.Since(began), nil
 }
 
 // printSlopes prints one observation and returns the active controller and the mean of the others.
@@ -278,6 +342,7 @@
 	r.report.note(name+": candidate (mean)", "%s", candidate)
 	r.report.note(name+": router (mean)", "%s", router)
 	r.report.note(name+": store", "%.2f reads/s, %.2f writes/s", o.reads, o.writes)
+	r.report.note(name+": change of the configuration in force after", "%v", o.inForce.Round(time.Millisecond))
 	return active, candidate, router
 }
 
