Close connections whose request was answered before its body ended

Cause: a router that answered an upload early left the connection open, and net/http took the rest of the body for the next request: a body that contains an HTTP request was executed (request smuggling). A reader that was still at work made net/http panic with 'invalid concurrent Body.Read call'.

Change: such an answer carries Connection: close, and the handler ends the body's readers before it returns.

Ruled out: discarding the rest of the body, which would hold the answer back for the length of an upload.

--- a/pkg/router/caller.go
+++ b/pkg/router/caller.go
@@ -72,8 +72,11 @@
 	interrupt := &interrupt{control: control, body: body}
 	defer interrupt.reset()
 	x := &filter.Exchange{Request: r, Header: w.Header(), Interrupt: interrupt.fire}
+	// The last reader of the body ends before the handler returns: net/http reads the next request from the same connection.
+	defer body.stop(control)
 	response, err := c.chain(ctx, x)
-	if c.draining.Load() || interrupt.hasFired() {
+	if c.draining.Load() || interrupt.hasFired() || !body.ended.Load() {
+		// The rest of a body that was answered early would be taken for the next request.
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
@@ -84,14 +87,37 @@
 	c.answer(w, r, response)
 }
 
-// trackedBody tells whether a body has been read to its end.
+// errBodyStopped is what readers get that are still at work after the answer.
+var errBodyStopped = errors.New("the request has been answered")
+
+// trackedBody tells whether a body has been read to its end, and ends its readers.
 type trackedBody struct {
 	io.ReadCloser
-	ended atomic.Bool
+	ended   atomic.Bool
+	stopped atomic.Bool
+	// reading is held while the connection is read.
+	reading sync.Mutex
+}
+
+// stop refuses further reads and waits for the one that is running. net/http panics if a body is read while it reads the
+// next request.
+func (b *trackedBody) stop(control *http.ResponseController) {
+	b.stopped.Store(true)
+	if !b.ended.Load() {
+		// Writers without deadlines have no blocked reader either.
+		_ = control.SetReadDeadline(time.Now())
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.stopped.Load() {
+		return 0, errBodyStopped
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
 		b.ended.Store(true)
