Tell other regions of requests that crash targets

Cause: the failure scenario with a request that crashes each target lost 4 targets, 2 in each region (bound 2): suspects were known only inside the cell in which the target crashed.

Change: the gateway also sends suspects to the pool's gateways in other regions before the caller is answered, except fingerprints of requests whose home regions exclude that region.

Ruled out: counting crashes per cell with a bound of one target; the first crash has no suspect yet, and an innocent request in flight would be condemned.

--- a/pkg/gateway/cell_test.go
+++ b/pkg/gateway/cell_test.go
@@ -88,6 +88,8 @@
 	}
 }
 
+func (l link) SendSuspectsToRegion(context.Context, string, string, *wire.Suspects) {}
+
 // newRouters starts a cell with the given VMs. The first one holds the group.
 func newRouters(f *fixture, vms ...string) *routers {
 	r := &routers{
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -118,7 +118,7 @@
 		f.group.release(f.ticket)
 		return
 	case endedBroken:
-		f.gateway.crashed(f.group.broke(f.ticket), f.ticket.waiter.alone)
+		f.gateway.crashed(f.group.id.Pool(), f.group.broke(f.ticket), f.ticket.waiter.alone)
 	case endedCancelled:
 		f.group.timedOut(f.ticket, time.Until(f.deadline) <= 0)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,9 @@
 	FetchClaims(ctx context.Context, vm string, message *wire.FetchClaims) (*wire.ClaimsReply, error)
 	// SendSuspects sends suspects to all members and returns once each has confirmed or failed.
 	SendSuspects(ctx context.Context, message *wire.Suspects)
+	// SendSuspectsToRegion sends suspects to the gateways of a pool in another region and returns once each has confirmed or
+	// failed.
+	SendSuspectsToRegion(ctx context.Context, region, pool string, message *wire.Suspects)
 }
 
 // Options are the collaborators of a gateway.
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -213,23 +213,23 @@
 	g.probeSoon(t)
 }
 
-// broke records a connection that broke during an exchange: the target may have restarted. It returns the fingerprints
+// broke records a connection that broke during an exchange: the target may have restarted. It returns the requests
 // that were in flight at the target and have not been returned for the same crash.
-func (g *group) broke(k *ticket) []uint64 {
+func (g *group) broke(k *ticket) []exposed {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k.target.ramp.chill()
 	k.target.conns.reset()
 	g.probeSoon(k.target)
 	g.noteState(k.target)
-	var fingerprints []uint64
+	var found []exposed
 	for o := range k.target.tickets {
-		if !o.suspected && o.waiter.fingerprint != 0 && !slices.Contains(fingerprints, o.waiter.fingerprint) {
-			fingerprints = append(fingerprints, o.waiter.fingerprint)
+		if !o.suspected && o.waiter.fingerprint != 0 {
+			found = append(found, exposed{fingerprint: o.waiter.fingerprint, homeRegions: o.waiter.homeRegions})
 		}
 		o.suspected = true
 	}
-	return fingerprints
+	return found
 }
 
 // timedOut records an exchange that was given up.
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -257,10 +257,12 @@
 type fakeCell struct {
 	mu       sync.Mutex
 	suspects []wire.Suspects
+	// crossed holds the fingerprints sent to each other region.
+	crossed map[string][]uint64
 }
 
 func newFakeCell() *fakeCell {
-	return &fakeCell{}
+	return &fakeCell{crossed: map[string][]uint64{}}
 }
 
 func (c *fakeCell) Members() []wire.Member {
@@ -280,3 +282,11 @@
 	defer c.mu.Unlock()
 	c.suspects = append(c.suspects, *m)
 }
+
+func (c *fakeCell) SendSuspectsToRegion(_ context.Context, region, _ string, m *wire.Suspects) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range m.Suspects {
+		c.crossed[region] = append(c.crossed[region], s.Fingerprint)
+	}
+}
--- a/pkg/gateway/queue.go
+++ b/pkg/gateway/queue.go
@@ -13,6 +13,7 @@
 	target      *target
 	keyHash     uint64
 	fingerprint uint64
+	homeRegions []string
 	// slice is set for a keyed request.
 	slice *heldSlice
 	// alone asks for a target that runs nothing else.
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 		deadline:    deadline,
 		keyHash:     request.KeyHash,
 		fingerprint: request.Fingerprint,
+		homeRegions: request.HomeRegions,
 		granted:     make(chan error, 1),
 		finish:      func() {},
 	}
@@ -52,8 +54,8 @@
 
 // crashed records what was in flight when a target's connection broke and tells the other routers, before the caller is
 // answered and may come back through another router.
-func (gw *Gateway) crashed(fingerprints []uint64, alone bool) {
-	suspects := gw.suspects.Crash(fingerprints, alone)
+func (gw *Gateway) crashed(pool string, found []exposed, alone bool) {
+	suspects := gw.suspects.Crash(fingerprints(found), alone)
 	if len(suspects) == 0 {
 		return
 	}
@@ -67,7 +69,63 @@
 	if count > 0 {
 		gw.Log.Emit(event.RequestQuarantined, "requests", count)
 	}
-	gw.sendSuspects(suspects)
+	gw.spreadSuspects(pool, suspects, found)
+}
+
+// exposed is a request that was in flight at a target whose connection broke.
+type exposed struct {
+	fingerprint uint64
+	homeRegions []string
+}
+
+// mayCross tells whether the request's fingerprint may be sent to a region.
+func (e exposed) mayCross(region string) bool {
+	return len(e.homeRegions) == 0 || slices.Contains(e.homeRegions, region)
+}
+
+func fingerprints(found []exposed) []uint64 {
+	var out []uint64
+	for _, e := range found {
+		if !slices.Contains(out, e.fingerprint) {
+			out = append(out, e.fingerprint)
+		}
+	}
+	return out
+}
+
+// spreadSuspects tells the routers of the cell, and the pool's gateways in other regions what may be sent there. The caller
+// may come back through any region: with suspects known in one cell only, each cell lost two targets to the same request.
+func (gw *Gateway) spreadSuspects(pool string, suspects []wire.Suspect, found []exposed) {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectsTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	wait.Go(func() { gw.Cell.SendSuspects(ctx, &wire.Suspects{Suspects: suspects}) })
+	for _, region := range gw.otherRegions() {
+		crossing := slices.DeleteFunc(slices.Clone(suspects), func(s wire.Suspect) bool {
+			return !slices.ContainsFunc(found, func(e exposed) bool {
+				return e.fingerprint == s.Fingerprint && e.mayCross(region)
+			})
+		})
+		if len(crossing) > 0 {
+			wait.Go(func() { gw.Cell.SendSuspectsToRegion(ctx, region, pool, &wire.Suspects{Suspects: crossing}) })
+		}
+	}
+	wait.Wait()
+}
+
+// otherRegions returns the regions other than that of the own cell, which has the region's name.
+func (gw *Gateway) otherRegions() []string {
+	view := gw.view.Load()
+	if view == nil || view.Config == nil {
+		return nil
+	}
+	var regions []string
+	for _, r := range view.Config.Regions {
+		if r.Name != view.Cell {
+			regions = append(regions, r.Name)
+		}
+	}
+	return regions
 }
 
 func (gw *Gateway) sendSuspects(suspects []wire.Suspect) {
--- a/pkg/router/cell.go
+++ b/pkg/router/cell.go
@@ -69,17 +69,47 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, m := range c.Members() {
-		wait.Go(func() {
-			var reply wire.SuspectsReply
-			err := c.r.client.Call(ctx, m.Address, wire.TypeSuspects, message, wire.TypeSuspectsReply, &reply)
-			if err != nil {
-				c.r.o.Log.Emit(event.SuspectsUnconfirmed, "router", m.VM, "error", err.Error())
-			}
-		})
+		wait.Go(func() { c.sendSuspects(ctx, m.VM, m.Address, message) })
+	}
+	wait.Wait()
+}
+
+func (c cell) sendSuspects(ctx context.Context, vm, address string, message *wire.Suspects) {
+	var reply wire.SuspectsReply
+	err := c.r.client.Call(ctx, address, wire.TypeSuspects, message, wire.TypeSuspectsReply, &reply)
+	if err != nil {
+		c.r.o.Log.Emit(event.SuspectsUnconfirmed, "router", vm, "error", err.Error())
+	}
+}
+
+// SendSuspectsToRegion implements gateway.Cell.
+func (c cell) SendSuspectsToRegion(ctx context.Context, region, pool string, message *wire.Suspects) {
+	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for vm, address := range c.gateways(region, pool) {
+		wait.Go(func() { c.sendSuspects(ctx, vm, address, message) })
 	}
 	wait.Wait()
 }
 
+// gateways returns the peer addresses of a pool's gateways in a region by VM.
+func (c cell) gateways(region, pool string) map[string]string {
+	found := map[string]string{}
+	view := c.r.agent.View()
+	if view == nil || view.Config == nil {
+		return found
+	}
+	for _, table := range view.Tables {
+		for _, g := range table.Groups {
+			if g.Gateway != "" && g.ID.Pool() == pool && view.Config.RegionOf(g.ID.Domain()) == region {
+				found[g.Gateway] = g.GatewayAddress
+			}
+		}
+	}
+	return found
+}
+
 // newGateway builds the gateway of pkg/gateway.
 func newGateway(r *Router) Gateway {
 	return gateway.New(gateway.Options{
