Let a candidate take over after 1.4 s without a renewal of the term

Cause: after the loss of the leading VM, keys of its groups were served again after 5.9 s to 6.0 s (bound 4 s); 3.9 s of it passed before a candidate took the term.

Change: the term is renewed every 400 ms and stale after 1.4 s.

Ruled out: shorter leases of routers, which would lapse on a loaded machine. A slow store causes no needless takeovers, since the candidate's write is conditional on the row that a live leader keeps changing.

Store writes per cell grow from 1 to 2.5 per second.

--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -30,12 +30,14 @@
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 50 * time.Millisecond
 	// renewInterval is the time between two renewals of the term, and between two reads by a candidate.
-	renewInterval = time.Second
-	// staleAfter is how long the term row must not have changed before a candidate takes over.
-	staleAfter = 4 * time.Second
+	renewInterval = 400 * time.Millisecond
+	// staleAfter is how long the term row must not have changed before a candidate takes over. A lost leader, the wait for
+	// the leases of its routers and the wait for their longest deadline together have to stay below 4 s. A slow store does
+	// not cause needless takeovers: the write is conditional on the row seen, which a live leader keeps changing.
+	staleAfter = 1400 * time.Millisecond
 	// storeAuthority is how long a renewal gives authority, from before it was asked. With a drift of 1% on either side
 	// it ends before a candidate has counted staleAfter.
-	storeAuthority = 3900 * time.Millisecond
+	storeAuthority = 1350 * time.Millisecond
 	// headInterval is the time between two reads of the configuration head.
 	headInterval = 250 * time.Millisecond
 	// othersInterval is the time between two exchanges of tables with other cells.
