Drop answers to cancelled requests, don't hold requests until the deadline

After a few time-outs a target got nothing any more; - near the end of a takeover wait requests were held for 3 s and then answered 504 (TestLostRouter); - a write after the cancellation was taken for a broken request body (400).

Change: a read that ends after the cancellation returns nothing. Latency alone refuses nothing, and a request spends at most half of its time in the queue; waiting ones are checked every 50 ms. The loss of a claim mirror is logged.

Proof: without the check of the read TestAnswerToACancelledRequestIsDropped fails ('status 200, body "cancelled" at the deadline'); the earlier version fails TestFreeSlotIsUsedAfterTimeOuts; without the bound of the wait TestWaitEndsLongBeforeTheDeadline fails.

--- a/pkg/claim/claim_test.go
+++ b/pkg/claim/claim_test.go
@@ -100,11 +100,12 @@
 
 func newTestHolder(t *testing.T, c clock.Clock, cell Cell, epoch topology.Epoch) *Holder {
 	h := NewHolder(Settings{
-		Group:     group,
-		Epoch:     epoch,
-		Window:    window,
-		Eligible:  func(wire.Member) bool { return true },
-		Preferred: func(wire.Member) bool { return true },
+		Group:        group,
+		Epoch:        epoch,
+		Window:       window,
+		Eligible:     func(wire.Member) bool { return true },
+		Preferred:    func(wire.Member) bool { return true },
+		OnMirrorLost: func(string) {},
 	}, c, cell)
 	t.Cleanup(h.Close)
 	return h
--- a/pkg/claim/holder.go
+++ b/pkg/claim/holder.go
@@ -83,6 +83,8 @@
 	Eligible func(wire.Member) bool
 	// Preferred tells whether a router is outside the holder's failure domain.
 	Preferred func(wire.Member) bool
+	// OnMirrorLost is called when a mirror is given up; it must not block.
+	OnMirrorLost func(vm string)
 }
 
 // mirrorPhase is the state of the holder's mirror.
--- a/pkg/claim/keep.go
+++ b/pkg/claim/keep.go
@@ -59,6 +59,7 @@
 	if h.mirror != vm || h.phase != mirrorReady {
 		return
 	}
+	h.OnMirrorLost(vm)
 	if answered {
 		h.phase = mirrorNone
 		h.mirror = ""
--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -97,8 +97,8 @@
 // fits refuses a request whose deadline cannot be met.
 func (g *group) fits(q *queue, w *waiter) error {
 	wait, latency := g.estimate(q, w)
-	remaining := time.Until(w.deadline)
-	if wait+latency <= remaining {
+	w.patience = time.Now().Add(time.Until(w.deadline) / 2)
+	if !w.hopeless(wait, latency) {
 		return nil
 	}
 	g.metrics.refusedEstimate.Inc(1)
@@ -106,8 +106,31 @@
 		"the deadline cannot be met: the queue takes too long", wait)
 }
 
+// refuseHopeless answers the waiters whose deadlines can't be met any more, so that none is held until its deadline.
+func (g *group) refuseHopeless(q *queue) {
+	for i := 0; i < len(q.waiters); {
+		w := q.waiters[i]
+		wait, latency := g.estimateAt(w, i)
+		if !w.hopeless(wait, latency) {
+			i++
+			continue
+		}
+		q.removeAt(i)
+		g.queued--
+		g.unreserve(w)
+		g.metrics.refusedEstimate.Inc(1)
+		w.granted <- refuse(http.StatusServiceUnavailable, problem.CodeOverload,
+			"the deadline cannot be met: the queue takes too long", wait)
+	}
+}
+
 // estimate returns the expected wait for a slot and the expected latency after it.
 func (g *group) estimate(q *queue, w *waiter) (wait, latency time.Duration) {
+	return g.estimateAt(w, q.rank(w))
+}
+
+// estimateAt is the estimate for a waiter with a number of others ahead.
+func (g *group) estimateAt(w *waiter, ahead int) (wait, latency time.Duration) {
 	now := g.clock.Now()
 	free, limit := 0, 0
 	latency = time.Duration(0)
@@ -127,7 +150,6 @@
 	if now < g.notBefore && !g.asking {
 		wait = g.notBefore.Sub(now)
 	}
-	ahead := q.rank(w)
 	if free > ahead || limit == 0 {
 		return wait, latency
 	}
--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -75,6 +75,7 @@
 		Deduplicates: g.pool.Deduplicates,
 		Eligible:     func(m wire.Member) bool { return gw.regionOf(m) == region },
 		Preferred:    func(m wire.Member) bool { return m.Domain != g.id.Domain() },
+		OnMirrorLost: func(vm string) { gw.Log.Emit(event.ClaimMirrorLost, "group", g.id, "mirror", vm) },
 	}
 }
 
--- a/pkg/gateway/conn.go
+++ b/pkg/gateway/conn.go
@@ -54,6 +54,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.cancelled.Load() {
+		c.writeErr = net.ErrClosed
 		return 0, net.ErrClosed
 	}
 	if c.guard != nil {
@@ -126,7 +127,12 @@
 	if c.cancelled.Load() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if c.cancelled.Load() {
+		// The target's reaction to the cancellation may arrive before the deadline has woken this reader.
+		return 0, net.ErrClosed
+	}
+	return n, err
 }
 
 // cancel stops the exchange in progress. It closes the sending direction, which tells the target to stop, and waits for
--- a/pkg/gateway/conn_test.go
+++ b/pkg/gateway/conn_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -278,3 +279,31 @@
 		t.Errorf("the target executed %d requests", n)
 	}
 }
+
+// Guards against an answer that a target gives because its request was cancelled, and that is passed on as if it were one.
+func TestAnswerToACancelledRequestIsDropped(t *testing.T) {
+	s := startScripted(t, func(_ int, c net.Conn, r *http.Request) bool {
+		var buf [1]byte
+		// The gateway closes its side at the deadline.
+		_, _ = c.Read(buf[:])
+		answerWith(c, r, "cancelled")
+		return false
+	})
+	f := newScriptedFixture(t, s)
+	f.pool.Slots = 32
+	f.apply()
+	f.warm()
+	var wg sync.WaitGroup
+	for range 32 {
+		wg.Go(func() {
+			for range 100 {
+				status, body, err := f.do(within(t, 5*time.Millisecond), newRequest(http.MethodGet, "/a"), "")
+				if err == nil {
+					t.Errorf("status %d, body %q at the deadline", status, body)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -47,12 +47,20 @@
 	g.settle()
 	g.expire()
 	g.pump()
+	g.refuseAllHopeless()
 	g.rates.roll(g, now)
 	for _, t := range g.targets {
 		g.noteState(t)
 	}
 }
 
+func (g *group) refuseAllHopeless() {
+	g.refuseHopeless(&g.shared)
+	for _, t := range g.targets {
+		g.refuseHopeless(&t.queue)
+	}
+}
+
 // expire refuses waiters of groups that may not serve any more.
 func (g *group) expire() {
 	if g.gateway.authorized(g.clock.Now()) && !g.superseded {
--- a/pkg/gateway/queue.go
+++ b/pkg/gateway/queue.go
@@ -9,6 +9,9 @@
 type waiter struct {
 	weight   int
 	deadline time.Time
+	// patience is when half of the time has passed. A request isn't queued any longer, so that its caller can still go
+	// elsewhere.
+	patience time.Time
 	// target restricts the choice; nil for an unkeyed request.
 	target      *target
 	keyHash     uint64
@@ -26,6 +29,16 @@
 	finish func()
 }
 
+// hopeless tells whether the expected wait is too long. Without a wait the latency alone refuses nothing: requests that are
+// never sent would never show that a target has become faster.
+func (w *waiter) hopeless(wait, latency time.Duration) bool {
+	now := time.Now()
+	if now.Add(wait).After(w.patience) {
+		return true
+	}
+	return wait > 0 && now.Add(wait+latency).After(w.deadline)
+}
+
 // before orders waiters: higher class weight first, then the earlier deadline.
 func (w *waiter) before(o *waiter) bool {
 	if w.weight != o.weight {
--- a/pkg/gateway/ramp_test.go
+++ b/pkg/gateway/ramp_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/problem"
+	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -181,3 +182,48 @@
 		t.Errorf("%d requests were refused", refused)
 	}
 }
+
+// Guards against a target that gets no request any more because earlier ones took longer than the deadlines of later ones.
+func TestFreeSlotIsUsedAfterTimeOuts(t *testing.T) {
+	o := defaultPool(1)
+	f := newFixture(t, o)
+	f.apply()
+	s := f.backends[0].Settings()
+	s.ServiceMillis = 500
+	s.IgnoreDeadline = true
+	f.backends[0].Change(s)
+	for range 5 {
+		_, _, err := f.do(within(t, 60*time.Millisecond), newRequest(http.MethodGet, "/status/k"), "")
+		if outcomeOf(err) != problem.Unknown {
+			t.Errorf("answered with %v", err)
+		}
+		f.idle()
+	}
+	s.ServiceMillis = 2
+	f.backends[0].Change(s)
+	if _, _, err := f.do(within(t, 60*time.Millisecond), newRequest(http.MethodGet, "/status/k"), ""); err != nil {
+		t.Errorf("the target is fast again: %v", err)
+	}
+}
+
+// Guards against a request that is held until its deadline while no target takes work.
+func TestWaitEndsLongBeforeTheDeadline(t *testing.T) {
+	o := defaultPool(1)
+	o.epoch = topology.NewGroupEpoch(2, 1)
+	o.pool.MaxDeadline = 700
+	f := newFixture(t, o)
+	f.apply()
+	g := f.group()
+	for _, limit := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond} {
+		// The takeover wait ends shortly before the request's deadline.
+		g.mu.Lock()
+		g.notBefore = g.clock.Now().Add(limit - 20*time.Millisecond)
+		g.mu.Unlock()
+		started := time.Now()
+		_, _, err := f.do(within(t, limit), newRequest(http.MethodGet, "/status/k"), "")
+		wantRefusal(t, err, problem.CodeOverload, problem.NotRun)
+		if took := time.Since(started); took > limit/2+2*tick {
+			t.Errorf("refused after %v of %v", took, limit)
+		}
+	}
+}
