--- a/cmd/blrouter/main.go
+++ b/cmd/blrouter/main.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -38,47 +39,56 @@
 }
 
 func main() {
-	os.Exit(run())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-func run() int {
-	var args arguments
-	parser := kong.Must(&args,
+// run executes the command until the context ends and returns the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var parsed arguments
+	shown := false
+	parser := kong.Must(&parsed,
 		kong.Name("blrouter"),
 		kong.Description("Routes requests to targets that own keys exclusively. Exit codes: 0 graceful end, 1 failure, "+
 			"2 invalid arguments or settings, 3 shutdown timed out with exchanges in flight."),
 		kong.Vars{"version": version()},
+		kong.Writers(out, errOut),
+		// --help and --version end the command after they have shown their text.
+		kong.Exit(func(int) { shown = true }),
 	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "blrouter:", err)
+	_, err := parser.Parse(args)
+	if shown {
+		return exitOK
+	}
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, "blrouter:", err)
 		return exitInvalid
 	}
-	s, findings := settings.Load[settings.Router](args.Settings)
+	s, findings := settings.Load[settings.Router](parsed.Settings)
 	for _, f := range findings {
-		fmt.Fprintln(os.Stderr, f)
+		_, _ = fmt.Fprintln(errOut, f)
 	}
 	if findings.Err() != nil {
 		return exitInvalid
 	}
-	if args.Check {
-		fmt.Println("settings are valid")
-		return exitOK
-	}
-	return serve(s)
-}
-
-func serve(s settings.Router) int {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "blrouter:", err)
+		_, _ = fmt.Fprintln(errOut, "blrouter:", err)
 		return exitInvalid
 	}
-	logger := event.NewLogger(os.Stderr, level, "process", "blrouter", "vm", s.VM)
+	if parsed.Check {
+		_, _ = fmt.Fprintln(out, "settings are valid")
+		return exitOK
+	}
+	return serve(ctx, s, event.NewLogger(errOut, level, "process", "blrouter", "vm", s.VM))
+}
+
+func serve(ctx context.Context, s settings.Router, logger *event.Logger) int {
 	registry := metric.NewRegistry("bronzelever")
 	// Metrics that can't be reported at the end are lost either way.
 	defer func() { _ = registry.Close() }()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	r, err := router.New(router.Options{Settings: s, Clock: clock.Boottime{}, Log: logger, Metrics: registry})
 	if err != nil {
 		logger.Emit(event.ProcessFailed, "error", err.Error())
