Test two regions end to end

Cause: cells, home groups and the tables of other cells were tested apart from each other.

Change: two cells with a controller and a router each.

Ruled out: simulated latency between the regions; nothing here depends on it.

--- a/pkg/router/world_test.go
+++ b/pkg/router/world_test.go
@@ -74,7 +74,7 @@
 	w.cfg = w.config(h)
 	w.apply(w.cfg)
 	listener := w.listen()
-	w.peers = []settings.Peer{{VM: "vm-c", Controller: listener.Addr().String(), Cell: "catania"}}
+	w.peers = []settings.Peer{{VM: "vm-c-catania", Controller: listener.Addr().String(), Cell: "catania"}}
 	w.controller(listener)
 	for i := range routers {
 		w.peers = append(w.peers, settings.Peer{VM: fmt.Sprintf("vm-%d", i), Router: w.freeAddress(), Cell: "catania"})
@@ -180,30 +180,48 @@
 }
 
 func (w *world) controller(l net.Listener) {
-	options := controller.Options{VM: "vm-c", Cell: "catania", Region: "catania", Domain: "catania-a", Address: l.Addr().String(), Incarnation: 1, Log: w.log, Parse: config.Parse}
-	client := peer.NewClient("vm-c")
+	w.stopController = w.controllerOf("catania", l)
+}
+
+// controllerOf runs the controller of a cell and returns what ends it as a lost VM does.
+func (w *world) controllerOf(cell string, l net.Listener) func() {
+	options := controller.Options{
+		VM: "vm-c-" + cell, Cell: cell, Region: cell, Domain: cell + "-a", Address: l.Addr().String(), Incarnation: 1,
+		Log: w.log, Parse: config.Parse,
+	}
+	for _, p := range w.peers {
+		if p.Controller != "" && p.Cell != cell {
+			options.Peers = append(options.Peers, controller.Peer{VM: p.VM, Cell: p.Cell, Address: p.Controller})
+		}
+	}
+	client := peer.NewClient(options.VM)
 	c := controller.NewController(options, clock.Boottime{}, w.store, client, tally.NoopScope)
-	server := peer.NewServer("vm-c")
+	server := peer.NewServer(options.VM)
 	c.Register(server)
 	ctx, cancel := context.WithCancel(context.Background())
 	go c.Run(ctx)
 	go func() { _ = server.Serve(l) }()
-	w.stopController = sync.OnceFunc(func() {
+	stop := sync.OnceFunc(func() {
 		cancel()
 		client.Close()
 		ended, cancelShutdown := context.WithCancel(context.Background())
 		cancelShutdown()
 		_ = server.Shutdown(ended)
 	})
-	w.t.Cleanup(w.stopController)
+	w.t.Cleanup(stop)
+	return stop
 }
 
 // start runs the i-th router.
 func (w *world) start(i int) *node {
+	return w.startIn("catania", []string{"catania-a", "catania-b"}[i%2], w.peers[i+1])
+}
+
+func (w *world) startIn(cell, domain string, own settings.Peer) *node {
 	s := settings.Router{
-		Identity:     settings.Identity{VM: fmt.Sprintf("vm-%d", i), Cell: "catania", Region: "catania", Domain: []string{"catania-a", "catania-b"}[i%2]},
+		Identity:     settings.Identity{VM: own.VM, Cell: cell, Region: cell, Domain: domain},
 		CallerListen: "127.0.0.1:0",
-		PeerListen:   w.peers[i+1].Router,
+		PeerListen:   own.Router,
 		AdminListen:  "127.0.0.1:0",
 		Peers:        w.peers,
 		Drain:        settings.Drain{BalancerLagMillis: 200, TimeoutMillis: 10_000},
