Bench: show why gateways refuse requests under overload

Change: overload prints the routers' counters of refusals by the estimate and because of a full queue.

--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -310,6 +312,32 @@
 	return all, nil
 }
 
+// counter sums a counter of the routers' metrics.
+func (d *deployment) counter(name string) (int64, error) {
+	var sum int64
+	for _, v := range d.vms {
+		response, err := d.client.Get("http://" + v.at("9090") + "/metrics")
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		for line := range strings.Lines(string(body)) {
+			var n float64
+			if strings.HasPrefix(line, name) {
+				if _, err := fmt.Sscan(line[strings.LastIndexByte(line, ' ')+1:], &n); err != nil {
+					return 0, trace.Wrap(err)
+				}
+				sum += int64(n)
+			}
+		}
+	}
+	return sum, nil
+}
+
 func (d *deployment) executed() (uint64, error) {
 	all, err := d.summaries()
 	var sum uint64
--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -55,6 +55,13 @@
 	if err := r.printSlots(d); err != nil {
 		return trace.Wrap(err)
 	}
+	for _, counter := range []string{"gateway_refused_by_estimate", "gateway_refused_queue_full"} {
+		n, err := d.counter("bronzelever_router_" + counter)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		r.report.note(counter, "%d", n)
+	}
 	client := newClient(overloadSlots)
 	defer client.CloseIdleConnections()
 	capacity := sendInLoops(ctx, overloadTargets*overloadSlots, capacityPhase, func(worker int) error {
