Test the three unproven rules, and revive slices of targets that come back

Change: TestClampedLease, TestRosterConfirmed and TestPromotionSurvives construct the cases that random faults rarely meet. A slice that the owner's gateway reports as released under the present epoch gets a new epoch when the owner is available. Reports are reviewed after a promotion too, so that the first table shows the successor. The model's gateways release the slices of a lost target by themselves, as the real ones do.

Ruled out: proving the majority rule without that: the release took so long that every router had the first table.

--- a/pkg/controller/controller_test.go
+++ b/pkg/controller/controller_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/placement"
+	"github.com/bronzelever/bronzelever/pkg/topology"
 )
 
 // testConfig is a cell with two failure domains, a keyed pool and a plain one.
@@ -189,3 +191,129 @@
 		t.Errorf("took %v, bound 2s", d)
 	}
 }
+
+// TestClampedLease guards against leases that outlast the authority of a controller that is cut off from the store: its
+// last lease to a router that only it can reach must end before the successor grants that router's groups.
+func TestClampedLease(t *testing.T) {
+	for seed := range int64(20) {
+		w := newWorld(100+seed, 4, testConfig(1, 8))
+		mustComplete(t, w, 10*time.Second)
+		w.run(5*time.Second + time.Duration(seed)*50*time.Millisecond)
+		old := w.leadingCandidate()
+		lone := w.routers[0]
+		w.cut[old.name+"|store"] = true
+		for _, r := range w.routers[1:] {
+			w.cut[lone.name+"|"+r.name] = true
+		}
+		for _, c := range w.cands {
+			if c != old {
+				w.cut[lone.name+"|"+c.name] = true
+			}
+		}
+		if d, ok := w.await(15*time.Second, func() bool { return w.others(lone) }); !ok || w.violation != "" {
+			t.Fatalf("seed %d: groups of the lone router not granted again after %v: %s", seed, d, w.violation)
+		}
+	}
+}
+
+// others tells whether routers other than one hold every group.
+func (w *world) others(lone *fakeRouter) bool {
+	held := map[topology.GroupID]bool{}
+	for _, r := range w.routers {
+		for id := range r.groups {
+			if r != lone && r.valid() {
+				held[id] = true
+			}
+		}
+	}
+	return len(held) == 4 && len(lone.groups) == 0
+}
+
+// TestRosterConfirmed guards against a previous roster that is dropped while holders don't know the new one. All holders
+// are cut off from the controller but not from each other, and a larger number of new routers comes: the holders keep their
+// groups by the roster that they know, so that nobody else may get them.
+func TestRosterConfirmed(t *testing.T) {
+	for seed := range int64(5) {
+		w := newWorld(300+seed, 3, testConfig(1, 8))
+		mustComplete(t, w, 10*time.Second)
+		w.run(5 * time.Second)
+		for _, r := range w.routers {
+			for _, c := range w.cands {
+				w.cut[r.name+"|"+c.name] = true
+			}
+		}
+		holders := w.routers[:3]
+		for i := range 6 {
+			w.addRouter(fmt.Sprintf("new%d", i), "north-a")
+		}
+		w.run(15 * time.Second)
+		for _, r := range holders {
+			if r.lapseCount > 0 {
+				t.Errorf("seed %d: %s lost its groups", seed, r.name)
+			}
+		}
+		w.heal()
+		mustComplete(t, w, recovery)
+	}
+}
+
+// TestPromotionSurvives guards against a promotion without the store that the next controller doesn't know. The
+// controller promotes while only the gateway of the promoted owners can still reach it, and is lost; then the store comes
+// back, and the configuration takes the promoted owners out, so that the next controller chooses others.
+func TestPromotionSurvives(t *testing.T) {
+	for seed := range int64(20) {
+		w := newWorld(200+seed, 6, slowConfig(1))
+		mustComplete(t, w, 10*time.Second)
+		w.run(8 * time.Second)
+		w.store.SetDown(true)
+		w.run(5 * time.Second)
+		old := w.leadingCandidate()
+		for _, target := range w.cfg.Pools[0].Targets {
+			w.lost[target.ID] = target.Domain == "north-b"
+		}
+		w.await(5*time.Second, func() bool { return promotedShown(old.state) })
+		for _, r := range w.routers {
+			w.isolate(r, old, r.groups["keyed/north-a/0"] != nil)
+		}
+		w.run(500 * time.Millisecond)
+		old.dead = true
+		w.store.SetDown(false)
+		out := slowConfig(2)
+		out.Out.Targets = []string{"k0", "k2"}
+		w.putConfig(out)
+		w.run(8 * time.Second)
+		w.heal()
+		mustComplete(t, w, recovery)
+	}
+}
+
+// isolate leaves a router only the old controller, or takes the old controller from it.
+func (w *world) isolate(r *fakeRouter, old *candidate, alone bool) {
+	if !alone {
+		w.cut[r.name+"|"+old.name] = true
+		return
+	}
+	for _, other := range w.routers {
+		w.cut[r.name+"|"+other.name] = other != r
+	}
+	for _, c := range w.cands {
+		w.cut[r.name+"|"+c.name] = c != old
+	}
+}
+
+// slowConfig has requests that may run for 4 s.
+func slowConfig(version uint64) *config.Config {
+	cfg := testConfig(version, 8)
+	cfg.Pools[0].MaxDeadline = 4000
+	return cfg
+}
+
+// promotedShown tells whether the controller's table shows an owner with a reserved epoch.
+func promotedShown(s *State) bool {
+	for _, sl := range s.lead.table.Slices {
+		if sl.Owner != "" && sl.Epoch%placement.EpochStep != 1 {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -43,6 +43,9 @@
 	// fence is the first published table with this epoch. known counts who has it.
 	fence topology.Version
 	known *witness.Acceptance
+	// idle tells that the owner's gateway has released the slice under this epoch, as of a lost target. If the target
+	// comes back, it needs a new epoch.
+	idle bool
 	// appliedAt is when the gateway of a former owner was first known to have the table fence.
 	appliedAt map[string]clock.Instant
 }
@@ -96,6 +99,7 @@
 	sl.fence = topology.Version{}
 	sl.known = nil
 	sl.open = false
+	sl.idle = false
 	sl.appliedAt = map[string]clock.Instant{}
 }
 
@@ -285,7 +289,7 @@
 
 // inherit keeps what is known about the unchanged assignment.
 func (sl *slice) inherit(o *slice) {
-	sl.released, sl.fence, sl.known, sl.appliedAt, sl.open = o.released, o.fence, o.known, o.appliedAt, o.open
+	sl.released, sl.fence, sl.known, sl.appliedAt, sl.open, sl.idle = o.released, o.fence, o.known, o.appliedAt, o.open, o.idle
 }
 
 func (sl *slice) keepPromoted(o *slice) {
@@ -380,7 +384,7 @@
 	view := p.view()
 	moves := placement.Evacuate(view, targets, false)
 	if len(moves) == 0 {
-		return p.anyPromoted() || l.refreshDue(now, p) && p.refreshSuccessors(next, targets)
+		return p.revive(next, targets) || p.anyPromoted() || l.refreshDue(now, p) && p.refreshSuccessors(next, targets)
 	}
 	lost := map[string]bool{}
 	for _, t := range targets {
@@ -409,6 +413,22 @@
 	return moved > 0
 }
 
+// revive gives a new epoch to the slices that were released by their gateway because of a loss that has passed.
+func (p *pool) revive(next []SliceRecord, targets []placement.Target) bool {
+	available := map[string]bool{}
+	for _, t := range targets {
+		available[t.ID] = t.Available
+	}
+	changed := false
+	for i, sl := range p.slices {
+		if sl.idle && available[sl.Owner] {
+			next[i].Epoch += placement.EpochStep
+			changed = true
+		}
+	}
+	return changed
+}
+
 // refreshDue tells whether the successors are to be checked. Successors matter at the next loss only, and the check looks
 // at every slice.
 func (l *leadership) refreshDue(now clock.Instant, p *pool) bool {
@@ -476,6 +496,9 @@
 	}
 	if promoted > 0 {
 		l.dirty = true
+		for _, r := range l.routers {
+			l.reviewReports(now, r, p)
+		}
 		l.s.o.Log.Emit(event.SuccessorsPromoted, "pool", p.name, "slices", promoted)
 	}
 }
@@ -624,6 +647,9 @@
 	if now < l.quietAt(g) || g.shown == (topology.Version{}) || r.reportTable.Less(g.shown) {
 		return
 	}
+	if rep.Owner == sl.Owner && rep.Epoch == sl.Epoch {
+		sl.idle = true
+	}
 	for _, f := range sl.Former {
 		if slices.Contains(g.info.Targets, f.Owner) && rep.Epoch >= f.Epoch && !sl.released[f.Owner] {
 			sl.released[f.Owner] = true
--- a/pkg/controller/world_test.go
+++ b/pkg/controller/world_test.go
@@ -533,7 +533,8 @@
 	owned := map[sliceKey]topology.Slice{}
 	for _, s := range r.table.Slices {
 		g, ok := r.table.GroupOfTarget(s.Owner)
-		if ok && r.groups[g.ID] != nil && r.groups[g.ID].state == wire.HoldActive {
+		// A gateway releases the slices of a lost target by itself.
+		if ok && r.groups[g.ID] != nil && r.groups[g.ID].state == wire.HoldActive && !r.w.lost[s.Owner] {
 			owned[keyOf(s)] = s
 		}
 	}
