--- a/pkg/router/caller.go
+++ b/pkg/router/caller.go
@@ -66,11 +66,17 @@
 		// Answers may begin before the upload ends. The call fails only for writers of other servers.
 		_ = control.EnableFullDuplex()
 	}
-	interrupt := &interrupt{control: control}
+	body := &trackedBody{ReadCloser: r.Body}
+	body.ended.Store(r.ContentLength == 0)
+	r.Body = body
+	interrupt := &interrupt{control: control, body: body}
 	defer interrupt.reset()
 	x := &filter.Exchange{Request: r, Header: w.Header(), Interrupt: interrupt.fire}
+	// The last reader of the body ends before the handler returns: net/http reads the next request from the same connection.
+	defer body.stop(control)
 	response, err := c.chain(ctx, x)
-	if c.draining.Load() {
+	if c.draining.Load() || interrupt.hasFired() || !body.ended.Load() {
+		// The rest of a body that was answered early would be taken for the next request.
 		w.Header().Set("Connection", "close")
 	}
 	if err != nil {
@@ -81,9 +87,52 @@
 	c.answer(w, r, response)
 }
 
+// errBodyStopped is what readers get that are still at work after the answer.
+var errBodyStopped = errors.New("the request has been answered")
+
+// trackedBody tells whether a body has been read to its end, and ends its readers.
+type trackedBody struct {
+	io.ReadCloser
+	ended   atomic.Bool
+	stopped atomic.Bool
+	// reading is held while the connection is read.
+	reading sync.Mutex
+}
+
+// stop refuses further reads and waits for the one that is running. net/http panics if a body is read while it reads the
+// next request.
+func (b *trackedBody) stop(control *http.ResponseController) {
+	b.stopped.Store(true)
+	if !b.ended.Load() {
+		// Writers without deadlines have no blocked reader either.
+		_ = control.SetReadDeadline(time.Now())
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if b.stopped.Load() {
+		return 0, errBodyStopped
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
 // interrupt ends the I/O with a caller after the deadline.
+//
+// After the end of a body net/http reads ahead to notice a caller that goes away. A read deadline would end that read and
+// with it the context of the connection, that is, of all later requests on it. The read deadline is therefore set only
+// while the body is being read, and the connection closes after the answer.
 type interrupt struct {
 	control *http.ResponseController
+	body    *trackedBody
 	mu      sync.Mutex
 	fired   bool
 	over    bool
@@ -97,10 +146,18 @@
 	}
 	i.fired = true
 	// Writers without deadlines have nothing to interrupt.
-	_ = i.control.SetReadDeadline(time.Now())
+	if !i.body.ended.Load() {
+		_ = i.control.SetReadDeadline(time.Now())
+	}
 	_ = i.control.SetWriteDeadline(time.Now().Add(writeGrace))
 }
 
+func (i *interrupt) hasFired() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.fired
+}
+
 // reset makes the connection usable for the next request; net/http resets only the read deadline.
 func (i *interrupt) reset() {
 	i.mu.Lock()
