Move groups off gateways that are taken out of service

Cause: a VM in the configuration's out list, or a router in a failure domain that is out, kept its groups until balancing moved them one at a time.

Change: such groups are revoked at once where another router is in service; a group whose own failure domain is out stays. storeAuthority derives from staleAfter, so that the two can't be set apart. Pool look-ups bear a missing configuration.

Ruled out: moving the groups one by one; 4 groups would take 8 s, the bound is 2 s.

--- a/pkg/controller/controller_test.go
+++ b/pkg/controller/controller_test.go
@@ -192,6 +192,32 @@
 	}
 }
 
+// TestVMOut guards against groups that stay with a gateway that is taken out of service.
+func TestVMOut(t *testing.T) {
+	w := newWorld(8, 6, testConfig(1, 8))
+	mustComplete(t, w, 10*time.Second)
+	w.run(5 * time.Second)
+	out := testConfig(2, 8)
+	for _, r := range w.routers {
+		if len(r.groups) > 0 {
+			out.Out.VMs = []string{r.name}
+		}
+	}
+	w.putConfig(out)
+	gone := func() bool {
+		r := w.router(out.Out.VMs[0])
+		return w.leader().configVersion() == 2 && len(r.groups) == 0 && w.complete()
+	}
+	d, ok := w.await(10*time.Second, gone)
+	if !ok || w.violation != "" {
+		t.Fatal("groups stay with the gateway", w.violation)
+	}
+	t.Logf("groups elsewhere %v after the change", d)
+	if d > 2*time.Second {
+		t.Errorf("took %v, bound 2s", d)
+	}
+}
+
 // TestClampedLease guards against leases that outlast the authority of a controller that is cut off from the store: its
 // last lease to a router that only it can reach must end before the successor grants that router's groups.
 func TestClampedLease(t *testing.T) {
--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/lease"
 	"github.com/bronzelever/bronzelever/pkg/placement"
@@ -185,6 +186,8 @@
 		l.revoke(now, g, "silent")
 	case l.restarted(g.holder):
 		l.revoke(now, g, "restarted")
+	case l.mustLeave(now, g, r):
+		l.revoke(now, g, "out of service")
 	case r.leaving:
 		l.revoke(now, g, "leaving")
 	case len(g.info.Targets) == 0:
@@ -194,6 +197,18 @@
 	}
 }
 
+// mustLeave tells whether operators have taken the gateway out of service. A group whose own failure domain is out too
+// stays: it gets no new work anyway, and what is in flight ends where it is.
+func (l *leadership) mustLeave(now clock.Instant, g *group, r *router) bool {
+	if !l.routerOut(r.member) {
+		return false
+	}
+	if l.s.cfg.DomainOut(g.info.ID.Domain()) && !slices.Contains(l.s.cfg.Out.VMs, r.member.VM) {
+		return false
+	}
+	return slices.ContainsFunc(l.candidates(now), func(c placement.Router) bool { return !c.Out })
+}
+
 // restarted tells whether a newer process of the holder's VM has reported.
 func (l *leadership) restarted(holder identity) bool {
 	r := l.routers[holder]
@@ -271,8 +286,20 @@
 }
 
 func (l *leadership) checked(id topology.GroupID) bool {
+	p := l.poolOf(id)
+	return p != nil && p.GrantsChecked
+}
+
+// poolOf returns the configuration of a group's pool, nil if there is none.
+func (l *leadership) poolOf(id topology.GroupID) *config.Pool {
+	if l.s.cfg == nil {
+		return nil
+	}
 	p, ok := l.s.cfg.Pool(id.Pool())
-	return ok && p.GrantsChecked
+	if !ok {
+		return nil
+	}
+	return p
 }
 
 // noteTable records which tables a router knows.
@@ -326,7 +353,7 @@
 		if len(g.info.Targets) == 0 || g.state == groupFree && l.blocked(id) {
 			continue
 		}
-		p, _ := l.s.cfg.Pool(id.Pool())
+		p := l.poolOf(id)
 		load := placement.GroupLoad{ID: id, Keyed: p != nil && p.Keyed, Gateway: g.holder.vm}
 		load.Fixed = g.state == groupRevoking
 		out = append(out, load)
--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -696,8 +696,8 @@
 // residue is how long requests may run at the targets of a group after its gateway has ended without a report: until the
 // grant lapses at targets that check it, else until the longest deadline.
 func (l *leadership) residue(id topology.GroupID) time.Duration {
-	p, ok := l.s.cfg.Pool(id.Pool())
-	if !ok {
+	p := l.poolOf(id)
+	if p == nil {
 		return 0
 	}
 	if p.GrantsChecked {
@@ -708,8 +708,8 @@
 
 // longest is the longest deadline of a group's pool.
 func (l *leadership) longest(id topology.GroupID) time.Duration {
-	p, ok := l.s.cfg.Pool(id.Pool())
-	if !ok {
+	p := l.poolOf(id)
+	if p == nil {
 		return 0
 	}
 	return p.MaxDeadline.Duration()
--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -33,9 +33,9 @@
 	renewInterval = time.Second
 	// staleAfter is how long the term row must not have changed before a candidate takes over.
 	staleAfter = 4 * time.Second
-	// storeAuthority is how long a renewal gives authority, from before it was asked. With a drift of 1% on either side
-	// it ends before a candidate has counted staleAfter.
-	storeAuthority = 3900 * time.Millisecond
+	// storeAuthority is how long a renewal gives authority, from before it was asked. It must end before a candidate has
+	// counted staleAfter, with a drift of 1% on either side: at most 98% of it.
+	storeAuthority = staleAfter * 39 / 40
 	// headInterval is the time between two reads of the configuration head.
 	headInterval = 250 * time.Millisecond
 	// othersInterval is the time between two exchanges of tables with other cells.
