Let deployments of the quickstart run side by side

Cause: addresses, number of entry VMs and rates of the load were constants of package quickstart, so that a second deployment could not run beside the first one.

Change: a deployment has a layout (prefix of its loopback addresses, entry VMs per region). The addresses in the configuration are moved to the prefix. A scenario has its own rates and bundle sizes; the quickstart keeps its values.

Ruled out: ports instead of addresses, because the settings files and the balancers use fixed ports.

Conclusion: fault scenarios can reuse supervisor, probes and report.

--- a/internal/quickstart/deployment.go
+++ b/internal/quickstart/deployment.go
@@ -18,9 +18,12 @@
 )
 
 const (
-	platformAddress = "127.0.0.10:7000"
-	accessKeyEnv    = "BRONZELEVER_QUICKSTART_ACCESS_KEY"
-	secretKeyEnv    = "BRONZELEVER_QUICKSTART_SECRET_KEY"
+	// defaultPrefix is the first half of the loopback addresses of a deployment. Deployments with different prefixes run
+	// side by side.
+	defaultPrefix = "127.0"
+
+	accessKeyEnv = "BRONZELEVER_QUICKSTART_ACCESS_KEY"
+	secretKeyEnv = "BRONZELEVER_QUICKSTART_SECRET_KEY"
 
 	callerPort          = "8080"
 	peerPort            = "7300"
@@ -30,6 +33,7 @@
 
 	// vmsPerRegion makes 10 entry VMs in two regions.
 	vmsPerRegion = 5
+	platformPort = "7000"
 
 	startTimeout = 10 * time.Second
 	pollInterval = 20 * time.Millisecond
@@ -47,9 +51,16 @@
 	return v.address + ":" + port
 }
 
+// layout says where a deployment runs and how many entry VMs it has.
+type layout struct {
+	prefix       string
+	vmsPerRegion int
+}
+
 // deployment is the set of processes of one user.
 type deployment struct {
 	*supervisor
+	layout
 	dir      string
 	config   *config.Config
 	vms      []*vm
@@ -58,16 +69,19 @@
 	client   *http.Client
 }
 
-func newDeployment(binDir, dir string, cfg *config.Config) *deployment {
+// newDeployment moves the configuration's addresses to the layout's prefix.
+func newDeployment(binDir, dir string, cfg *config.Config, l layout) *deployment {
+	l.moveAddresses(cfg)
 	d := &deployment{
 		supervisor: &supervisor{binDir: binDir, logDir: dir},
+		layout:     l,
 		dir:        dir,
 		config:     cfg,
 		targets:    map[string]*process{},
 		client:     &http.Client{Timeout: 2 * time.Second},
 	}
 	for r, region := range cfg.Regions {
-		for i := range vmsPerRegion {
+		for i := range l.vmsPerRegion {
 			domain := i % len(region.Domains)
 			d.vms = append(d.vms, &vm{
 				Identity: settings.Identity{
@@ -76,21 +90,40 @@
 					Region: region.Name,
 					Domain: region.Domains[domain],
 				},
-				address: fmt.Sprintf("127.0.%d.%d", 10+r*10+domain, i+1),
+				address: fmt.Sprintf("%s.%d.%d", l.prefix, 10+r*10+domain, i+1),
 			})
 		}
 	}
 	return d
 }
 
+// moveAddresses replaces the default prefix in the configuration.
+func (l layout) moveAddresses(cfg *config.Config) {
+	from, to := defaultPrefix+".", l.prefix+"."
+	for i := range cfg.Regions {
+		cfg.Regions[i].CallerURL = strings.Replace(cfg.Regions[i].CallerURL, "//"+from, "//"+to, 1)
+	}
+	for _, pool := range cfg.Pools {
+		for i := range pool.Targets {
+			if rest, ok := strings.CutPrefix(pool.Targets[i].Address, from); ok {
+				pool.Targets[i].Address = to + rest
+			}
+		}
+	}
+}
+
+func (l layout) platformAddress() string {
+	return l.prefix + ".0.10:" + platformPort
+}
+
 // startAll starts platform, targets and entry VMs. The processes become ready on their own.
 func (d *deployment) startAll() error {
 	var err error
-	d.platform, err = d.start("platform", "platformstandin", "--listen", platformAddress)
+	d.platform, err = d.start("platform", "platformstandin", "--listen", d.platformAddress())
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := d.waitListening("http://" + platformAddress + "/counts"); err != nil {
+	if err := d.waitListening("http://" + d.platformAddress() + "/counts"); err != nil {
 		return trace.Wrap(err)
 	}
 	for _, pool := range d.config.Pools {
@@ -162,7 +195,7 @@
 		PeerListen:   v.at(peerPort),
 		AdminListen:  v.at(routerAdminPort),
 		Peers:        d.peers(),
-		Store:        storeSettings(),
+		Store:        d.storeSettings(),
 		Drain:        settings.Drain{BalancerLagMillis: 600, TimeoutMillis: 20_000},
 		LogLevel:     "info",
 	}
@@ -171,7 +204,7 @@
 		Listen:      v.at(controllerPort),
 		AdminListen: v.at(controllerAdminPort),
 		Peers:       d.peers(),
-		Store:       storeSettings(),
+		Store:       d.storeSettings(),
 		LogLevel:    "info",
 	}
 	routerFile = filepath.Join(d.dir, "router-"+v.VM+".json")
@@ -190,10 +223,10 @@
 	return peers
 }
 
-func storeSettings() settings.Store {
+func (l layout) storeSettings() settings.Store {
 	return settings.Store{
-		TableEndpoint:  "http://" + platformAddress,
-		ObjectEndpoint: "http://" + platformAddress,
+		TableEndpoint:  "http://" + l.platformAddress(),
+		ObjectEndpoint: "http://" + l.platformAddress(),
 		Region:         "local",
 		Table:          "bronzelever",
 		Bucket:         "bronzelever",
--- a/internal/quickstart/probe.go
+++ b/internal/quickstart/probe.go
@@ -17,18 +17,18 @@
 	probeInterval = 20 * time.Millisecond
 	// pollTimeout ends the wait for a key that is never served again.
 	pollTimeout = 15 * time.Second
-	// probeKeys is how many keys are looked up to find the ones that a target owns.
-	probeKeys = 400
+	probeKeys   = 400
 )
 
 // prober sends keyed reads and reads back which target answered.
 type prober struct {
 	base   string
+	keys   int
 	client *http.Client
 }
 
-func newProber(base string) *prober {
-	return &prober{base: base, client: &http.Client{
+func newProber(base string, keys int) *prober {
+	return &prober{base: base, keys: keys, client: &http.Client{
 		Timeout: probeTimeout,
 		// Fresh connections see the balancer's present choice of entry VMs.
 		Transport: &http.Transport{DisableKeepAlives: true},
@@ -59,7 +59,7 @@
 // keysByOwner looks up a fixed set of keys.
 func (p *prober) keysByOwner() map[string][]string {
 	owners := map[string][]string{}
-	for i := range probeKeys {
+	for i := range p.keys {
 		key := fmt.Sprintf("probe-%d", i)
 		if owner, err := p.owner(key); err == nil {
 			owners[owner] = append(owners[owner], key)
--- a/internal/quickstart/run.go
+++ b/internal/quickstart/run.go
@@ -47,7 +47,7 @@
 		return trace.Wrap(err)
 	}
 	r := &report{out: o.Out}
-	s, err := newScenario(newDeployment(o.BinDir, o.LogDir, cfg), r)
+	s, err := newScenario(newDeployment(o.BinDir, o.LogDir, cfg, layout{prefix: defaultPrefix, vmsPerRegion: vmsPerRegion}), r)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -72,7 +72,7 @@
 	s.report.note("deployment serves everything after", time.Since(begin).Round(time.Millisecond).String())
 	collector := check.NewCollector(s.deployment.client, s.recordURLs()...)
 	stopCollecting := collectEvery(ctx, collector, collectInterval)
-	s.startLoad(ctx, loadTime)
+	s.startLoad(ctx, loadTime, orderRate)
 	s.faults(ctx)
 	result := <-s.loads
 	if result.err != nil {
--- a/internal/quickstart/scenario.go
+++ b/internal/quickstart/scenario.go
@@ -13,6 +13,7 @@
 	"github.com/bronzelever/bronzelever/internal/standin/balancer"
 	"github.com/bronzelever/bronzelever/pkg/operator"
 	"github.com/bronzelever/bronzelever/pkg/peer"
+	"github.com/bronzelever/bronzelever/pkg/store"
 	"github.com/bronzelever/bronzelever/pkg/store/dynamo"
 )
 
@@ -29,6 +30,11 @@
 	// settleTime separates the faults, so that each figure has one cause.
 	settleTime = 3 * time.Second
 	loadTime   = 40 * time.Second
+	// readRate and orderRate are in requests per second.
+	readRate      = 300
+	orderRate     = 40
+	bundleBytes   = 4 << 20
+	bundleTimeout = 20 * time.Second
 )
 
 // scenario is one run of the deployment under load and faults.
@@ -36,9 +42,17 @@
 	*deployment
 	report   *report
 	operator *operator.Operator
+	store    store.Store
 	client   *peer.Client
 	prober   *prober
-	loads    chan loadResult
+	// probeKeys is how many keys are looked up to find the ones that a target owns.
+	probeKeys int
+	// readRate is in reads per second.
+	readRate float64
+	// bundleBytes is the size of a bundle of the load, bundleTimeout bounds its transfer.
+	bundleBytes   int64
+	bundleTimeout time.Duration
+	loads         chan loadResult
 	// stopBalancers ends the balancer stand-ins.
 	stopBalancers context.CancelFunc
 	balancers     []*balancer.Balancer
@@ -51,13 +65,24 @@
 }
 
 func newScenario(d *deployment, r *report) (*scenario, error) {
-	st, err := dynamo.New(storeSettings(), tally.NoopScope)
+	st, err := dynamo.New(d.storeSettings(), tally.NoopScope)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	client := peer.NewClient("operator")
 	op := operator.New(operator.Options{Store: st, Caller: client, Cells: d.cells(), By: "quickstart", AcceptTimeout: readyTimeout})
-	return &scenario{deployment: d, report: r, operator: op, client: client, loads: make(chan loadResult, 1)}, nil
+	return &scenario{
+		deployment:    d,
+		report:        r,
+		operator:      op,
+		store:         st,
+		client:        client,
+		probeKeys:     probeKeys,
+		readRate:      readRate,
+		bundleBytes:   bundleBytes,
+		bundleTimeout: bundleTimeout,
+		loads:         make(chan loadResult, 1),
+	}, nil
 }
 
 func (d *deployment) cells() []operator.Cell {
@@ -78,7 +103,7 @@
 func (s *scenario) startBalancers(ctx context.Context) error {
 	ctx, s.stopBalancers = context.WithCancel(ctx)
 	for i, region := range s.config.Regions {
-		address := fmt.Sprintf("127.0.%d.100:8080", 10+i*10)
+		address := fmt.Sprintf("%s.%d.100:8080", s.prefix, 10+i*10)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return trace.Wrap(err)
@@ -88,7 +113,7 @@
 		s.balancers = append(s.balancers, b)
 		s.urls = append(s.urls, "http://"+address)
 	}
-	s.prober = newProber(s.urls[0])
+	s.prober = newProber(s.urls[0], s.probeKeys)
 	return nil
 }
 
@@ -113,15 +138,15 @@
 	return true
 }
 
-// startLoad sends all three classes through both balancers.
-func (s *scenario) startLoad(ctx context.Context, duration time.Duration) {
+// startLoad sends all three classes through both balancers, orders at the given rate per second.
+func (s *scenario) startLoad(ctx context.Context, duration time.Duration, orderRate float64) {
 	cfg := load.Config{
 		URLs: s.urls,
 		Classes: []load.Class{
-			{Name: "status", Kind: load.Read, Path: "/status/", Rate: 300, Weight: 1, Timeout: 800 * time.Millisecond},
-			{Name: "orders", Kind: load.Order, Path: "/orders", Rate: 40, Weight: 10, RepeatShare: 0.1, Timeout: 2 * time.Second},
-			{Name: "uploads", Kind: load.Upload, Path: "/photos", Rate: 2, Weight: 3, BundleBytes: 4 << 20, Timeout: 20 * time.Second},
-			{Name: "downloads", Kind: load.Download, Path: "/photos/", Rate: 2, Weight: 3, BundleBytes: 4 << 20, Timeout: 20 * time.Second},
+			{Name: "status", Kind: load.Read, Path: "/status/", Rate: s.readRate, Weight: 1, Timeout: 800 * time.Millisecond},
+			{Name: "orders", Kind: load.Order, Path: "/orders", Rate: orderRate, Weight: 10, RepeatShare: 0.1, Timeout: 2 * time.Second},
+			{Name: "uploads", Kind: load.Upload, Path: "/photos", Rate: 2, Weight: 3, BundleBytes: s.bundleBytes, Timeout: s.bundleTimeout},
+			{Name: "downloads", Kind: load.Download, Path: "/photos/", Rate: 2, Weight: 3, BundleBytes: s.bundleBytes, Timeout: s.bundleTimeout},
 		},
 		Duration: duration,
 		Seed:     1,
