--- a/internal/quickstart/faults_test.go
+++ b/internal/quickstart/faults_test.go
@@ -1,6 +1,7 @@
 package quickstart
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -95,3 +96,22 @@
 		}
 	}
 }
+
+// Guards against a page of proofs that names other scenarios than those that run.
+func TestPromisesNameScenarios(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "PROMISES.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	users := []string{"unchecked", "checked"}
+	for _, spec := range faultSpecs() {
+		configurations := "both"
+		if !spec.both {
+			configurations = users[spec.number%len(users)]
+		}
+		row := fmt.Sprintf("| %d %s | %s |", spec.number, spec.name, configurations)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("the page lacks %s", row)
+		}
+	}
+}
