--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,9 @@
 faults: build
 	$(GO) build -o bin/ ./internal/cmd/...
 	bin/faults
+BENCH ?=
+
+# BENCH selects measurements, for example BENCH="latency slow"; bin/bench --help lists them.
+bench: build
+	$(GO) build -o bin/ ./internal/cmd/...
+	bin/bench $(BENCH)
