--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 PACKAGES = ./...
 
-.PHONY: build test lint fmt vet staticcheck unit bench quickstart fuzz
+.PHONY: build test lint fmt vet staticcheck unit bench quickstart faults fuzz
 
 build:
 	mkdir -p bin
@@ -41,6 +41,9 @@
 	$(GO) build -o bin/ ./internal/cmd/...
 	bin/quickstart
 
+faults: build
+	$(GO) build -o bin/ ./internal/cmd/...
+	bin/faults
 BENCH ?=
 
 # BENCH selects measurements, for example BENCH="latency slow"; bin/bench --help lists them.
