--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -17,6 +17,8 @@
 const (
 	controlSettle = 5 * time.Second
 	controlPhase  = 20 * time.Second
+	outageSettle  = 4 * time.Second
+	outagePhase   = 10 * time.Second
 	// presentVMs makes 10 entry VMs in two regions.
 	presentVMs = 5
 
@@ -184,6 +186,25 @@
 		}
 	}
 	r.report.note("store, all cells", "%.2f reads/s, %.2f writes/s", o.reads, o.writes)
+	return trace.Wrap(r.controlWithoutStore(ctx, d))
+}
+
+// controlWithoutStore measures the same while the store is down, when authority depends on answers of the roster.
+func (r *runner) controlWithoutStore(ctx context.Context, d *deployment) error {
+	if err := d.put("http://"+platformAddress+"/faults", `{"down": true}`); err != nil {
+		return trace.Wrap(err)
+	}
+	o, err := d.observe(ctx, outageSettle, outagePhase)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for i, v := range d.vms {
+		if o.leads[i] {
+			r.printNode("store down: "+v.VM+" (active controller)", o, i)
+		}
+	}
+	mean, _ := meanAndMax(o.nodes)
+	r.report.note("store down: mean node", "%s", mean)
 	return nil
 }
 
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -349,7 +348,12 @@
 
 // control changes settings of a target stand-in.
 func (d *deployment) control(t *config.Target, change string) error {
-	request, err := http.NewRequest(http.MethodPut, "http://"+controlAddress(t)+"/control", bytes.NewReader([]byte(change)))
+	return d.put("http://"+controlAddress(t)+"/control", change)
+}
+
+// put sends a change of settings or faults to a stand-in.
+func (d *deployment) put(url, change string) error {
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(change))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -359,7 +363,7 @@
 	}
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return trace.BadParameter("target %s: status %d", t.ID, response.StatusCode)
+		return trace.BadParameter("%s: status %d", url, response.StatusCode)
 	}
 	return nil
 }
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -194,6 +194,20 @@
 		r.report.note(fmt.Sprintf("heartbeat, 1 group, %d other cells", cells), "%d bytes", size)
 	}
 	r.report.note("heartbeat bytes per other cell", "%.0f", fit(x, y).slope)
+	return trace.Wrap(r.witnesses())
+}
+
+func (r *runner) witnesses() error {
+	member := wire.Member{VM: "region-1-vm1", Incarnation: 1<<63 + 1, Address: network + ".10.1:7300", Domain: "region-1-a"}
+	ask, err := msgpack.Marshal(wire.Witness{Cell: "region-1", From: member, Term: 7})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := msgpack.Marshal(wire.WitnessReply{Member: member, Term: 7, ConfigVersion: 7000, Leader: network + ".10.1:7400"})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	r.report.note("witness / its answer", "%d / %d bytes", len(ask), len(answer))
 	return nil
 }
 
@@ -407,6 +421,7 @@
 
 func (r *runner) slices(ctx context.Context) error {
 	var s series
+	// 512 slices for each of 20 targets make a table just below the largest frame of 1 MiB.
 	for _, perTarget := range []int{16, 128, 512} {
 		o, err := r.slopeDeployment(ctx, 1, 4, perTarget)
 		if err != nil {
