Run orders in another group while no target of their home group serves

Cause: an order's home group is chosen over the configured groups.

Change: the home gateway keeps the claim and sends the order to the gateway of another group. A gateway doesn't wait for the longest deadline where the controller states that nothing of an earlier holder runs.

Ruled out: choosing home groups among serving groups only; a repeat could then meet a gateway without the claim.

--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -102,7 +102,7 @@
 	if decision.Verdict != claim.Run {
 		return gw.repeated(request, cancel, &decision)
 	}
-	response, err := gw.attempts(ctx, cancel, g, request, body, w)
+	response, err := gw.execute(ctx, cancel, g, request, body, w)
 	if err != nil {
 		settleRefused(g.claims, key, err)
 		return nil, err
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// ControllerReachable tells whether the cell's controller answers. While it doesn't, the gateway promotes recorded
 	// successors itself. Nil means that it always answers.
 	ControllerReachable func() bool
+	// Remote returns the handler of another router by its peer address; nil if there is none.
+	Remote func(address string) exchange.Handler
 }
 
 // maxAttempts bounds the attempts of a request of which nothing was sent: one for each target of a group and some for idle
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -103,14 +103,16 @@
 	case neverHeld(table, g.epoch):
 		gw.startClaims(g, view, claimSource{empty: true})
 	default:
-		g.notBefore = now.Add(clock.WithDrift(g.longest()))
+		if entry, ok := table.Group(g.id); !ok || !entry.Clean {
+			g.notBefore = now.Add(clock.WithDrift(g.longest()))
+		}
 		gw.startClaims(g, view, claimSource{former: claim.Former{VM: former.vm, Epoch: former.epoch}})
-		if known && former.vm != view.VM {
+		if known && former.vm != view.VM && g.notBefore > now {
 			g.asking = true
 			go gw.askFormer(g, former)
 		}
 	}
-	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", g.notBefore.Sub(now))
+	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", max(0, g.notBefore.Sub(now)))
 }
 
 // neverHeld tells whether the table proves that a group has had no earlier holder. Each grant of a group consumes one
--- a/pkg/router/cell.go
+++ b/pkg/router/cell.go
@@ -119,5 +119,6 @@
 		Scope:               r.o.Metrics.Scope(),
 		Cell:                cell{r},
 		ControllerReachable: r.agent.ControllerReachable,
+		Remote:              r.client.Handler,
 	})
 }
