Give the router's tests addresses that nobody else takes

Cause: tests failed with 'address already in use': a port that was free a moment before was taken by another test's outgoing connection.

Change: peer addresses come from a loopback host of the test process and a port outside the range of outgoing connections.

Ruled out: trying again with another port; the address is published to other routers before it is used.

--- a/pkg/router/world_test.go
+++ b/pkg/router/world_test.go
@@ -94,10 +94,16 @@
 	return l
 }
 
+// addresses counts the addresses handed out by freeAddress.
+var addresses atomic.Uint32
+
+// freeAddress returns an address that is free now and stays so: its host is used by this test process only, and its port
+// isn't in the range of outgoing connections. A port that was free a moment ago was taken by other tests.
 func (w *world) freeAddress() string {
-	l := w.listen()
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	const port = 20073
+	pid := os.Getpid()
+	n := addresses.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:%d", 100+pid%100, pid/100%256, 1+n%250, port+n/250)
 }
 
 // target starts a target; its service paths are handled by h.
