Pause controllers, lose half a cell, and wait for stable groups

Cause: two faults of section 1 were not brought about with real processes, and moves of groups to a better place in the first seconds of a deployment were taken for effects of the fault: 17 reads of watched keys were refused no-owner in scenario 3 during such a move.

Change: scenarios 13 (paused active controller, then a lost target) and 14 (half of a cell lost with its controller). A scenario begins when the groups have stayed where they are for 4 s. The orders after a crash are sent at once instead of one after the other, which could take minutes.

Ruled out: accepting refusals during planned moves; the refusals are reported to the owners of the controller.

--- a/internal/quickstart/faults.go
+++ b/internal/quickstart/faults.go
@@ -17,6 +17,7 @@
 	"github.com/bronzelever/bronzelever/internal/load"
 	"github.com/bronzelever/bronzelever/internal/standin/check"
 	"github.com/bronzelever/bronzelever/pkg/config"
+	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
 const (
@@ -35,6 +36,10 @@
 	// statusInProgress is how the load's report names the answer to a repeat of an order that still runs.
 	statusInProgress = "409 in-progress"
 
+	// stableTime is longer than the pause between two moves of groups.
+	stableTime    = 4 * time.Second
+	stableTimeout = 30 * time.Second
+
 	// scenarioTimeout ends the sending of load and every wait of a scenario.
 	scenarioTimeout = 2 * time.Minute
 	// faultCollectInterval is short, because what a killed target executed after the last collection is lost.
@@ -61,6 +66,8 @@
 	run    func(context.Context, *faultRun) error
 	// both runs the scenario with each configuration instead of one of them.
 	both bool
+	// vmsPerRegion replaces faultVMsPerRegion.
+	vmsPerRegion int
 	// orderRate replaces the rate of orders of the load.
 	orderRate float64
 	// uncut requires that no request of the load ends without a whole answer or a refusal not-run.
@@ -90,6 +97,8 @@
 		{number: 10, name: "targets leave", run: leaveTargets, both: true},
 		{number: 11, name: "all entry VMs are lost", run: loseEntryVMs, both: true},
 		{number: 12, name: "home regions are kept", run: keepHomeRegions},
+		{number: 13, name: "the active controller is paused", run: pauseController, both: true},
+		{number: 14, name: "half of a cell is lost with its controller", run: loseHalf, both: true, vmsPerRegion: 4},
 	}
 }
 
@@ -181,7 +190,11 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	s, err := newScenario(newDeployment(o.BinDir, dir, cfg, layout{prefix: o.Prefix, vmsPerRegion: faultVMsPerRegion}), r)
+	size := faultVMsPerRegion
+	if spec.vmsPerRegion > 0 {
+		size = spec.vmsPerRegion
+	}
+	s, err := newScenario(newDeployment(o.BinDir, dir, cfg, layout{prefix: o.Prefix, vmsPerRegion: size}), r)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -213,6 +226,9 @@
 		return trace.Wrap(err)
 	}
 	f.report.note("deployment serves everything after", time.Since(begin).Round(time.Millisecond).String())
+	if err := f.waitStable(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	f.collector = check.NewCollector(f.deployment.client, f.recordURLs()...)
 	stopCollecting := collectEvery(ctx, f.collector, faultCollectInterval)
 	sending, stopSending := context.WithCancel(ctx)
@@ -245,6 +261,28 @@
 	return nil
 }
 
+// waitStable waits until the groups of the new deployment stay where they are, so that a move to a better place isn't taken
+// for an effect of the fault.
+func (f *faultRun) waitStable(ctx context.Context) error {
+	gateways, since := "", time.Now()
+	return waitFor(stableTimeout, "groups stay where they are", func() bool {
+		now := ""
+		err := f.eachCell(ctx, func(_ context.Context, status *wire.StatusReply) error {
+			if status.Table == nil {
+				return trace.NotFound("no table")
+			}
+			for _, g := range status.Table.Groups {
+				now += fmt.Sprintf("%v=%s ", g.ID, g.Gateway)
+			}
+			return nil
+		})
+		if err != nil || now != gateways {
+			gateways, since = now, time.Now()
+		}
+		return time.Since(since) >= stableTime
+	})
+}
+
 func (f *faultRun) judgeFaultLoad(r load.Report) {
 	f.judgeLoad(r)
 	if !f.spec.uncut {
--- a/internal/quickstart/faults_process.go
+++ b/internal/quickstart/faults_process.go
@@ -19,6 +19,8 @@
 
 const (
 	pauseTime = 5 * time.Second
+	// controllerPause is longer than the 4 s after which a term that isn't renewed is stale.
+	controllerPause = 7 * time.Second
 	// storeLossTime is longer than the 4 s after which a term that isn't renewed is stale.
 	storeLossTime = 5 * time.Second
 	// recoverTimeout is how long a scenario waits for complete service. Section 1 of the design has no bound for it.
@@ -85,6 +87,60 @@
 	return trace.Wrap(f.waitRecovered(ctx))
 }
 
+// pauseController stops the active controller until another one leads, continues it and loses a target right afterwards.
+func pauseController(ctx context.Context, f *faultRun) error {
+	victim := f.leader(ctx)
+	pool, ok := f.keyedPool()
+	if victim == nil || !ok {
+		return trace.NotFound("no active controller or no keyed pool")
+	}
+	byOwner := f.prober.keysByOwner()
+	watched := f.prober.watch(ctx, someOf(byOwner, ""))
+	victim.controller.signal(syscall.SIGSTOP)
+	time.Sleep(controllerPause)
+	victim.controller.signal(syscall.SIGCONT)
+	f.judgeWatch("keys: reads without an answer while the controller is paused", watched)
+	lost := pool.Targets[0]
+	f.targets[lost.ID].kill()
+	again := f.prober.servedAgain(ctx, byOwner[lost.ID])
+	atMost(f.report, "keys of a killed target served again", milliseconds(again), maxServedAgain, "ms")
+	if err := f.startTarget(*pool, lost, true); err != nil {
+		return trace.Wrap(err)
+	}
+	time.Sleep(settleTime)
+	return trace.Wrap(f.waitRecovered(ctx))
+}
+
+// loseHalf kills the leading VM of a cell and others of the cell at once, half of its VMs in total.
+func loseHalf(ctx context.Context, f *faultRun) error {
+	leader := f.leader(ctx)
+	if leader == nil {
+		return trace.NotFound("no active controller")
+	}
+	keys := f.allKeys()
+	victims := []*vm{leader}
+	for _, v := range f.vms {
+		if v.Cell == leader.Cell && v != leader && len(victims) < f.vmsPerRegion/2 {
+			victims = append(victims, v)
+		}
+	}
+	for _, v := range victims {
+		v.router.signal(syscall.SIGKILL)
+		v.controller.signal(syscall.SIGKILL)
+	}
+	again := f.prober.servedAgain(ctx, keys)
+	atMost(f.report, "all keys served again", milliseconds(again), maxServedAgain, "ms")
+	for _, v := range victims {
+		v.router.kill()
+		v.controller.kill()
+		if err := f.startVM(v); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	time.Sleep(settleTime)
+	return trace.Wrap(f.waitRecovered(ctx))
+}
+
 // waitRecovered waits until every group has a gateway, every slice an owner and every running router is ready.
 func (f *faultRun) waitRecovered(ctx context.Context) error {
 	return waitFor(recoverTimeout, "complete service", func() bool {
--- a/internal/quickstart/faults_target.go
+++ b/internal/quickstart/faults_target.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -87,13 +89,18 @@
 		atMost(f.report, "targets lost to the same "+c.name, f.lost(c.pool), maxCrashed, "")
 	}
 	f.report.step("all keys are served", f.waitKeys(keys))
-	served := 0
+	var served atomic.Int64
+	var sent sync.WaitGroup
 	for i := range ordersAfterwards {
-		if f.callers.orderUntilAnswered(ctx, fmt.Sprintf("order-after-crashes-%d", i), f.urls) {
-			served++
-		}
+		sent.Go(func() {
+			if f.callers.orderUntilAnswered(ctx, fmt.Sprintf("order-after-crashes-%d", i), f.urls) {
+				served.Add(1)
+			}
+		})
 	}
-	f.report.add(outcome{name: "other orders are answered", measured: fmt.Sprint(served), bound: fmt.Sprint(ordersAfterwards), ok: served == ordersAfterwards})
+	sent.Wait()
+	f.report.add(outcome{name: "other orders are answered", measured: fmt.Sprint(served.Load()), bound: fmt.Sprint(ordersAfterwards),
+		ok: served.Load() == ordersAfterwards})
 	return nil
 }
 
