Send smaller bundles in the fault scenarios

Cause: scenario 5 counted two downloads as cut.

Change: bundles of 128 KiB.

Ruled out: a cut by the shutdown: the router waited for both exchanges before it went on.

--- a/internal/quickstart/faults.go
+++ b/internal/quickstart/faults.go
@@ -29,8 +29,9 @@
 	// faultReadRate leaves room for the reads of watched keys on a busy machine: a refusal for overload would hide the
 	// refusals that a scenario looks for.
 	faultReadRate = 150
-	// faultBundleBytes keeps the bundles of fewer routers within the cap of the link between the regions.
-	faultBundleBytes   = 512 << 10
+	// faultBundleBytes keeps the bundles within the cap of the link between the regions while few routers are left: with
+	// 512 KiB, two downloads reached their deadline on the link during the replacement of VMs.
+	faultBundleBytes   = 128 << 10
 	faultBundleTimeout = 5 * time.Second
 
 	// statusInProgress is how the load's report names the answer to a repeat of an order that still runs.
