--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -35,9 +35,9 @@
 	// the leases of its routers and the wait for their longest deadline together have to stay below 4 s. A slow store does
 	// not cause needless takeovers: the write is conditional on the row seen, which a live leader keeps changing.
 	staleAfter = 1400 * time.Millisecond
-	// storeAuthority is how long a renewal gives authority, from before it was asked. With a drift of 1% on either side
-	// it ends before a candidate has counted staleAfter.
-	storeAuthority = 1350 * time.Millisecond
+	// storeAuthority is how long a renewal gives authority, from before it was asked. It must end before a candidate has
+	// counted staleAfter, with a drift of 1% on either side: at most 98% of it.
+	storeAuthority = staleAfter * 39 / 40
 	// headInterval is the time between two reads of the configuration head.
 	headInterval = 250 * time.Millisecond
 	// othersInterval is the time between two exchanges of tables with other cells.
