Give callers of the fault scenarios a deadline

Cause: callers of orders had no deadline of their own, so that a scenario ended up to 50 s late when a group held their orders (scenario 7: 1 min 53 s). Scenario 11 killed all VMs before any upload had been sent.

Change: callers ask for 2 s and wait 3 s.

Ruled out: dropping the check that each class is answered.

Conclusion: orders and bundles of a group without a target are held until their deadline; reported to the gateway's owners.

--- a/internal/quickstart/callers.go
+++ b/internal/quickstart/callers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,7 +16,9 @@
 )
 
 const (
-	callTimeout = 6 * time.Second
+	// callDeadline is what callers ask for; callTimeout leaves time for the refusal.
+	callDeadline = 2 * time.Second
+	callTimeout  = 3 * time.Second
 	// orderInterval, orderAttempts and attemptPause describe callers that send an order again until it is answered.
 	orderInterval = 100 * time.Millisecond
 	orderAttempts = 8
@@ -76,6 +79,7 @@
 		return s
 	}
 	request.Header.Set("X-Request-Id", k.id)
+	request.Header.Set("Request-Timeout-Ms", strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	if k.order != "" {
 		request.Header.Set("Idempotency-Key", k.order)
 	}
--- a/internal/quickstart/faults_process.go
+++ b/internal/quickstart/faults_process.go
@@ -226,6 +226,7 @@
 // again only after an operator's confirmation.
 func loseEntryVMs(ctx context.Context, f *faultRun) error {
 	keys := f.allKeys()
+	time.Sleep(settleTime)
 	for _, v := range f.vms {
 		v.router.signal(syscall.SIGKILL)
 		v.controller.signal(syscall.SIGKILL)
