--- a/internal/bench/overload.go
+++ b/internal/bench/overload.go
@@ -56,7 +56,7 @@
 		return trace.Wrap(err)
 	}
 	for _, counter := range []string{"gateway_refused_by_estimate", "gateway_refused_queue_full"} {
-		n, err := d.counter("bronzelever_router_" + counter)
+		n, err := d.counter("bronzelever_" + counter)
 		if err != nil {
 			return trace.Wrap(err)
 		}
