Measure the loss of a leading VM and of a keyed gateway apart in the quickstart

Cause: the killed leader held no keyed group in some runs, so that the figure said nothing about groups.

Change: the quickstart kills the leader of one cell and, after that, the gateway VM of a keyed group of the other cell.

Ruled out: choosing a VM that is both; the controller decides who holds which group.

--- a/internal/quickstart/run.go
+++ b/internal/quickstart/run.go
@@ -93,7 +93,8 @@
 		run  func(context.Context) error
 	}{
 		{"kill a target", s.killTarget},
-		{"kill the leading entry VM", s.killEntryVM},
+		{"kill the leading VM", s.killLeader},
+		{"kill the gateway VM of a keyed group", s.killGateway},
 		{"move a failure domain", s.moveDomain},
 		{"amend the configuration", s.amend},
 	} {
--- a/internal/quickstart/steps.go
+++ b/internal/quickstart/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -13,6 +14,8 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/operator"
+	"github.com/bronzelever/bronzelever/pkg/topology"
+	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
 func milliseconds(d time.Duration) float64 {
@@ -59,13 +62,50 @@
 	return nil, false
 }
 
-// killEntryVM ends the router and the controller of the VM that leads the first cell and measures until every key is
-// served again.
-func (s *scenario) killEntryVM(ctx context.Context) error {
-	victim := s.leader(ctx)
-	if victim == nil {
-		return trace.NotFound("no entry VM leads cell %s", s.config.Regions[0].Name)
+// killLeader ends the VM that leads the first cell and measures until every key is served again.
+func (s *scenario) killLeader(ctx context.Context) error {
+	leader := s.leader(ctx)
+	return trace.Wrap(s.killVM(ctx, "leading VM", func(v *vm) bool { return v == leader }))
+}
+
+// leader returns the VM that leads the first cell, nil if there is none.
+func (s *scenario) leader(ctx context.Context) *vm {
+	status, err := s.cellStatus(ctx, s.config.Regions[0].Name)
+	if err != nil {
+		return nil
+	}
+	for _, v := range s.vms {
+		if strings.HasPrefix(status.Leader, v.address+":") {
+			return v
+		}
+	}
+	return nil
+}
+
+// killGateway ends a VM that is the gateway of a keyed group and measures until every key is served again.
+func (s *scenario) killGateway(ctx context.Context) error {
+	status, err := s.cellStatus(ctx, s.config.Regions[1].Name)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	pool, ok := s.keyedPool()
+	if !ok {
+		return trace.NotFound("no keyed pool in the configuration")
 	}
+	return trace.Wrap(s.killVM(ctx, "gateway VM of a keyed group", func(v *vm) bool {
+		return slices.ContainsFunc(status.Table.Groups, func(g topology.Group) bool {
+			return g.ID.Pool() == pool.Name && g.Gateway == v.VM
+		})
+	}))
+}
+
+// killVM ends the router and the controller of the first VM that matches, and starts them again afterwards.
+func (s *scenario) killVM(ctx context.Context, role string, match func(*vm) bool) error {
+	i := slices.IndexFunc(s.vms, match)
+	if i < 0 {
+		return trace.NotFound("no %s", role)
+	}
+	victim := s.vms[i]
 	var keys []string
 	for _, owned := range s.prober.keysByOwner() {
 		keys = append(keys, owned...)
@@ -73,19 +113,20 @@
 	victim.router.kill()
 	victim.controller.kill()
 	again := s.prober.servedAgain(ctx, keys)
-	atMost(s.report, fmt.Sprintf("all keys served again after loss of leading VM (%d keys)", len(keys)), milliseconds(again), maxServedAgain, "ms")
+	atMost(s.report, fmt.Sprintf("all keys served again after loss of %s (%d keys)", role, len(keys)), milliseconds(again), maxServedAgain, "ms")
 	return trace.Wrap(s.startVM(victim))
 }
 
-func (s *scenario) leader(ctx context.Context) *vm {
-	for _, cell := range s.operator.Status(ctx).Cells {
-		for _, v := range s.vms {
-			if cell.Cell == s.config.Regions[0].Name && strings.HasPrefix(cell.Leader, v.address+":") {
-				return v
-			}
+// cellStatus asks the candidates of a cell until the active controller answers.
+func (s *scenario) cellStatus(ctx context.Context, cell string) (*wire.StatusReply, error) {
+	for _, v := range s.vms {
+		var reply wire.StatusReply
+		err := s.client.Call(ctx, v.at(controllerPort), wire.TypeStatus, wire.Status{}, wire.TypeStatusReply, &reply)
+		if err == nil && v.Cell == cell && reply.Active && reply.Table != nil {
+			return &reply, nil
 		}
 	}
-	return nil
+	return nil, trace.NotFound("no active controller in cell %s", cell)
 }
 
 // moveDomain takes a failure domain out and back while the load runs.
