Tell a broken connection from a cancellation by its error

Cause: a crash counted as a cancellation if the request's deadline passed before the broken connection was handled, so that the request did not become a suspect. On a loaded machine TestQuarantineSpreadsInTheCell failed once with 4 crashed targets. And TestConnectionAfterDeadline of the router failed in 2 of 6 runs: a slot whose exchange was over counted as used for a whole latency, and the next request was refused.

Change: the ending of an exchange follows from the error of its connection. A slot that only waits for the target's close counts as free in estimates.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -31,6 +31,8 @@
 	// answered is set once the answer's head has arrived.
 	answered bool
 	released bool
+	// ending tells that the exchange is over and only the target's close is awaited, which takes about one round trip.
+	ending bool
 	// suspected tells that a crash of the target has been counted for the request.
 	suspected bool
 }
@@ -141,7 +143,7 @@
 		if w.target != nil && w.target != t || !t.open(now) {
 			continue
 		}
-		free += t.free(now)
+		free += t.freeSoon(now)
 		limit += t.limit()
 		if latency == 0 || t.ramp.latency < latency {
 			latency = t.ramp.latency
--- a/pkg/gateway/conn_test.go
+++ b/pkg/gateway/conn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -307,3 +308,19 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a crash that isn't noticed as one because the request's deadline passes before the error is handled.
+func TestBreakIsNoCancellation(t *testing.T) {
+	for cause, want := range map[error]ending{
+		io.ErrUnexpectedEOF:          endedBroken,
+		syscall.ECONNRESET:           endedBroken,
+		net.ErrClosed:                endedCancelled,
+		os.ErrDeadlineExceeded:       endedCancelled,
+		errors.New("malformed HTTP"): endedFaulty,
+	} {
+		wrapped := fmt.Errorf("reading: %w", cause)
+		if got := endingOf(wrapped); got != want {
+			t.Errorf("%v: ending %d, want %d", cause, got, want)
+		}
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -153,7 +154,7 @@
 	case a.callerBroke.Load():
 		a.end(endedByCaller)
 		return problem.New(http.StatusBadRequest, problem.CodeBadRequest, problem.Unknown, "the request body broke off")
-	case ctx.Err() != nil:
+	case endingOf(cause) == endedCancelled:
 		a.end(endedCancelled)
 		return problem.New(http.StatusGatewayTimeout, problem.CodeDeadline, problem.Unknown,
 			"the target did not answer before the deadline")
@@ -181,9 +182,13 @@
 	}
 }
 
-// endingOf tells a broken connection, a sign of a crashed target, from a faulty answer.
+// endingOf tells a broken connection, a sign of a crashed target, from a faulty answer and from the own cancellation. The
+// context doesn't tell: its deadline may pass between the break and this call.
 func endingOf(cause error) ending {
 	var network net.Error
+	if errors.Is(cause, net.ErrClosed) || errors.Is(cause, os.ErrDeadlineExceeded) {
+		return endedCancelled
+	}
 	if errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.As(cause, &network) {
 		return endedBroken
 	}
@@ -247,8 +252,6 @@
 	case errors.Is(err, io.EOF):
 		b.finish()
 		return n, io.EOF
-	case b.ctx.Err() != nil:
-		b.attempt.end(endedCancelled)
 	default:
 		b.attempt.end(endingOf(err))
 	}
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -122,6 +122,7 @@
 	case endedCancelled:
 		f.group.timedOut(f.ticket, time.Until(f.deadline) <= 0)
 	}
+	f.group.ending(f.ticket)
 	// The target may still work on the request: the slot stays in use until it has closed its side.
 	go func() {
 		<-c.ended
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -232,6 +232,13 @@
 	return found
 }
 
+// ending marks a slot whose exchange is over.
+func (g *group) ending(k *ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k.ending = true
+}
+
 // timedOut records an exchange that was given up.
 func (g *group) timedOut(k *ticket, deadlinePassed bool) {
 	g.mu.Lock()
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -98,6 +98,20 @@
 	return max(0, t.limit()-len(t.tickets))
 }
 
+// freeSoon is like free, but counts the slots of exchanges that are over as free.
+func (t *target) freeSoon(now clock.Instant) int {
+	if t.alone != nil || !t.open(now) {
+		return 0
+	}
+	used := 0
+	for k := range t.tickets {
+		if !k.ending {
+			used++
+		}
+	}
+	return max(0, t.limit()-used)
+}
+
 // oldest returns the age of the oldest exchange that has not been answered yet.
 func (t *target) oldest(now clock.Instant) time.Duration {
 	var age time.Duration
