Fix a race at take-up and keep the ports of crashed test targets

Cause: under load (8 test processes at once) two faults showed. The race detector found that takeUp read notBefore while askFormer could write it. TestQuarantineSpreadsInTheCell failed in about 1 of 150 runs with too few or too many crashed targets: the port of the crashed target was taken by a target of another test process, which received the request and crashed.

Change: askFormer starts after the last read. A test target that crashes keeps its port bound without listening. A target whose connection broke gets no new work for 300 ms unless it answers a health poll before: a process that is ending may still accept a connection, and the broken request would count as a second crash.

Ruled out: the 4 crashed targets reported on the loaded machine come from the count of crashes; the traces show the foreign port.

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -16,6 +16,9 @@
 	maxRetryAfter = 10 * time.Second
 	// shedPause is how long a target gets no new work after it has refused some.
 	shedPause = 100 * time.Millisecond
+	// brokenPause is how long a target whose connection broke gets no new work unless it answers a health poll before. A
+	// process that is ending may still accept a connection; the broken request would count as a second crash.
+	brokenPause = 300 * time.Millisecond
 	// keyedDrainGrace is how long the owner of slices still serves them after it has announced its leave: the slices need
 	// about a second to move, and 2 s is the bound for new work at a leaving target.
 	keyedDrainGrace = 1500 * time.Millisecond
--- a/pkg/gateway/cell_test.go
+++ b/pkg/gateway/cell_test.go
@@ -256,6 +256,19 @@
 		return q
 	}
 	_ = r.send(within(t, time.Second), "a", poison())
+	eventually(t, "the crashed target accepts no connection", func() bool {
+		for _, b := range f.backends {
+			if b.crashes.Load() == 0 {
+				continue
+			}
+			c, err := net.Dial("tcp", b.address)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err != nil
+		}
+		return false
+	})
 	r.hold("b", topology.NewGroupEpoch(1, 2))
 	g := (*r.gateways["b"].groups.Load())[testGroup]
 	g.mu.Lock()
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -220,6 +220,7 @@
 	defer g.mu.Unlock()
 	k.target.ramp.chill()
 	k.target.conns.reset()
+	k.target.brokenUntil = g.clock.Now().Add(brokenPause)
 	g.probeSoon(k.target)
 	g.noteState(k.target)
 	var found []exposed
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -10,9 +10,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -55,6 +57,8 @@
 	server      *http.Server
 	crashes     atomic.Int32
 	crashOnce   sync.Once
+	// kept is a socket that keeps the port after a crash, 0 if there is none.
+	kept int
 }
 
 func startBackend(tb testing.TB, s standin.Settings) *backend {
@@ -72,6 +76,10 @@
 		settings.Frozen = false
 		b.Change(settings)
 		_ = b.server.Close()
+		b.crashOnce.Do(func() {})
+		if b.kept != 0 {
+			_ = syscall.Close(b.kept)
+		}
 	})
 	return b
 }
@@ -79,10 +87,27 @@
 // crash ends the target as the end of its process would: every connection breaks and the port refuses new ones.
 func (b *backend) crash() {
 	b.crashes.Add(1)
-	b.crashOnce.Do(func() { _ = b.server.Close() })
+	b.crashOnce.Do(func() {
+		_ = b.server.Close()
+		b.keepPort()
+	})
 	panic(http.ErrAbortHandler)
 }
 
+// keepPort binds the port without listening. Otherwise a target of another test process may get it and receive the requests
+// of this test; with 8 processes at once that happened in 1 of 150 runs.
+func (b *backend) keepPort() {
+	port := netip.MustParseAddrPort(b.address).Port()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return
+	}
+	b.kept = fd
+	_ = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	// A failure only means that the port isn't kept.
+	_ = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(port), Addr: [4]byte{127, 0, 0, 1}})
+}
+
 // executions returns what the target's record holds.
 func (b *backend) executions() []standin.Execution {
 	recorder := httptest.NewRecorder()
--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -105,12 +105,13 @@
 	default:
 		g.notBefore = now.Add(clock.WithDrift(g.longest()))
 		gw.startClaims(g, view, claimSource{former: claim.Former{VM: former.vm, Epoch: former.epoch}})
-		if known && former.vm != view.VM {
-			g.asking = true
-			go gw.askFormer(g, former)
-		}
+		g.asking = known && former.vm != view.VM
+	}
+	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", max(0, g.notBefore.Sub(now)))
+	if g.asking {
+		// From here on the group is shared.
+		go gw.askFormer(g, former)
 	}
-	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", g.notBefore.Sub(now))
 }
 
 // neverHeld tells whether the table proves that a group has had no earlier holder. Each grant of a group consumes one
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -168,6 +168,7 @@
 
 func (g *group) probed(t *target, report health) {
 	t.probesFailed = 0
+	t.brokenUntil = 0
 	draining := report.Status == healthDraining
 	if draining != t.draining {
 		t.draining = draining
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -36,6 +36,8 @@
 	drainingAt clock.Instant
 	// shedUntil pauses new work after the target has refused some.
 	shedUntil clock.Instant
+	// brokenUntil pauses new work after a connection broke, unless a health poll is answered before.
+	brokenUntil clock.Instant
 	// probesFailed counts consecutive failed probes without an answer in between.
 	probesFailed int
 	// answeredAt is when the target last answered anything.
@@ -78,7 +80,7 @@
 
 // open tells whether the target may get new work.
 func (t *target) open(now clock.Instant) bool {
-	if t.lost || now < t.shedUntil {
+	if t.lost || now < t.shedUntil || now < t.brokenUntil {
 		return false
 	}
 	if t.group.pool.Keyed {
