--- a/pkg/gateway/holdings.go
+++ b/pkg/gateway/holdings.go
@@ -103,9 +103,11 @@
 	case neverHeld(table, g.epoch):
 		gw.startClaims(g, view, claimSource{empty: true})
 	default:
-		g.notBefore = now.Add(clock.WithDrift(g.longest()))
+		if entry, ok := table.Group(g.id); !ok || !entry.Clean {
+			g.notBefore = now.Add(clock.WithDrift(g.longest()))
+		}
 		gw.startClaims(g, view, claimSource{former: claim.Former{VM: former.vm, Epoch: former.epoch}})
-		g.asking = known && former.vm != view.VM
+		g.asking = known && former.vm != view.VM && g.notBefore > now
 	}
 	gw.Log.Emit(event.GroupTakenUp, "group", g.id, "epoch", g.epoch, "wait", max(0, g.notBefore.Sub(now)))
 	if g.asking {
