--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -220,6 +220,7 @@
 	defer g.mu.Unlock()
 	k.target.ramp.chill()
 	k.target.conns.reset()
+	k.target.brokenUntil = g.clock.Now().Add(brokenPause)
 	g.probeSoon(k.target)
 	g.noteState(k.target)
 	var found []exposed
@@ -232,6 +233,13 @@
 	return found
 }
 
+// ending marks a slot whose exchange is over.
+func (g *group) ending(k *ticket) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	k.ending = true
+}
+
 // timedOut records an exchange that was given up.
 func (g *group) timedOut(k *ticket, deadlinePassed bool) {
 	g.mu.Lock()
