Compare groups by load per target when choosing one for an unkeyed request

A pool of 10 targets in a failure domain makes groups of 8 and 2. The score of a group ignored its size, so that with equal queues the small groups got as many requests as the large ones; requests of weight 5 were refused there while the large groups had room for those of weight 1.

Change: the score is divided by the number of the group's targets. TestEqualQueuesPreferTheLargerGroup fails without it.

Ruled out: refusal by a full queue or by targets (both 0 before), and cutting 10 targets into 5 and 5, which moves targets between groups when one is appended.

--- a/pkg/filter/dispatch/anywhere.go
+++ b/pkg/filter/dispatch/anywhere.go
@@ -128,7 +128,8 @@
 }
 
 func (r *race) score(candidate int) float64 {
-	return r.f.loads.of(r.candidates[candidate].group.ID).score()
+	group := r.candidates[candidate].group
+	return r.f.loads.of(group.ID).score() / float64(max(1, len(group.Targets)))
 }
 
 // start begins an attempt if there is a group to try.
