--- a/pkg/claim/holder.go
+++ b/pkg/claim/holder.go
@@ -15,6 +15,8 @@
 	callTimeout = 300 * time.Millisecond
 	// refreshInterval is the time between two signs of life to the mirror.
 	refreshInterval = 500 * time.Millisecond
+	// silentLimit is how long a mirror must have been silent before it is given up.
+	silentLimit = time.Second
 	// recoverTimeout bounds the search for the claims of a former holder.
 	recoverTimeout = 2 * time.Second
 	recoverRetry   = 200 * time.Millisecond
@@ -115,8 +117,10 @@
 	mirror    string
 	// fadesAt is when a lost mirror stops vouching.
 	fadesAt clock.Instant
-	closed  bool
-	done    chan struct{}
+	// lastHeard is when the mirror last answered.
+	lastHeard clock.Instant
+	closed    bool
+	done      chan struct{}
 	// filling serializes the replacement of the mirror.
 	filling sync.Mutex
 }
--- a/pkg/claim/keep.go
+++ b/pkg/claim/keep.go
@@ -13,7 +13,20 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	claim.Group = h.Group
-	return h.cell.MirrorClaim(ctx, vm, &wire.MirrorClaim{Group: h.Group, Epoch: h.Epoch, Claim: claim})
+	reply, err := h.cell.MirrorClaim(ctx, vm, &wire.MirrorClaim{Group: h.Group, Epoch: h.Epoch, Claim: claim})
+	if err == nil {
+		h.heard(vm)
+	}
+	return reply, err
+}
+
+// heard notes a sign of life of a router.
+func (h *Holder) heard(vm string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if vm == h.mirror {
+		h.lastHeard = h.clock.Now()
+	}
 }
 
 // mirrored stores a new claim at the mirror. Without any router that could mirror it, it returns true: nobody vouches for
@@ -52,13 +65,17 @@
 	return false
 }
 
-// dropMirror gives up a mirror. One that has answered doesn't vouch any more; a silent one has to fade first.
+// dropMirror gives up a mirror. One that has answered doesn't vouch any more; a silent one has to fade first, and no order
+// can run until then. A single call that times out on a busy machine is therefore no reason to drop it.
 func (h *Holder) dropMirror(vm string, answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.mirror != vm || h.phase != mirrorReady {
 		return
 	}
+	if !answered && h.clock.Now().Sub(h.lastHeard) < silentLimit {
+		return
+	}
 	h.OnMirrorLost(vm)
 	if answered {
 		h.phase = mirrorNone
@@ -132,6 +149,7 @@
 	h.mu.Lock()
 	h.phase = mirrorReady
 	h.mirror = vm
+	h.lastHeard = h.clock.Now()
 	h.mu.Unlock()
 	if err != nil || !reply.OK || !reply.Complete {
 		h.dropMirror(vm, err == nil)
