--- a/internal/quickstart/callers.go
+++ b/internal/quickstart/callers.go
@@ -45,7 +45,7 @@
 	return fmt.Sprintf("request %s, order %s: status %d, outcome %q, %.200s, error %v", s.id, s.order, s.status, s.outcome, s.body, s.err)
 }
 
-// callers send orders and remember every answer.
+// callers send requests and remember every answer.
 type callers struct {
 	client *http.Client
 
@@ -120,7 +120,7 @@
 	return false
 }
 
-// run sends orders until the context ends and waits for the last answers.
+// run sends orders and reads until the context ends and waits for the last answers.
 func (c *callers) run(ctx context.Context, bases []string) {
 	var sent sync.WaitGroup
 	defer sent.Wait()
@@ -136,6 +136,8 @@
 		rotated := append(append([]string(nil), bases[n%len(bases):]...), bases[:n%len(bases)]...)
 		// The last orders get their full time.
 		sent.Go(func() { c.orderUntilAnswered(context.WithoutCancel(ctx), order, rotated) })
+		read := call{base: rotated[0], method: http.MethodGet, path: fmt.Sprintf("/status/caller-key-%d", n), id: fmt.Sprintf("caller-read-%d", n)}
+		sent.Go(func() { c.send(context.WithoutCancel(ctx), read) })
 	}
 }
 
@@ -178,7 +180,7 @@
 			unknown++
 		}
 	}
-	r.note("callers' orders: answered / not run / unknown", fmt.Sprintf("%d / %d / %d", answered, notRun, unknown))
+	r.note("callers' orders and reads: answered / not run / unknown", fmt.Sprintf("%d / %d / %d", answered, notRun, unknown))
 	atMost(r, "refusals not-run that are untrue", untrue, 0, "")
 	atMost(r, "orders with a wrong answer", crossed, 0, "")
 }
