Check the place of a request at the gateway

Cause: cell and home group follow from the configuration. While a change of a multi-region pool's targets spreads, routers with different versions send a key to different cells, or an order to different home groups.

Change: dispatch.NewGuard refuses a request of another router with stale-ownership if the gateway's own configuration gives it another place. The entry router computes the place again from its newest configuration before it sends again.

Ruled out: doing nothing until the change is accepted everywhere (an order could be claimed by two home groups). What remains: two gateways with different versions may both accept while a version spreads; that needs a step between two versions.

Figures: with two targets added to three, 20 to 100 of 200 keys and orders are refused by a gateway with the other version, none by one with the same version (bounds of TestGuard).

Conclusion: the time with two places is narrower, not closed.

--- a/pkg/filter/dispatch/dispatch.go
+++ b/pkg/filter/dispatch/dispatch.go
@@ -57,8 +57,8 @@
 		bound = x.Tenant
 	}
 	hash := topology.KeyHash(x.Pool.Name, bound, x.Key)
-	cell := f.homesOf(x.View.Config, x.Pool.Name).cell(hash, x.HomeRegions)
 	return func(view *exchange.View) (place, *problem.Error) {
+		cell := f.homes.of(view.Config, x.Pool.Name).cell(hash, x.HomeRegions)
 		p := place{cell: cell, region: cell, keyHash: hash, cause: CauseKeyed}
 		table, err := tableOf(view, &p)
 		if err != nil {
@@ -76,13 +76,9 @@
 
 // orderPlace locates the home group of an order.
 func (f *Filter) orderPlace(x *filter.Exchange) locator {
-	d := xxhash.New()
-	// Digest.WriteString never fails.
-	_, _ = d.WriteString(x.Tenant)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(x.IdempotencyKey)
-	id, cell := f.homesOf(x.View.Config, x.Pool.Name).group(d.Sum64(), x.HomeRegions)
+	hash := orderHash(x.Tenant, x.IdempotencyKey)
 	return func(view *exchange.View) (place, *problem.Error) {
+		id, cell := f.homes.of(view.Config, x.Pool.Name).group(hash, x.HomeRegions)
 		p := place{cell: cell, region: cell, cause: CauseOrder}
 		table, err := tableOf(view, &p)
 		if err != nil {
@@ -93,6 +89,16 @@
 	}
 }
 
+// orderHash hashes what identifies an order.
+func orderHash(tenant, key string) uint64 {
+	d := xxhash.New()
+	// Digest.WriteString never fails.
+	_, _ = d.WriteString(tenant)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(key)
+	return d.Sum64()
+}
+
 func tableOf(view *exchange.View, p *place) (*topology.Table, *problem.Error) {
 	if p.cell == "" {
 		return nil, noOwner("the pool has no targets in the permitted regions")
--- a/pkg/filter/dispatch/dispatch_test.go
+++ b/pkg/filter/dispatch/dispatch_test.go
@@ -231,6 +231,65 @@
 	}
 }
 
+// Guards against a key or an order that is served at two places while a change of the targets spreads.
+func TestGuard(t *testing.T) {
+	f := newFixture("north")
+	guarded := func(v *exchange.View, request *wire.Request) bool {
+		reached := false
+		next := handlerFunc(func() { reached = true })
+		_, err := NewGuard(&fakeTables{view: v}, next).Handle(context.Background(), request, nil)
+		if (err == nil) != reached {
+			t.Errorf("error %v, reached %v", err, reached)
+		}
+		return !reached
+	}
+	changed := view(1)
+	for i := range changed.Config.Pools {
+		p := &changed.Config.Pools[i]
+		p.Targets = append(p.Targets, config.Target{ID: "new", Domain: "south-b"})
+		p.Targets = append(p.Targets, config.Target{ID: "newer", Domain: "south-b"})
+	}
+	changed.Config.Regions[1].Domains = append(changed.Config.Regions[1].Domains, "south-b")
+	refused := map[string]int{}
+	for i := range 200 {
+		for _, route := range []string{"keyed", "orders"} {
+			x := f.exchange(t, "POST", "/x", route, "")
+			x.Key, x.IdempotencyKey = fmt.Sprint(i), fmt.Sprint(i)
+			locate := f.keyedPlace(x)
+			if route == "orders" {
+				locate = f.orderPlace(x)
+			}
+			p, err := locate(f.tables.view)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request := f.request(x, p)
+			same, other := view(1), *changed
+			same.Cell, other.Cell = p.cell, p.cell
+			if guarded(same, request) {
+				t.Fatalf("%s %d is refused by a gateway with the same configuration", route, i)
+			}
+			if guarded(&other, request) {
+				refused[route]++
+			}
+		}
+	}
+	// Three targets become five, two of them in the other cell: about 1/5 to 2/5 of the places change.
+	for _, route := range []string{"keyed", "orders"} {
+		if n := refused[route]; n < 20 || n > 100 {
+			t.Errorf("%s: %d of 200 are refused by a gateway with another configuration", route, n)
+		}
+	}
+}
+
+// handlerFunc is a handler that only notes its call.
+type handlerFunc func()
+
+func (h handlerFunc) Handle(context.Context, *wire.Request, io.Reader) (*exchange.Response, error) {
+	h()
+	return nil, nil
+}
+
 // Guards against running a non-idempotent request a second time after it may have run.
 func TestOrderIsNotResent(t *testing.T) {
 	for _, code := range []problem.Code{problem.CodeGatewayLost, problem.CodeTargetFailed, problem.CodeStaleOwnership} {
--- a/pkg/filter/dispatch/homes.go
+++ b/pkg/filter/dispatch/homes.go
@@ -90,14 +90,3 @@
 func permits(home []string, region string) bool {
 	return len(home) == 0 || slices.Contains(home, region)
 }
-
-// homesOf returns the homes of a configuration. Snapshots of the same version share one configuration, so that the last
-// result nearly always fits.
-func (f *Filter) homesOf(cfg *config.Config, pool string) poolHomes {
-	h := f.homes.Load()
-	if h == nil || h.cfg != cfg {
-		h = newHomes(cfg)
-		f.homes.Store(h)
-	}
-	return h.pools[pool]
-}
--- a/pkg/filter/dispatch/setup.go
+++ b/pkg/filter/dispatch/setup.go
@@ -41,7 +41,7 @@
 	latencies *latencies
 	budget    *budget
 	link      *Link
-	homes     atomic.Pointer[homes]
+	homes     homesCache
 	// sequence makes the ID of each attempt unique in this process, so that an answer to another attempt is recognized.
 	sequence atomic.Uint64
 	m        metrics
--- a/pkg/router/router.go
+++ b/pkg/router/router.go
@@ -112,7 +112,7 @@
 	r.gateway = o.NewGateway(r)
 	holdings.Holdings = r.gateway
 	r.agent.Register(r.peers)
-	r.peers.HandleRequests(region.NewGuard(s.Region, r.agent, r.gateway))
+	r.peers.HandleRequests(region.NewGuard(s.Region, r.agent, dispatch.NewGuard(r.agent, r.gateway)))
 	if g, ok := r.gateway.(registrar); ok {
 		g.Register(r.peers)
 	}
