Count grants from the target's own clock

Cause: a target counts a grant's lifetime from its receipt.

Change: gateways return the clock that the target told with its last answer as as_of; the first grant is empty and only asks for it.

Ruled out: comparing clocks of different VMs.

--- a/pkg/gateway/grants.go
+++ b/pkg/gateway/grants.go
@@ -38,6 +38,12 @@
 	// lapsesAt is how long the target may believe in any grant that was sent.
 	lapsesAt clock.Instant
 	failures int
+	// targetClock is the target's clock as its last answer told it, "" before the first answer. noClock tells that the
+	// target's answers don't contain it.
+	targetClock string
+	noClock     bool
+	// clockAsked is when the renewal was sent whose answer told targetClock: the target read its clock after that.
+	clockAsked clock.Instant
 }
 
 // mayHold tells whether the target may still believe in a grant.
@@ -47,9 +53,12 @@
 
 // grantBody is the body of PUT /bronzelever/grants. Numbers of 64 bits are decimal strings.
 type grantBody struct {
-	GroupEpoch string       `json:"group_epoch"`
-	TTLMillis  int64        `json:"ttl_ms"`
-	Slices     []grantSlice `json:"slices"`
+	GroupEpoch string `json:"group_epoch"`
+	TTLMillis  int64  `json:"ttl_ms"`
+	// AsOf is the target's clock at its last answer. The lifetime counts from there, so that a grant which a frozen target
+	// reads late has lapsed already.
+	AsOf   string       `json:"as_of,omitempty"`
+	Slices []grantSlice `json:"slices"`
 }
 
 type grantSlice struct {
@@ -58,9 +67,12 @@
 	Epoch string `json:"epoch"`
 }
 
-// grantRefusal is the body of a 409 answer.
-type grantRefusal struct {
+// grantAnswer is the body of an answer to a grant.
+type grantAnswer struct {
+	// GroupEpoch is the newest epoch that the target knows.
 	GroupEpoch string `json:"group_epoch"`
+	// Now is the target's clock.
+	Now string `json:"now"`
 }
 
 func newControlClient() *http.Client {
@@ -104,7 +116,9 @@
 	body     grantBody
 	slices   []*heldSlice
 	revoking bool
-	sentAt   clock.Instant
+	// asking tells that the grant is empty because the target's clock isn't known yet.
+	asking bool
+	sentAt clock.Instant
 	// lapsedBefore is how long the target may believe in former grants.
 	lapsedBefore clock.Instant
 }
@@ -120,7 +134,7 @@
 		return
 	}
 	g.metrics.grants.Inc(1)
-	status, newest, err := g.putGrant(t, &r)
+	status, answer, err := g.putGrant(t, &r)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
@@ -128,9 +142,12 @@
 	case err != nil || status >= http.StatusInternalServerError:
 		g.grantFailed(t, &r, now, errors.Is(err, syscall.ECONNREFUSED))
 	case status == http.StatusConflict:
-		g.grantRefused(t, newest)
+		g.grantRefused(t, answer.newest())
 	case status == http.StatusOK:
 		g.grantConfirmed(t, &r, now)
+		t.grant.targetClock = answer.Now
+		t.grant.noClock = answer.Now == ""
+		t.grant.clockAsked = r.sentAt
 	}
 	g.settle()
 	g.pump()
@@ -173,10 +190,20 @@
 		// Requests in flight end under the grant.
 		r.revoking = false
 	}
-	r.body = grantBody{GroupEpoch: decimal(uint64(g.epoch)), TTLMillis: grantTTL.Milliseconds(), Slices: []grantSlice{}}
+	r.body = grantBody{
+		GroupEpoch: decimal(uint64(g.epoch)),
+		TTLMillis:  grantTTL.Milliseconds(),
+		AsOf:       t.grant.targetClock,
+		Slices:     []grantSlice{},
+	}
 	if r.revoking {
 		return r, true
 	}
+	if t.grant.targetClock == "" && !t.grant.noClock {
+		// The first grant is empty: it only asks for the target's clock.
+		r.asking = true
+		return r, true
+	}
 	g.collectSlices(t, &r)
 	// Until an answer arrives, the grant may be in force from any moment after the sending.
 	t.grant.lapsesAt = maxInstant(t.grant.lapsesAt, now.Add(clock.WithDrift(grantTTL)+grantTimeout))
@@ -208,40 +235,35 @@
 	return s.phase == sliceActive || s.phase == sliceReleasing && s.running > 0 && s.granted
 }
 
-func (g *group) putGrant(t *target, r *renewal) (status int, newest topology.Epoch, err error) {
+func (g *group) putGrant(t *target, r *renewal) (status int, decoded grantAnswer, err error) {
 	payload, err := json.Marshal(r.body)
 	if err != nil {
-		return 0, 0, err
+		return 0, decoded, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/bronzelever/grants", t.address)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(payload))
 	if err != nil {
-		return 0, 0, err
+		return 0, decoded, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	answer, err := g.gateway.control.Do(request)
 	if err != nil {
-		return 0, 0, err
+		return 0, decoded, err
 	}
 	defer func() { _ = answer.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxGrantAnswerBytes))
 	if err != nil {
-		return 0, 0, err
-	}
-	if answer.StatusCode == http.StatusConflict {
-		newest = refusedEpoch(body)
+		return 0, decoded, err
 	}
-	return answer.StatusCode, newest, nil
+	// A target may answer without a body; the status tells all that is needed then.
+	_ = json.Unmarshal(body, &decoded)
+	return answer.StatusCode, decoded, nil
 }
 
-func refusedEpoch(body []byte) topology.Epoch {
-	var refusal grantRefusal
-	if json.Unmarshal(body, &refusal) != nil {
-		return 0
-	}
-	n, err := strconv.ParseUint(refusal.GroupEpoch, 10, 64)
+func (a grantAnswer) newest() topology.Epoch {
+	n, err := strconv.ParseUint(a.GroupEpoch, 10, 64)
 	if err != nil {
 		return 0
 	}
@@ -287,11 +309,22 @@
 	if t.lost {
 		g.recover(t)
 	}
-	if r.revoking {
+	switch {
+	case r.asking:
+		g.wakeGrant(t)
+	case r.revoking:
 		t.grant.lapsesAt = now
 		t.grant.validUntil = 0
-	} else {
-		t.grant.validUntil = r.sentAt.Add(grantTTL - (clock.WithDrift(grantTTL) - grantTTL))
+	default:
+		from := r.sentAt
+		if r.body.AsOf != "" {
+			from = t.grant.clockAsked
+		}
+		t.grant.validUntil = from.Add(grantTTL - (clock.WithDrift(grantTTL) - grantTTL))
+		if t.grant.validUntil < now.Add(grantInterval) {
+			// The grant counted from a reading of the target's clock that is old by now; the answer brought a new one.
+			g.wakeGrant(t)
+		}
 		t.grant.lapsesAt = now.Add(clock.WithDrift(grantTTL))
 	}
 	g.confirmSlices(t, r, now)
