Keep a released slice released under its epoch

Cause: the gateway took a slice back 1.5 s after its target had returned if the table still named it.

Change: a slice whose release has been reported is never served again under its epoch; the controller gives it to the returned target under a new one. While the controller can't be reached and no successor can be promoted, nothing is reported and the slice goes on if its target returns. TestReportedReleaseSettlesBeforeTheSliceReturns is replaced by TestReleasedSliceStaysReleased, which forbids the return altogether, and TestFrozenTargetReleasesAndResumes now needs the new epoch.

--- a/pkg/gateway/hold_test.go
+++ b/pkg/gateway/hold_test.go
@@ -297,7 +297,7 @@
 }
 
 // Guards against a frozen target whose slices are released late or never, and against keys that stay without an owner after
-// the target has come back while the table still names it.
+// the target has come back and got them under a new epoch.
 func TestFrozenTargetReleasesAndResumes(t *testing.T) {
 	for _, checked := range []bool{false, true} {
 		o := keyedOptions(2, checked)
@@ -324,8 +324,19 @@
 		}
 		s.Frozen = false
 		f.backends[0].Change(s)
+		eventually(t, "the target is reported as back", func() bool {
+			for _, r := range f.gateway.Report().Targets {
+				if r.Target == "t0" {
+					return r.State != wire.TargetLost
+				}
+			}
+			return false
+		})
+		// The controller gives the slice to the returned target under a new epoch.
+		f.table.Slices[0].Epoch = 4
+		f.apply()
 		eventually(t, "the key is served again", func() bool {
-			_, _, err := f.do(within(t, 100*time.Millisecond), keyedRequest(0, 1), "")
+			_, _, err := f.do(within(t, 100*time.Millisecond), keyedRequest(0, 4), "")
 			return err == nil
 		})
 		if n := len(f.gateway.Report().Slices); n != 0 {
@@ -334,8 +345,9 @@
 	}
 }
 
-// Guards against a slice that is taken back while a report of its release may still be under way.
-func TestReportedReleaseSettlesBeforeTheSliceReturns(t *testing.T) {
+// Guards against a slice that is served again under an epoch whose release was reported: the controller may have given it to
+// another target.
+func TestReleasedSliceStaysReleased(t *testing.T) {
 	f := newFixture(t, keyedOptions(2, false))
 	f.splitInTwo()
 	f.apply()
@@ -344,10 +356,10 @@
 	g.lose(g.targets[0])
 	released := g.slices[0].phase == sliceReleased
 	g.recover(g.targets[0])
-	usable := g.slices[0].usable(g.clock.Now())
+	phase := g.slices[0].phase
 	g.mu.Unlock()
-	if !released || usable {
-		t.Errorf("released %v, usable at once %v", released, usable)
+	if !released || phase != sliceReleased {
+		t.Errorf("released %v, phase %d after the return", released, phase)
 	}
 	f.table.Slices[0].Owner = "t1"
 	f.table.Slices[0].Epoch = 4
@@ -357,6 +369,27 @@
 	}
 }
 
+// Guards against keys that stay without an owner after the only target that may own them has come back, while no controller
+// can give them a new epoch.
+func TestReturnedTargetServesWithoutController(t *testing.T) {
+	o := keyedOptions(1, false)
+	o.reachable = func() bool { return false }
+	f := newFixture(t, o)
+	f.table.Slices = []topology.Slice{{Pool: testPool, High: math.MaxUint64, Owner: "t0", Epoch: 1}}
+	f.apply()
+	g := f.group()
+	g.mu.Lock()
+	g.lose(g.targets[0])
+	g.mu.Unlock()
+	if n := len(f.gateway.Report().Slices); n != 0 {
+		t.Errorf("%d slices are reported although nobody can act on it", n)
+	}
+	eventually(t, "the key is served again", func() bool {
+		_, _, err := f.do(within(t, 100*time.Millisecond), keyedRequest(0, 1), "")
+		return err == nil
+	})
+}
+
 // Guards against a checked pool without keys whose targets refuse everything for want of a grant.
 func TestCheckedPoolWithoutKeys(t *testing.T) {
 	o := defaultPool(2)
--- a/pkg/gateway/slices.go
+++ b/pkg/gateway/slices.go
@@ -15,10 +15,6 @@
 // sliceRetry is when callers of a slice between owners should come back; a move takes about that long.
 const sliceRetry = 500 * time.Millisecond
 
-// reportSettle is the longest time for which a heartbeat and the table that answers it may be under way: longer than a
-// router's lease (1,200 ms), after which a router stops anyway.
-const reportSettle = 1500 * time.Millisecond
-
 // slicePhase is the life of a slice at its owner's gateway.
 type slicePhase int
 
@@ -29,7 +25,8 @@
 	sliceActive
 	// sliceReleasing takes no new requests and waits for those in flight and for the grant.
 	sliceReleasing
-	// sliceReleased is over at this owner.
+	// sliceReleased is over under this epoch: the controller may give it to another target at any moment. A target that
+	// comes back gets it again under a new epoch.
 	sliceReleased
 )
 
@@ -54,9 +51,7 @@
 	promoted bool
 	// replaced tells that the gateway promoted a successor for this slice.
 	replaced bool
-	// notBefore delays the return of a slice whose release has been reported.
-	notBefore clock.Instant
-	rates     sliceRates
+	rates    sliceRates
 }
 
 // usable tells whether a request may be sent now.
@@ -192,10 +187,6 @@
 	if s.phase == sliceActive && s.target.lost || s.phase == sliceWaiting && s.target.lost {
 		g.releaseSlice(s)
 	}
-	if s.phase == sliceReleased {
-		g.resume(s, now)
-		return
-	}
 	if s.phase != sliceReleasing {
 		return
 	}
@@ -207,22 +198,17 @@
 	if s.running > 0 || s.mayBeGranted(now) {
 		return
 	}
-	s.phase = sliceReleased
 	if g.promote(s, now) {
+		s.phase = sliceReleased
 		return
 	}
-	g.gateway.Log.Emit(event.SliceReleased, "pool", s.Pool, "epoch", s.Epoch, "owner", s.Owner)
-	g.gateway.wakeControl()
-}
-
-// resume takes a released slice back if its target has returned and the table still names it. The controller may have acted
-// on a report that is under way, so that the slice waits until such a report has either shown in the table or ended.
-func (g *group) resume(s *heldSlice, now clock.Instant) {
-	if !s.wanted || s.replaced || s.target.lost || g.state != wire.HoldActive {
+	if s.target.lost && g.state == wire.HoldActive && !g.controllerReachable() {
+		// Nobody could act on a release. The slice goes on if its target returns before the controller does.
 		return
 	}
-	s.phase = sliceWaiting
-	s.notBefore = now.Add(reportSettle)
+	s.phase = sliceReleased
+	g.gateway.Log.Emit(event.SliceReleased, "pool", s.Pool, "epoch", s.Epoch, "owner", s.Owner)
+	g.gateway.wakeControl()
 }
 
 // mayBeGranted tells whether the target may still believe in the slice.
@@ -231,7 +217,7 @@
 }
 
 func (g *group) activateSlice(s *heldSlice, now clock.Instant) {
-	if s.phase != sliceWaiting || now < s.notBefore || !g.startable(now) || g.state != wire.HoldActive {
+	if s.phase != sliceWaiting || !g.startable(now) || g.state != wire.HoldActive {
 		return
 	}
 	for _, o := range g.slices {
@@ -244,11 +230,15 @@
 	g.wakeGrant(s.target)
 }
 
+func (g *group) controllerReachable() bool {
+	reachable := g.gateway.ControllerReachable
+	return reachable == nil || reachable()
+}
+
 // promote makes the recorded successor in the same group the owner of a lost target's slice. Only a gateway whose
 // controller doesn't answer does so; it then never reports the slice as released, so that nobody else gets it.
 func (g *group) promote(s *heldSlice, now clock.Instant) bool {
-	reachable := g.gateway.ControllerReachable
-	if !s.target.lost || g.state != wire.HoldActive || reachable == nil || reachable() {
+	if !s.target.lost || g.state != wire.HoldActive || g.controllerReachable() {
 		return false
 	}
 	if len(s.Successors) == 0 || !g.gateway.authorized(now) {
