--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -1,14 +1,15 @@
 package bench
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -310,6 +311,32 @@
 	return all, nil
 }
 
+// counter sums a counter of the routers' metrics.
+func (d *deployment) counter(name string) (int64, error) {
+	var sum int64
+	for _, v := range d.vms {
+		response, err := d.client.Get("http://" + v.at("9090") + "/metrics")
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		for line := range strings.Lines(string(body)) {
+			var n float64
+			if strings.HasPrefix(line, name) {
+				if _, err := fmt.Sscan(line[strings.LastIndexByte(line, ' ')+1:], &n); err != nil {
+					return 0, trace.Wrap(err)
+				}
+				sum += int64(n)
+			}
+		}
+	}
+	return sum, nil
+}
+
 func (d *deployment) executed() (uint64, error) {
 	all, err := d.summaries()
 	var sum uint64
@@ -321,7 +348,12 @@
 
 // control changes settings of a target stand-in.
 func (d *deployment) control(t *config.Target, change string) error {
-	request, err := http.NewRequest(http.MethodPut, "http://"+controlAddress(t)+"/control", bytes.NewReader([]byte(change)))
+	return d.put("http://"+controlAddress(t)+"/control", change)
+}
+
+// put sends a change of settings or faults to a stand-in.
+func (d *deployment) put(url, change string) error {
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(change))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -331,7 +363,7 @@
 	}
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return trace.BadParameter("target %s: status %d", t.ID, response.StatusCode)
+		return trace.BadParameter("%s: status %d", url, response.StatusCode)
 	}
 	return nil
 }
