--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -29,8 +29,12 @@
 const (
 	// TickInterval is the time between two calls of Tick.
 	TickInterval = 50 * time.Millisecond
-	// renewInterval is the time between two renewals of the term, and between two reads by a candidate.
+	// renewInterval is the time between two renewals of the term.
 	renewInterval = 400 * time.Millisecond
+	// pollAhead and pollAgain are the times from a candidate's read to the next one: after one that found a renewal, and
+	// after one that found none.
+	pollAhead = 360 * time.Millisecond
+	pollAgain = 100 * time.Millisecond
 	// staleAfter is how long the term row must not have changed before a candidate takes over. A lost leader, the wait for
 	// the leases of its routers and the wait for their longest deadline together have to stay below 4 s. A slow store does
 	// not cause needless takeovers: the write is conditional on the row seen, which a live leader keeps changing.
@@ -93,6 +97,8 @@
 	seenRevision store.Revision
 	seenSince    clock.Instant
 	nextPoll     clock.Instant
+	// polledSince is seenSince at the last read by a candidate.
+	polledSince clock.Instant
 	// stopping tells that this process must not take a term any more.
 	stopping bool
 	released bool
--- a/pkg/gateway/target.go
+++ b/pkg/gateway/target.go
@@ -36,6 +36,8 @@
 	drainingAt clock.Instant
 	// shedUntil pauses new work after the target has refused some.
 	shedUntil clock.Instant
+	// brokenUntil pauses new work after a connection broke, unless a health poll is answered before.
+	brokenUntil clock.Instant
 	// probesFailed counts consecutive failed probes without an answer in between.
 	probesFailed int
 	// answeredAt is when the target last answered anything.
@@ -78,7 +80,7 @@
 
 // open tells whether the target may get new work.
 func (t *target) open(now clock.Instant) bool {
-	if t.lost || now < t.shedUntil {
+	if t.lost || now < t.shedUntil || now < t.brokenUntil {
 		return false
 	}
 	if t.group.pool.Keyed {
@@ -98,6 +100,20 @@
 	return max(0, t.limit()-len(t.tickets))
 }
 
+// freeSoon is like free, but counts the slots of exchanges that are over as free.
+func (t *target) freeSoon(now clock.Instant) int {
+	if t.alone != nil || !t.open(now) {
+		return 0
+	}
+	used := 0
+	for k := range t.tickets {
+		if !k.ending {
+			used++
+		}
+	}
+	return max(0, t.limit()-used)
+}
+
 // oldest returns the age of the oldest exchange that has not been answered yet.
 func (t *target) oldest(now clock.Instant) time.Duration {
 	var age time.Duration
