Record the controller's decisions, confirm lost routers, tell versions

Change: the controller records its four placement decisions to record_file; blctl confirm-lost writes the confirmation for the present term; pkg/version serves all tools.

Ruled out: recording every evaluation; those without a result would fill the file within minutes.

--- a/cmd/blcontroller/main.go
+++ b/cmd/blcontroller/main.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -24,8 +23,10 @@
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/metric"
 	"github.com/bronzelever/bronzelever/pkg/peer"
+	"github.com/bronzelever/bronzelever/pkg/record"
 	"github.com/bronzelever/bronzelever/pkg/settings"
 	"github.com/bronzelever/bronzelever/pkg/store/dynamo"
+	"github.com/bronzelever/bronzelever/pkg/version"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -42,21 +43,13 @@
 	var args arguments
 	kong.Parse(&args, kong.Name("blcontroller"),
 		kong.Description("Candidate for the controller of a bronzelever cell."),
-		kong.Vars{"version": version()})
+		kong.Vars{"version": version.String()})
 	if err := run(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return "unknown"
-	}
-	return info.Main.Version
-}
-
 func run(args arguments) error {
 	static, findings := settings.Load[settings.Controller](args.Settings)
 	if err := findings.Err(); err != nil {
@@ -101,8 +94,17 @@
 	defer st.Close()
 	client := peer.NewClient(static.VM)
 	defer client.Close()
+	o := options(static, logger)
+	if static.RecordFile != "" {
+		recorder, err := record.Open(static.RecordFile, record.DefaultMaxBytes)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = recorder.Close() }()
+		o.Recorder = recorder
+	}
 	p := &process{
-		controller: controller.NewController(options(static, logger), clock.Boottime{}, st, client, registry.Scope()),
+		controller: controller.NewController(o, clock.Boottime{}, st, client, registry.Scope()),
 		server:     peer.NewServer(static.VM),
 		log:        logger,
 		failed:     make(chan error, 2),
--- a/cmd/blctl/commands.go
+++ b/cmd/blctl/commands.go
@@ -184,6 +184,26 @@
 	return nil
 }
 
+type confirmLostCommand struct {
+	Cell string `arg:"" help:"Cell that lost more than half of its routers."`
+	Yes  bool   `required:"" help:"The silent routers are stopped for certain. A router that still runs makes a second owner of its keys."`
+}
+
+// Run records the confirmation for the present term.
+func (c *confirmLostCommand) Run(e *environment) error {
+	o, err := e.operator()
+	if err != nil {
+		return err
+	}
+	confirmation, err := o.ConfirmLost(e.ctx, c.Cell)
+	if err != nil {
+		return err
+	}
+	return e.print(confirmation, func(w io.Writer) {
+		fmt.Fprintf(w, "confirmed for cell %s, term %d\n", c.Cell, confirmation.Term)
+	})
+}
+
 type explainCommand struct {
 	Route  string `arg:"" help:"Route of a keyed pool."`
 	Key    string `arg:"" help:"Key. It is hashed here and not sent."`
--- a/cmd/blctl/main.go
+++ b/cmd/blctl/main.go
@@ -13,6 +13,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/posener/complete"
 	"github.com/willabides/kongplete"
+
+	"github.com/bronzelever/bronzelever/pkg/version"
 )
 
 // Exit codes; docs/OPERATIONS.md explains them.
@@ -36,6 +38,7 @@
 
 // commands is the command line.
 type commands struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
 	Settings string `help:"Operator settings file (JSON with comments)." env:"BLCTL_SETTINGS" default:"blctl.json" predictor:"file" type:"path"`
 	Output   string `help:"Output format: text or json." enum:"text,json" default:"text" short:"o"`
 
@@ -50,6 +53,8 @@
 	Explain  explainCommand  `cmd:"" help:"Tell who serves a key."`
 	Dump     dumpCommand     `cmd:"" help:"Print the state of a process from its admin address."`
 
+	ConfirmLost confirmLostCommand `cmd:"" help:"Confirm that no router of a cell runs that its controller does not hear from."`
+
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install shell completions."`
 }
 
@@ -89,6 +94,7 @@
 	exited, helpCode := false, 0
 	parser := kong.Must(&c,
 		kong.Name("blctl"),
+		kong.Vars{"version": version.String()},
 		kong.Description(description),
 		kong.Writers(stdout, stderr),
 		kong.Exit(func(code int) { exited, helpCode = true, code }),
--- a/cmd/blgen/main.go
+++ b/cmd/blgen/main.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/bronzelever/bronzelever/pkg/finding"
 	"github.com/bronzelever/bronzelever/pkg/questionnaire"
+	"github.com/bronzelever/bronzelever/pkg/version"
 )
 
 // Exit codes.
@@ -21,15 +22,16 @@
 )
 
 type arguments struct {
-	Answers string `arg:"" help:"Questionnaire with the answers (JSON with comments)."`
-	Output  string `short:"o" help:"File for the configuration; standard output if missing."`
-	Check   bool   `help:"Write nothing; exit with 3 if the output file differs from what would be generated."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Answers string           `arg:"" help:"Questionnaire with the answers (JSON with comments)."`
+	Output  string           `short:"o" help:"File for the configuration; standard output if missing."`
+	Check   bool             `help:"Write nothing; exit with 3 if the output file differs from what would be generated."`
 }
 
 func main() {
 	var args arguments
 	kong.Parse(&args,
-		kong.Name("blgen"),
+		kong.Name("blgen"), kong.Vars{"version": version.String()},
 		kong.Description("Generates a configuration from a questionnaire.\n\n"+
 			"Exit codes: 0 generated, 1 findings in the answers, 2 a file can't be read or written, 3 --check found a difference."))
 	os.Exit(run(args, os.Stdout, os.Stderr))
--- a/cmd/blload/main.go
+++ b/cmd/blload/main.go
@@ -15,21 +15,23 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/bronzelever/bronzelever/internal/load"
+	"github.com/bronzelever/bronzelever/pkg/version"
 )
 
 type cli struct {
-	URL         []string      `required:"" placeholder:"URL" help:"Base URLs of the entry routers."`
-	Class       []string      `required:"" sep:"none" placeholder:"KIND:RATE[,NAME=VALUE...]" help:"A class: read, order, upload or download with its rate per second. Names: name, tenant, path, weight, keys, zipf, repeat, bytes, timeout."`
-	Duration    time.Duration `default:"10s" help:"How long requests are sent."`
-	Seed        uint64        `default:"1" help:"Seed of the request sequence."`
-	MaxInFlight int           `default:"4096" help:"Requests in flight at most."`
-	Timeline    time.Duration `default:"0s" help:"Step of the timeline in the JSON report; 0 leaves it out."`
-	JSON        bool          `name:"json" help:"Print the report as JSON."`
+	Version     kong.VersionFlag `help:"Print the version and exit."`
+	URL         []string         `required:"" placeholder:"URL" help:"Base URLs of the entry routers."`
+	Class       []string         `required:"" sep:"none" placeholder:"KIND:RATE[,NAME=VALUE...]" help:"A class: read, order, upload or download with its rate per second. Names: name, tenant, path, weight, keys, zipf, repeat, bytes, timeout."`
+	Duration    time.Duration    `default:"10s" help:"How long requests are sent."`
+	Seed        uint64           `default:"1" help:"Seed of the request sequence."`
+	MaxInFlight int              `default:"4096" help:"Requests in flight at most."`
+	Timeline    time.Duration    `default:"0s" help:"Step of the timeline in the JSON report; 0 leaves it out."`
+	JSON        bool             `name:"json" help:"Print the report as JSON."`
 }
 
 func main() {
 	var c cli
-	kong.Parse(&c, kong.Name("blload"), kong.Description("Open-loop load generator that checks every answer."))
+	kong.Parse(&c, kong.Name("blload"), kong.Vars{"version": version.String()}, kong.Description("Open-loop load generator that checks every answer."))
 	wrong, err := run(c)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/blreplay/main.go
+++ b/cmd/blreplay/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/record"
 	"github.com/bronzelever/bronzelever/pkg/record/decision"
+	"github.com/bronzelever/bronzelever/pkg/version"
 )
 
 // Exit codes.
@@ -21,14 +22,15 @@
 )
 
 type arguments struct {
-	Files  []string `arg:"" help:"Recorded files, the oldest first."`
-	Output string   `help:"Output format: text or json." enum:"text,json" default:"text" short:"o"`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Files   []string         `arg:"" help:"Recorded files, the oldest first."`
+	Output  string           `help:"Output format: text or json." enum:"text,json" default:"text" short:"o"`
 }
 
 func main() {
 	var args arguments
 	kong.Parse(&args,
-		kong.Name("blreplay"),
+		kong.Name("blreplay"), kong.Vars{"version": version.String()},
 		kong.Description("Replays recorded decisions under a virtual clock.\n\n"+
 			"Exit codes: 0 all decisions came out as recorded, 1 some came out otherwise, 2 a file can't be read."))
 	os.Exit(run(args, os.Stdout, os.Stderr))
--- a/cmd/blrouter/main.go
+++ b/cmd/blrouter/main.go
@@ -12,7 +12,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -23,6 +22,7 @@
 	"github.com/bronzelever/bronzelever/pkg/metric"
 	"github.com/bronzelever/bronzelever/pkg/router"
 	"github.com/bronzelever/bronzelever/pkg/settings"
+	"github.com/bronzelever/bronzelever/pkg/version"
 )
 
 const (
@@ -53,7 +53,7 @@
 		kong.Name("blrouter"),
 		kong.Description("Routes requests to targets that own keys exclusively. Exit codes: 0 graceful end, 1 failure, "+
 			"2 invalid arguments or settings, 3 shutdown timed out with exchanges in flight."),
-		kong.Vars{"version": version()},
+		kong.Vars{"version": version.String()},
 		kong.Writers(out, errOut),
 		// --help and --version end the command after they have shown their text.
 		kong.Exit(func(int) { shown = true }),
@@ -94,7 +94,7 @@
 		logger.Emit(event.ProcessFailed, "error", err.Error())
 		return exitFailed
 	}
-	logger.Emit(event.ProcessStarted, "version", version())
+	logger.Emit(event.ProcessStarted, "version", version.String())
 	err = r.Run(ctx)
 	switch {
 	case err == nil:
@@ -106,11 +106,3 @@
 		return exitFailed
 	}
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
--- a/pkg/controller/groups.go
+++ b/pkg/controller/groups.go
@@ -362,7 +362,7 @@
 }
 
 func (l *leadership) grantFree(now clock.Instant) {
-	for _, m := range placement.AssignGroups(l.groupLoads(), l.candidates(now)) {
+	for _, m := range l.assignGroups(now) {
 		l.grant(now, l.groups[m.Group], m.To)
 	}
 }
@@ -423,7 +423,7 @@
 			return
 		}
 	}
-	move, ok := placement.RebalanceGroup(l.groupLoads(), l.candidates(now))
+	move, ok := l.rebalanceGroup(now)
 	if !ok {
 		return
 	}
--- a/pkg/controller/leader.go
+++ b/pkg/controller/leader.go
@@ -115,7 +115,7 @@
 		pools:        map[string]*pool{},
 		rosterBase:   s.record.Roster.Version,
 		nextRenew:    now.Add(renewInterval),
-		confirm:      row{key: confirmKey(s.o.Cell)},
+		confirm:      row{key: ConfirmKey(s.o.Cell)},
 		nextConfirm:  now.Add(confirmAfter),
 	}
 	l.rule.SetRosters(s.record.Roster, s.record.Previous)
--- a/pkg/controller/random_test.go
+++ b/pkg/controller/random_test.go
@@ -243,7 +243,7 @@
 
 // confirm writes the operator's confirmation for the present term.
 func (w *world) confirm() {
-	key := confirmKey("north")
+	key := ConfirmKey("north")
 	row, _ := w.store.Get(context.Background(), key)
 	c := Confirmation{Term: w.leader().lead.term, Sequence: w.leader().lead.sequence}
 	if _, err := w.store.Put(context.Background(), key, encode(c), row.Revision, fmt.Sprint("confirm", c)); err != nil {
--- a/pkg/controller/record.go
+++ b/pkg/controller/record.go
@@ -15,8 +15,8 @@
 	return fmt.Sprintf("cells/%s/term", cell)
 }
 
-// confirmKey is the row by which an operator confirms that no router process from before a term runs any more.
-func confirmKey(cell string) string {
+// ConfirmKey is the row by which an operator confirms that no router process from before a term runs any more.
+func ConfirmKey(cell string) string {
 	return fmt.Sprintf("cells/%s/confirm", cell)
 }
 
--- a/pkg/controller/slices.go
+++ b/pkg/controller/slices.go
@@ -211,8 +211,7 @@
 		return
 	}
 	if len(record.Slices) == 0 {
-		targets := placement.Targets(l.s.cfg, p.cfg, l.s.o.Region)
-		record.Slices = toRecords(placement.InitialSlices(p.name, targets, p.cfg.SlicesPerTarget))
+		record.Slices = toRecords(l.initialSlices(now, p))
 	}
 	p.write(l, now, record.Slices)
 }
@@ -381,8 +380,7 @@
 // plan changes next where owners are gone: all slices of lost targets at once, those of targets that are out or leaving
 // in steps. It returns whether anything changed.
 func (l *leadership) plan(now clock.Instant, p *pool, next []SliceRecord, targets []placement.Target) bool {
-	view := p.view()
-	moves := placement.Evacuate(view, targets, false)
+	moves := l.evacuate(now, p, targets, false)
 	if len(moves) == 0 {
 		return p.revive(next, targets) || p.anyPromoted() || l.refreshDue(now, p) && p.refreshSuccessors(next, targets)
 	}
@@ -483,7 +481,7 @@
 // every process that knows the record derives the same owner from it.
 func (l *leadership) promote(now clock.Instant, p *pool, targets []placement.Target) {
 	promoted := 0
-	for _, m := range placement.Evacuate(p.view(), targets, true) {
+	for _, m := range l.evacuate(now, p, targets, true) {
 		i := slices.IndexFunc(p.slices, func(sl *slice) bool { return sl.Low == m.Low })
 		sl := p.slices[i]
 		if sl.promoted {
--- a/pkg/controller/state.go
+++ b/pkg/controller/state.go
@@ -73,6 +73,8 @@
 	// Parse decodes and checks a configuration.
 	Parse func(data []byte, file string) (*config.Config, finding.List)
 	Log   *event.Logger
+	// Recorder is nil if nothing is recorded.
+	Recorder Recorder
 }
 
 // State is the state of one candidate. It isn't safe for concurrent use.
@@ -188,7 +190,7 @@
 	case headKey:
 		s.head.onRead(now, res)
 		s.onHead(res)
-	case confirmKey(s.o.Cell):
+	case ConfirmKey(s.o.Cell):
 		s.onConfirmation(res)
 	default:
 		s.onPoolRow(now, res.Key, func(r *row) outcome { return r.onRead(now, res) })
