Share one supervisor of child processes between the drivers

Cause: internal/bench/process.go repeated the supervisor of internal/quickstart.

Ruled out: importing quickstart from bench, whose deployment differs.

--- a/internal/bench/body.go
+++ b/internal/bench/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzelever/bronzelever/internal/child"
 	"github.com/bronzelever/bronzelever/pkg/config"
 )
 
@@ -99,15 +100,15 @@
 func (p *pair) watchMemory() func() (gateway, other int64) {
 	stop := make(chan struct{})
 	done := make(chan [2]int64)
-	processes := [2]*process{p.gatewayVM.router, p.otherVM.router}
-	before := [2]int64{processes[0].resident(), processes[1].resident()}
+	processes := [2]*child.Process{p.gatewayVM.router, p.otherVM.router}
+	before := [2]int64{processes[0].Resident(), processes[1].Resident()}
 	go func() {
 		var growth [2]int64
 		ticker := time.NewTicker(memoryInterval)
 		defer ticker.Stop()
 		for {
 			for i, process := range processes {
-				growth[i] = max(growth[i], process.resident()-before[i])
+				growth[i] = max(growth[i], process.Resident()-before[i])
 			}
 			select {
 			case <-stop:
--- a/internal/bench/control.go
+++ b/internal/bench/control.go
@@ -107,11 +107,11 @@
 func (d *deployment) usages() ([][2]usage, error) {
 	var all [][2]usage
 	for _, v := range d.vms {
-		router, err := v.router.usage()
+		router, err := usageOf(v.router)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		controller, err := v.controller.usage()
+		controller, err := usageOf(v.controller)
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bronzelever/bronzelever/internal/child"
 	"github.com/bronzelever/bronzelever/internal/standin/platform"
 	"github.com/bronzelever/bronzelever/internal/standin/target"
 	"github.com/bronzelever/bronzelever/pkg/config"
@@ -43,8 +44,8 @@
 type vm struct {
 	settings.Identity
 	address    string
-	router     *process
-	controller *process
+	router     *child.Process
+	controller *child.Process
 }
 
 func (v *vm) at(port string) string {
@@ -66,7 +67,7 @@
 
 // deployment is a running set of processes.
 type deployment struct {
-	*supervisor
+	*child.Supervisor
 	spec
 	vms      []*vm
 	client   *http.Client
@@ -81,7 +82,7 @@
 		return nil, trace.ConvertSystemError(err)
 	}
 	d := &deployment{
-		supervisor: &supervisor{binDir: r.BinDir, logDir: dir},
+		Supervisor: &child.Supervisor{BinDir: r.BinDir, LogDir: dir},
 		spec:       s,
 		client:     &http.Client{Timeout: callTimeout},
 		peers:      peer.NewClient("bench"),
@@ -107,13 +108,13 @@
 }
 
 func (d *deployment) close() {
-	d.killAll()
+	d.KillAll()
 	d.peers.Close()
 	d.client.CloseIdleConnections()
 }
 
 func (d *deployment) startAll(ctx context.Context) error {
-	if _, err := d.start("platform", "platformstandin", "--listen", platformAddress); err != nil {
+	if _, err := d.Start("platform", "platformstandin", "--listen", platformAddress); err != nil {
 		return trace.Wrap(err)
 	}
 	if err := waitFor(ctx, startTimeout, "platform stand-in", func() bool { _, err := d.counts(); return err == nil }); err != nil {
@@ -139,7 +140,7 @@
 	if err := waitFor(ctx, readyTimeout, "all groups and slices served", func() bool { return d.served(ctx) }); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(d.allRunning())
+	return trace.Wrap(d.AllRunning())
 }
 
 func (d *deployment) startTargets() error {
@@ -155,7 +156,7 @@
 				"--connections", strconv.Itoa(pool.Connections),
 				"--seed", strconv.Itoa(n + 1),
 			}, d.targetArgs...)
-			if _, err := d.start("target-"+t.ID, "targetstandin", args...); err != nil {
+			if _, err := d.Start("target-"+t.ID, "targetstandin", args...); err != nil {
 				return trace.Wrap(err)
 			}
 		}
@@ -169,8 +170,8 @@
 }
 
 func (d *deployment) startVM(v *vm) error {
-	routerFile := filepath.Join(d.logDir, "router-"+v.VM+".json")
-	controllerFile := filepath.Join(d.logDir, "controller-"+v.VM+".json")
+	routerFile := filepath.Join(d.LogDir, "router-"+v.VM+".json")
+	controllerFile := filepath.Join(d.LogDir, "controller-"+v.VM+".json")
 	err := writeJSON(routerFile, settings.Router{
 		Identity:     v.Identity,
 		CallerListen: v.at("8080"),
@@ -195,10 +196,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if v.controller, err = d.start("controller-"+v.VM, "blcontroller", controllerFile); err != nil {
+	if v.controller, err = d.Start("controller-"+v.VM, "blcontroller", controllerFile); err != nil {
 		return trace.Wrap(err)
 	}
-	v.router, err = d.start("router-"+v.VM, "blrouter", routerFile)
+	v.router, err = d.Start("router-"+v.VM, "blrouter", routerFile)
 	return trace.Wrap(err)
 }
 
--- a/internal/bench/slopes.go
+++ b/internal/bench/slopes.go
@@ -262,11 +262,11 @@
 		var x, entry, gateway []float64
 		for _, rate := range []float64{250, 500, 1000, 2000} {
 			cpu := func() (usage, usage, error) {
-				a, err := p.otherVM.router.usage()
+				a, err := usageOf(p.otherVM.router)
 				if err != nil {
 					return a, a, trace.Wrap(err)
 				}
-				b, err := p.gatewayVM.router.usage()
+				b, err := usageOf(p.gatewayVM.router)
 				return a, b, trace.Wrap(err)
 			}
 			e0, g0, err := cpu()
--- a/internal/quickstart/deployment.go
+++ b/internal/quickstart/deployment.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzelever/bronzelever/internal/child"
 	"github.com/bronzelever/bronzelever/internal/standin/balancer"
 	"github.com/bronzelever/bronzelever/pkg/config"
 	"github.com/bronzelever/bronzelever/pkg/settings"
@@ -43,8 +44,8 @@
 type vm struct {
 	settings.Identity
 	address    string
-	router     *process
-	controller *process
+	router     *child.Process
+	controller *child.Process
 }
 
 func (v *vm) at(port string) string {
@@ -59,13 +60,13 @@
 
 // deployment is the set of processes of one user.
 type deployment struct {
-	*supervisor
+	*child.Supervisor
 	layout
 	dir      string
 	config   *config.Config
 	vms      []*vm
-	targets  map[string]*process
-	platform *process
+	targets  map[string]*child.Process
+	platform *child.Process
 	client   *http.Client
 }
 
@@ -73,11 +74,11 @@
 func newDeployment(binDir, dir string, cfg *config.Config, l layout) *deployment {
 	l.moveAddresses(cfg)
 	d := &deployment{
-		supervisor: &supervisor{binDir: binDir, logDir: dir},
+		Supervisor: &child.Supervisor{BinDir: binDir, LogDir: dir},
 		layout:     l,
 		dir:        dir,
 		config:     cfg,
-		targets:    map[string]*process{},
+		targets:    map[string]*child.Process{},
 		client:     &http.Client{Timeout: 2 * time.Second},
 	}
 	for r, region := range cfg.Regions {
@@ -119,7 +120,7 @@
 // startAll starts platform, targets and entry VMs. The processes become ready on their own.
 func (d *deployment) startAll() error {
 	var err error
-	d.platform, err = d.start("platform", "platformstandin", "--listen", d.platformAddress())
+	d.platform, err = d.Start("platform", "platformstandin", "--listen", d.platformAddress())
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -157,7 +158,7 @@
 	if cold {
 		args = append(args, "--cold")
 	}
-	p, err := d.start("target-"+t.ID, "targetstandin", args...)
+	p, err := d.Start("target-"+t.ID, "targetstandin", args...)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -180,11 +181,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	v.controller, err = d.start("controller-"+v.VM, "blcontroller", controllerFile)
+	v.controller, err = d.Start("controller-"+v.VM, "blcontroller", controllerFile)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	v.router, err = d.start("router-"+v.VM, "blrouter", routerFile)
+	v.router, err = d.Start("router-"+v.VM, "blrouter", routerFile)
 	return trace.Wrap(err)
 }
 
--- a/internal/quickstart/faults.go
+++ b/internal/quickstart/faults.go
@@ -145,7 +145,7 @@
 		r.step("preparation", err)
 		return
 	}
-	defer f.killAll()
+	defer f.KillAll()
 	unsolicited := &lineCounter{match: "Unsolicited response"}
 	log.SetOutput(unsolicited)
 	if err := f.runAll(ctx); err != nil {
--- a/internal/quickstart/faults_process.go
+++ b/internal/quickstart/faults_process.go
@@ -43,7 +43,7 @@
 	for _, cell := range f.operator.Status(ctx).Cells {
 		for _, m := range cell.Members {
 			if cell.Cell == region && m.Groups > most {
-				if v := f.vmNamed(m.VM); v != nil && v.router.running() {
+				if v := f.vmNamed(m.VM); v != nil && v.router.Running() {
 					best, most = v, m.Groups
 				}
 			}
@@ -80,11 +80,11 @@
 	}
 	keys := f.allKeys()
 	begin := time.Now()
-	victim.router.signal(syscall.SIGSTOP)
+	victim.router.Signal(syscall.SIGSTOP)
 	again := f.prober.servedAgain(ctx, keys)
 	atMost(f.report, "all keys served again", milliseconds(again), maxServedAgain, "ms")
 	time.Sleep(time.Until(begin.Add(pauseTime)))
-	victim.router.signal(syscall.SIGCONT)
+	victim.router.Signal(syscall.SIGCONT)
 	time.Sleep(settleTime)
 	return trace.Wrap(f.waitRecovered(ctx))
 }
@@ -98,12 +98,12 @@
 	}
 	byOwner := f.prober.keysByOwner()
 	watched := f.prober.watch(ctx, someOf(byOwner, ""))
-	victim.controller.signal(syscall.SIGSTOP)
+	victim.controller.Signal(syscall.SIGSTOP)
 	time.Sleep(controllerPause)
-	victim.controller.signal(syscall.SIGCONT)
+	victim.controller.Signal(syscall.SIGCONT)
 	f.judgeWatch("keys: reads without an answer while the controller is paused", watched)
 	lost := pool.Targets[0]
-	f.targets[lost.ID].kill()
+	f.targets[lost.ID].Kill()
 	again := f.prober.servedAgain(ctx, byOwner[lost.ID])
 	atMost(f.report, "keys of a killed target served again", milliseconds(again), maxServedAgain, "ms")
 	if err := f.startTarget(*pool, lost, true); err != nil {
@@ -127,14 +127,14 @@
 		}
 	}
 	for _, v := range victims {
-		v.router.signal(syscall.SIGKILL)
-		v.controller.signal(syscall.SIGKILL)
+		v.router.Signal(syscall.SIGKILL)
+		v.controller.Signal(syscall.SIGKILL)
 	}
 	again := f.prober.servedAgain(ctx, keys)
 	atMost(f.report, "all keys served again", milliseconds(again), maxServedAgain, "ms")
 	for _, v := range victims {
-		v.router.kill()
-		v.controller.kill()
+		v.router.Kill()
+		v.controller.Kill()
 		if err := f.startVM(v); err != nil {
 			return trace.Wrap(err)
 		}
@@ -147,7 +147,7 @@
 func (f *faultRun) waitRecovered(ctx context.Context) error {
 	return waitFor(recoverTimeout, "complete service", func() bool {
 		for _, v := range f.vms {
-			if !v.router.running() || !f.ready(v) {
+			if !v.router.Running() || !f.ready(v) {
 				return false
 			}
 		}
@@ -159,9 +159,9 @@
 func replaceEntryVMs(ctx context.Context, f *faultRun) error {
 	var failed []error
 	for _, v := range f.vms {
-		err := v.router.stop(stopTimeout)
-		f.report.step("graceful stop of "+v.router.name, err)
-		f.report.step("graceful stop of "+v.controller.name, v.controller.stop(stopTimeout))
+		err := v.router.Stop(stopTimeout)
+		f.report.step("graceful stop of "+v.router.Name, err)
+		f.report.step("graceful stop of "+v.controller.Name, v.controller.Stop(stopTimeout))
 		if err := f.startVM(v); err != nil {
 			return trace.Wrap(err)
 		}
@@ -218,8 +218,8 @@
 		})
 	}
 	time.Sleep(midRequest)
-	victim.router.kill()
-	victim.controller.kill()
+	victim.router.Kill()
+	victim.controller.Kill()
 	sent.Wait()
 	return answered
 }
@@ -230,12 +230,12 @@
 	keys := f.allKeys()
 	time.Sleep(settleTime)
 	for _, v := range f.vms {
-		v.router.signal(syscall.SIGKILL)
-		v.controller.signal(syscall.SIGKILL)
+		v.router.Signal(syscall.SIGKILL)
+		v.controller.Signal(syscall.SIGKILL)
 	}
 	for _, v := range f.vms {
-		v.router.kill()
-		v.controller.kill()
+		v.router.Kill()
+		v.controller.Kill()
 	}
 	begin := time.Now()
 	for _, v := range f.vms {
--- a/internal/quickstart/faults_store.go
+++ b/internal/quickstart/faults_store.go
@@ -64,7 +64,7 @@
 	}
 	others := f.prober.watch(ctx, someOf(byOwner, victim.ID))
 	time.Sleep(storeLossTime)
-	f.targets[victim.ID].kill()
+	f.targets[victim.ID].Kill()
 	again := f.prober.servedAgain(ctx, byOwner[victim.ID])
 	atMost(f.report, "keys of the killed target served again", milliseconds(again), maxServedAgain, "ms")
 	time.Sleep(settleTime)
@@ -99,7 +99,7 @@
 	}
 	watched := f.prober.watch(ctx, someOf(byOwner, ""))
 	time.Sleep(time.Second)
-	victim.controller.kill()
+	victim.controller.Kill()
 	time.Sleep(2 * storeLossTime)
 	f.judgeWatch("keys: reads without an answer while store and controller are lost", watched)
 	if err := f.storeFaults(platform.Faults{}); err != nil {
@@ -129,7 +129,7 @@
 	}
 	results := make(chan operator.Result, 1)
 	go func() { results <- f.takeOut(ctx, operator.FailureDomain, domain) }()
-	victim.router.kill()
+	victim.router.Kill()
 	again := f.prober.servedAgain(ctx, keys)
 	atMost(f.report, "all keys served again", milliseconds(again), maxServedAgain, "ms")
 	result := <-results
@@ -146,7 +146,7 @@
 	back := f.operator.In(ctx, operator.FailureDomain, domain, operator.ApplyOptions{Reason: "maintenance done"})
 	f.report.add(outcome{name: "domain back in service", measured: string(back.Outcome), bound: string(operator.Accepted),
 		ok: back.Outcome == operator.Accepted})
-	victim.controller.kill()
+	victim.controller.Kill()
 	if err := f.startVM(victim); err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/quickstart/faults_target.go
+++ b/internal/quickstart/faults_target.go
@@ -108,7 +108,7 @@
 func (f *faultRun) lost(pool *config.Pool) int {
 	n := 0
 	for _, t := range pool.Targets {
-		if !f.targets[t.ID].running() {
+		if !f.targets[t.ID].Running() {
 			n++
 		}
 	}
@@ -139,7 +139,7 @@
 	for _, p := range []*config.Pool{pool, f.orderPool(), f.bundlePool()} {
 		cold := p.Targets[len(p.Targets)-1]
 		f.collector.Collect(ctx)
-		f.targets[cold.ID].kill()
+		f.targets[cold.ID].Kill()
 		if err := f.startTarget(*p, cold, true); err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/quickstart/run.go
+++ b/internal/quickstart/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/bronzelever/bronzelever/internal/child"
 	"github.com/bronzelever/bronzelever/internal/load"
 	"github.com/bronzelever/bronzelever/internal/standin/check"
 	"github.com/bronzelever/bronzelever/pkg/config"
@@ -53,7 +54,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	defer s.killAll()
+	defer s.KillAll()
 	r.note("entry VMs", fmt.Sprint(len(s.vms)))
 	r.note("targets", fmt.Sprint(len(s.targetsIn(""))))
 	if err := s.run(ctx); err != nil {
@@ -83,7 +84,7 @@
 	stopCollecting()
 	s.judgeLoad(result.report)
 	s.judgeRecords(check.Records(collector.Records()))
-	atMost(s.report, "resident memory of all processes", s.residentTotal()>>20, maxResidentBytes>>20, "MiB")
+	atMost(s.report, "resident memory of all processes", s.ResidentTotal()>>20, maxResidentBytes>>20, "MiB")
 	s.stop()
 	return trace.Wrap(s.replayDecisions())
 }
@@ -213,23 +214,12 @@
 
 // stop ends everything gracefully: entry VMs first, then targets, then the platform.
 func (s *scenario) stop() {
-	isEntry := func(p *process) bool {
-		return strings.HasPrefix(p.name, "router-") || strings.HasPrefix(p.name, "controller-")
+	isEntry := func(p *child.Process) bool {
+		return strings.HasPrefix(p.Name, "router-") || strings.HasPrefix(p.Name, "controller-")
 	}
-	s.report.step("graceful stop of the entry VMs", s.stopAll(stopTimeout, isEntry))
+	s.report.step("graceful stop of the entry VMs", s.StopAll(stopTimeout, isEntry))
 	s.stopBalancers()
-	isTarget := func(p *process) bool { return strings.HasPrefix(p.name, "target-") }
-	s.report.step("graceful stop of the targets", s.stopAll(stopTimeout, isTarget))
-	s.platform.kill()
-}
-
-// killAll ends what is still running.
-func (s *scenario) killAll() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.processes {
-		if p.running() {
-			p.kill()
-		}
-	}
+	isTarget := func(p *child.Process) bool { return strings.HasPrefix(p.Name, "target-") }
+	s.report.step("graceful stop of the targets", s.StopAll(stopTimeout, isTarget))
+	s.platform.Kill()
 }
--- a/internal/quickstart/scenario.go
+++ b/internal/quickstart/scenario.go
@@ -121,7 +121,7 @@
 func (s *scenario) waitServing(ctx context.Context) error {
 	return waitFor(readyTimeout, "all entry VMs ready, all groups and slices served", func() bool {
 		for _, v := range s.vms {
-			if v.router.running() && !s.ready(v) {
+			if v.router.Running() && !s.ready(v) {
 				return false
 			}
 		}
--- a/internal/quickstart/steps.go
+++ b/internal/quickstart/steps.go
@@ -47,7 +47,7 @@
 	if len(keys) == 0 {
 		return trace.NotFound("no probed key is owned by %s", victim.ID)
 	}
-	s.targets[victim.ID].kill()
+	s.targets[victim.ID].Kill()
 	again := s.prober.servedAgain(ctx, keys)
 	atMost(s.report, fmt.Sprintf("keys of killed target served again (%d keys)", len(keys)), milliseconds(again), maxServedAgain, "ms")
 	return trace.Wrap(s.startTarget(*pool, victim, true))
@@ -107,8 +107,8 @@
 	}
 	victim := s.vms[i]
 	keys := watched(s.prober.keysByOwner())
-	victim.router.kill()
-	victim.controller.kill()
+	victim.router.Kill()
+	victim.controller.Kill()
 	again := s.prober.servedAgain(ctx, keys)
 	atMost(s.report, fmt.Sprintf("all keys served again after loss of %s (%d keys)", role, len(keys)), milliseconds(again), maxServedAgain, "ms")
 	return trace.Wrap(s.startVM(victim))
