Refuse orders on keyed pools whose targets don't deduplicate

Cause: claims of orders stay with the group. After a slice has moved to another group, a repeat of an order on a keyed pool meets a gateway without the claim and would run again.

Ruled out: moving claims with slices, which needs a change of the hand-over between gateways; it stays open.

Figures: none of the examples has such a route; TestOrdersOnKeyedPoolsNeedDeduplication fails without the check, since no finding names it.

--- a/pkg/config/parse_test.go
+++ b/pkg/config/parse_test.go
@@ -196,3 +196,18 @@
 		t.Error("Clone shares targets")
 	}
 }
+
+// Guards against orders that run twice because their claim stays behind when the slice of their key moves.
+func TestOrdersOnKeyedPoolsNeedDeduplication(t *testing.T) {
+	other := `{
+		"name": "calibrate", "path_prefix": "/taratura", "methods": ["POST"], "pool": "stato", "class": "order", "weight": 1,
+		"idempotent": false, "key": {"place": "header", "name": "X-Key"}, "deadline_ms": 800, "home_regions": [],
+	},
+	{
+			"name": "order"`
+	data := strings.Replace(valid, "{\n\t\t\t\"name\": \"order\"", other, 1)
+	_, findings := Parse([]byte(data), "c.json")
+	if !strings.Contains(findings.Error(), "do not deduplicate") {
+		t.Error(findings)
+	}
+}
--- a/pkg/config/routes.go
+++ b/pkg/config/routes.go
@@ -153,6 +153,12 @@
 		return
 	}
 	at := jsonc.Join(path, "idempotent")
+	if p.Keyed && !p.Deduplicates {
+		// The claim of an order stays with the group that ran it. After a slice has moved to another group, a repeat would
+		// find no claim there and run again.
+		message := fmt.Sprintf("the route is not idempotent, and the targets of keyed pool %q do not deduplicate", p.Name)
+		v.Fail(at, message, "an idempotent route, a pool without keys, or targets that deduplicate")
+	}
 	if p.RepeatWindow <= 0 {
 		message := fmt.Sprintf("the route is not idempotent and pool %q has no repeat_window_ms", p.Name)
 		v.Fail(at, message, "a repeat window, or an idempotent route")
