Confirm lost routers in the fault scenario as operators do

Cause: scenario 11 wrote the confirmation row by itself, a copy of operator.ConfirmLost; the documented command was shown by no run with real processes.

--- a/internal/quickstart/faults_process.go
+++ b/internal/quickstart/faults_process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -12,16 +11,14 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/bronzelever/bronzelever/pkg/controller"
-	"github.com/bronzelever/bronzelever/pkg/store"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
 const (
 	pauseTime = 5 * time.Second
-	// controllerPause is longer than the 4 s after which a term that isn't renewed is stale.
+	// controllerPause is longer than the 1.4 s after which a term that isn't renewed is stale.
 	controllerPause = 7 * time.Second
-	// storeLossTime is longer than the 4 s after which a term that isn't renewed is stale.
+	// storeLossTime is longer than the 1.4 s after which a term that isn't renewed is stale.
 	storeLossTime = 5 * time.Second
 	// unconfirmedTime is longer than the 5 s after which a controller looks for a confirmation.
 	unconfirmedTime = 8 * time.Second
@@ -330,21 +327,8 @@
 	return nil, trace.NotFound("no active controller")
 }
 
-// confirm writes the operator's confirmation that no router from before the term runs.
+// confirm records the operator's confirmation that no router from before the term runs.
 func (f *faultRun) confirm(ctx context.Context, status *wire.StatusReply) error {
-	confirmation := controller.Confirmation{Term: status.Term}
-	if status.Table != nil {
-		confirmation.Sequence = status.Table.Version.Sequence
-	}
-	key := "cells/" + status.Cell + "/confirm"
-	value, err := json.Marshal(confirmation)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	row, err := f.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
-		return trace.Wrap(err)
-	}
-	_, err = f.store.Put(ctx, key, value, row.Revision, "faults")
+	_, err := f.operator.ConfirmLost(ctx, status.Cell)
 	return trace.Wrap(err)
 }
