Answer all callers of a crash after its report has spread

Cause: a crash breaks several connections of a target. The exchange that noticed it first marked all requests in flight as reported and told the other routers; the exchange of the request that crashed the target, noticing it second, found nothing to report and answered its caller at once, who could come back through a router that didn't know the suspect.

Change: exchanges of the same crash share one report and wait until it has spread (at most suspectsTimeout).

Ruled out: an unknown outcome without a crash (the test's deadlines are 1 s, it was answered after 0.02 s).

--- a/pkg/gateway/admit.go
+++ b/pkg/gateway/admit.go
@@ -36,8 +36,8 @@
 	released bool
 	// ending tells that the exchange is over and only the target's close is awaited, which takes about one round trip.
 	ending bool
-	// suspected tells that a crash of the target has been counted for the request.
-	suspected bool
+	// report is the crash of the target that has been counted for the request, nil if there is none.
+	report *crashReport
 }
 
 // retryAfter spreads the return of refused callers over [d, 2d).
--- a/pkg/gateway/forward.go
+++ b/pkg/gateway/forward.go
@@ -119,7 +119,7 @@
 		f.group.release(f.ticket)
 		return
 	case endedBroken:
-		f.gateway.crashed(f.group.id.Pool(), f.group.broke(f.ticket), f.ticket.waiter.alone)
+		f.gateway.crashed(f.group.broke(f.ticket))
 	case endedCancelled:
 		f.group.timedOut(f.ticket, time.Until(f.deadline) <= 0)
 	}
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -215,9 +215,10 @@
 	g.probeSoon(t)
 }
 
-// broke records a connection that broke during an exchange: the target may have restarted. It returns the requests
-// that were in flight at the target and have not been returned for the same crash.
-func (g *group) broke(k *ticket) []exposed {
+// broke records a connection that broke during an exchange: the target may have restarted. It returns a report of the
+// requests that were in flight at the target and haven't been reported for the same crash, and the report that another
+// exchange has begun for this one, nil if there is none.
+func (g *group) broke(k *ticket) (own, earlier *crashReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	k.target.ramp.markCold()
@@ -225,14 +226,17 @@
 	k.target.brokenUntil = g.clock.Now().Add(brokenPause)
 	g.probeSoon(k.target)
 	g.noteState(k.target)
-	var found []exposed
+	own, earlier = newCrashReport(g.id.Pool(), k.waiter.alone), k.report
 	for o := range k.target.tickets {
-		if !o.suspected && o.waiter.fingerprint != 0 {
-			found = append(found, exposed{fingerprint: o.waiter.fingerprint, homeRegions: o.waiter.homeRegions})
+		if o.report != nil {
+			continue
+		}
+		o.report = own
+		if o.waiter.fingerprint != 0 {
+			own.found = append(own.found, exposed{fingerprint: o.waiter.fingerprint, homeRegions: o.waiter.homeRegions})
 		}
-		o.suspected = true
 	}
-	return found
+	return own, earlier
 }
 
 // ending marks a slot whose exchange is over.
--- a/pkg/gateway/harness_test.go
+++ b/pkg/gateway/harness_test.go
@@ -119,6 +119,13 @@
 	return record.Executions
 }
 
+// load returns what the target's load endpoint answers.
+func (b *backend) load() string {
+	recorder := httptest.NewRecorder()
+	b.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/load", nil))
+	return strings.TrimSpace(recorder.Body.String())
+}
+
 // outcomeOf returns the outcome of a refusal, "" for any other error.
 func outcomeOf(err error) problem.Outcome {
 	var refusal *problem.Error
@@ -284,6 +291,8 @@
 	suspects []wire.Suspects
 	// crossed holds the fingerprints sent to each other region.
 	crossed map[string][]uint64
+	// hold keeps SendSuspects from returning until it is closed, if it is set.
+	hold chan struct{}
 }
 
 func newFakeCell() *fakeCell {
@@ -304,8 +313,12 @@
 
 func (c *fakeCell) SendSuspects(_ context.Context, m *wire.Suspects) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.suspects = append(c.suspects, *m)
+	hold := c.hold
+	c.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 }
 
 func (c *fakeCell) SendSuspectsToRegion(_ context.Context, region, _ string, m *wire.Suspects) {
--- a/pkg/gateway/suspects.go
+++ b/pkg/gateway/suspects.go
@@ -52,10 +52,33 @@
 		"two targets failed while they executed this request")
 }
 
+// crashReport is what was in flight at a target when one of its connections broke.
+type crashReport struct {
+	pool string
+	// alone tells that a suspect had the target to itself.
+	alone bool
+	found []exposed
+	// spread is closed once the other routers know the suspects or suspectsTimeout has passed.
+	spread chan struct{}
+}
+
+func newCrashReport(pool string, alone bool) *crashReport {
+	return &crashReport{pool: pool, alone: alone, spread: make(chan struct{})}
+}
+
 // crashed records what was in flight when a target's connection broke and tells the other routers, before the caller is
-// answered and may come back through another router.
-func (gw *Gateway) crashed(pool string, found []exposed, alone bool) {
-	suspects := gw.suspects.Crash(fingerprints(found), alone)
+// answered and may come back through another router. A crash breaks all connections of the target at about the same time;
+// the exchange that notices it first reports all of them, and the others wait for its report.
+func (gw *Gateway) crashed(own, earlier *crashReport) {
+	gw.report(own)
+	close(own.spread)
+	if earlier != nil {
+		<-earlier.spread
+	}
+}
+
+func (gw *Gateway) report(r *crashReport) {
+	suspects := gw.suspects.Crash(fingerprints(r.found), r.alone)
 	if len(suspects) == 0 {
 		return
 	}
@@ -69,7 +92,7 @@
 	if count > 0 {
 		gw.Log.Emit(event.RequestQuarantined, "requests", count)
 	}
-	gw.spreadSuspects(pool, suspects, found)
+	gw.spreadSuspects(r.pool, suspects, r.found)
 }
 
 // exposed is a request that was in flight at a target whose connection broke.
