Count owners of a first table as offered their keys

The slices of a pool's first table have no previous owner, so that the coordinator never marked them as offered. When the first grants to an owner had no answer and it was given up, the planner took it that the owner was never offered the keys and replaced it without a wait; the grant on its way took effect beside the second owner's.

Ruled out: an oversized row of the table (nothing refused), a second coordinator (one in the trial's logs).

--- a/pkg/coordinator/pools.go
+++ b/pkg/coordinator/pools.go
@@ -238,8 +238,8 @@
 
 func (c *Coordinator) driveSlice(p *poolState, s *keyrange.Slice, now clock.Instant) {
 	g := p.grants[s.Fence]
-	if !g.ready && s.Previous != "" && !g.offered {
-		if !c.previousFree(p, s, g, now) {
+	if !g.ready && !g.offered {
+		if s.Previous != "" && !c.previousFree(p, s, g, now) {
 			c.driveRelease(p, s, g, now)
 			return
 		}
