--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -33,10 +34,11 @@
 )
 
 type arguments struct {
-	Settings string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
-	Check    bool             `help:"Check the settings and exit."`
-	LogLevel string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
-	Version  kong.VersionFlag `help:"Show the version and exit."`
+	Settings  string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
+	Check     bool             `help:"Check the settings and exit."`
+	LogLevel  string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
+	Advertise string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
+	Version   kong.VersionFlag `help:"Show the version and exit."`
 }
 
 func main() {
@@ -57,6 +59,10 @@
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitInvalid
 	}
+	if err := advertise(&settings, parsed.Advertise); err != nil {
+		_, _ = fmt.Fprintln(errOut, "blentry:", err)
+		return exitInvalid
+	}
 	level, err := log.ParseLevel(parsed.LogLevel)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
@@ -71,6 +77,18 @@
 	return serve(ctx, parsed.Settings, settings, event.NewLogger(buffer, level, "process", "blentry", "vm", settings.VM))
 }
 
+// advertise sets the address that other VMs are told, unless it is empty.
+func advertise(settings *entry.Settings, address string) error {
+	if address == "" {
+		return nil
+	}
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return fmt.Errorf("--advertise: %w", err)
+	}
+	settings.Advertise = address
+	return nil
+}
+
 func parse(args []string, out, errOut io.Writer) (arguments, int, bool) {
 	var parsed arguments
 	shown := false
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -188,7 +188,11 @@
 	return c
 }
 
+// relayAddress is where the other VMs reach this one.
 func (c *Control) relayAddress() string {
+	if c.settings.Advertise != "" {
+		return c.settings.Advertise
+	}
 	return net.JoinHostPort(c.settings.IP, fmt.Sprint(c.settings.FirstPort))
 }
 
