Let one VM of a far region pass the tables on to the others there

Change: pkg/replica Distribution chooses in each other region with 12 VMs or more the strongest VM as distributor; the others get tables and routes from it and only verdicts from the coordinator. A distributor that few can't reach is bypassed by those for 5 s, one that many doubt is replaced. It goes on when the coordinator is lost, so that its region reads the store once. The first sites have 5 or 6 VMs in a region and are unchanged.

Ruled out: larger time limits (the link stays full); packing (already done).

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -117,7 +117,17 @@
 	relayFreshAt clock.Instant
 	storeDown    bool
 
-	followers         map[*replica.Follower]bool
+	followers    map[*replica.Follower]bool
+	distribution *replica.Distribution
+	// subscribers are the VMs that take this one for their distributor; source is this VM's own.
+	subscribers map[*replica.Follower]bool
+	source      tableSource
+	// silentSource is a distributor that isn't turned to until silentUntil.
+	silentSource string
+	silentUntil  clock.Instant
+	// passedOn are the routes that the subscribers have, as of passedOnAt.
+	passedOn          map[string][]coordinator.Route
+	passedOnAt        time.Time
 	published         map[string]map[string]rowstore.Row
 	publishedVersions map[string]uint64
 	packed            []byte
@@ -180,7 +190,8 @@
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
 		balancer: o.Balancer, onView: o.OnView, events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loads: newLoadWindow(), polling: map[string]bool{}, reads: map[string]int{}, nextPoll: map[string]clock.Instant{},
-		followers: map[*replica.Follower]bool{}, stopped: make(chan struct{}),
+		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
+		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
 	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.Budget, c.used.add))
 	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress()})
@@ -225,6 +236,7 @@
 		select {
 		case <-ctx.Done():
 			c.unfollow()
+			c.leaveDistributor()
 			return
 		case f := <-c.events:
 			f()
@@ -265,9 +277,9 @@
 	}
 	if leading {
 		c.run(c.coordinator.Advance(now))
-		if now.Sub(c.publishedAt) >= publishInterval {
-			c.publish(now, true)
-		}
+	}
+	if now.Sub(c.publishedAt) >= publishInterval {
+		c.publish(now, leading)
 	}
 }
 
@@ -276,6 +288,7 @@
 	c.noteLeading(leading)
 	c.poll(now, leading)
 	c.follow(now, leading)
+	c.checkDistributor(now)
 	c.report(now, leading)
 	if c.stopRequest {
 		c.giveUpRole(now)
@@ -458,9 +471,14 @@
 		return
 	}
 	c.wasLeading = leading
+	for f := range c.subscribers {
+		f.Close()
+	}
 	if leading {
 		c.unfollow()
+		c.leaveDistributor()
 		c.published, c.lastRoutes = nil, nil
+		c.distribution = replica.NewDistribution(c.settings.Region)
 		c.placer.use(true, nil)
 		c.updateBroker()
 		return
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -16,14 +16,15 @@
 // poll starts the reads of the store that are due.
 func (c *Control) poll(now clock.Instant, leading bool) {
 	interval := leaderPoll
+	relayed := c.tablesRelayed(now)
 	if !leading {
-		if c.fresh(now) {
+		if relayed && c.coordinatorHeard(now) {
 			return
 		}
 		interval = ownPoll
 	}
 	for _, table := range []string{c.tables.Operator, c.tables.Targets, coordinator.Table} {
-		if !leading && table != coordinator.Table && c.snapshot == nil && c.spared(now) {
+		if !leading && table != coordinator.Table && (relayed || c.snapshot == nil && c.spared(now)) {
 			continue
 		}
 		if leading && table == coordinator.Table || now < c.nextPoll[table] || c.polling[table] {
@@ -38,12 +39,17 @@
 // would fill the link between the regions for seconds.
 func (c *Control) spared(now clock.Instant) bool {
 	age := now.Sub(c.startedAt)
-	return age < startGrace || c.link != nil && now.Sub(c.heardAt) < contactLoss && age < linkedGrace
+	return age < startGrace || c.coordinatorHeard(now) && age < linkedGrace
 }
 
-// fresh tells whether the coordinator relays a recent state of the store.
-func (c *Control) fresh(now clock.Instant) bool {
-	return c.link != nil && c.snapshot != nil && now.Sub(c.heardAt) < contactLoss && now.Sub(c.relayFreshAt) < maxStoreAge
+// coordinatorHeard tells whether the coordinator is heard.
+func (c *Control) coordinatorHeard(now clock.Instant) bool {
+	return c.link != nil && now.Sub(c.heardAt) < contactLoss
+}
+
+// tablesRelayed tells whether the coordinator or a distributor relays a recent state of the store.
+func (c *Control) tablesRelayed(now clock.Instant) bool {
+	return c.snapshot != nil && now.Sub(c.relayFreshAt) < maxStoreAge && (c.coordinatorHeard(now) || c.distributed(now))
 }
 
 const (
--- a/pkg/entry/knowledge_test.go
+++ b/pkg/entry/knowledge_test.go
@@ -14,11 +14,11 @@
 func TestOwnReadsDontDelayTheNext(t *testing.T) {
 	now := clock.Instant(time.Minute)
 	c := &Control{link: &replica.Link{}, snapshot: &inventory.Snapshot{}, heardAt: now, relayFreshAt: now.Add(-2 * maxStoreAge), freshAt: now}
-	if c.fresh(now) {
+	if c.tablesRelayed(now) {
 		t.Error("an own read counts as the coordinator's")
 	}
 	c.relayFreshAt = now
-	if !c.fresh(now) {
+	if !c.tablesRelayed(now) {
 		t.Error("relayed data of this moment is taken for old")
 	}
 }
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -23,6 +23,10 @@
 			c.post(func() {
 				f.VerdictDelay = time.Duration(r.DelayMs) * time.Millisecond
 				c.loads.add(r.Keys, c.clock.Now())
+				if r.Unreachable != "" {
+					c.distribution.Unreachable(f, r.Unreachable, c.clock.Now())
+					c.lastBeat = 0
+				}
 			})
 		},
 		Leader: func(n coordinator.Notice) { c.post(func() { c.introduce(n) }) },
@@ -36,7 +40,12 @@
 }
 
 func (c *Control) joined(f *replica.Follower) {
-	if !c.coordinator.Leading(c.clock.Now()) {
+	leading := c.coordinator.Leading(c.clock.Now())
+	if f.TablesOnly {
+		c.subscribe(f, leading)
+		return
+	}
+	if !leading {
 		c.redirect(f)
 		return
 	}
@@ -45,6 +54,16 @@
 	c.lastBeat = 0
 }
 
+// subscribe takes a VM in that wants the tables from this one as its distributor. A coordinator sends them itself.
+func (c *Control) subscribe(f *replica.Follower, leading bool) {
+	if leading {
+		f.Close()
+		return
+	}
+	c.subscribers[f] = true
+	c.lastBeat = 0
+}
+
 // redirectTime is the time in which the VM that has connected gets the answer.
 const redirectTime = 200 * time.Millisecond
 
@@ -86,6 +105,8 @@
 }
 
 func (c *Control) left(f *replica.Follower) {
+	delete(c.subscribers, f)
+	c.distribution.Forget(f)
 	if c.followers[f] {
 		delete(c.followers, f)
 		c.placer.broker.Lost(f.ID, c.clock.Now())
@@ -95,7 +116,11 @@
 
 // publish sends changes, or a sign of life, to the other VMs.
 func (c *Control) publish(now clock.Instant, leading bool) {
-	if !leading || c.snapshot == nil {
+	if !leading {
+		c.distribute(now)
+		return
+	}
+	if c.snapshot == nil {
 		return
 	}
 	c.publishedAt = now
@@ -134,10 +159,9 @@
 	replica.SortFollowers(list)
 	c.balancer.SetShare(0, len(list)+1)
 	age := now.Sub(c.freshAt).Milliseconds()
-	plain, packed, err := replica.Shrink(deltas)
-	if err != nil {
-		c.log.Emit(event.ProcessFailed, "error", err.Error())
-		plain = deltas
+	plain, packed := c.shrink(deltas)
+	for _, f := range c.distribution.Assign(list, now) {
+		c.log.Emit(event.DistributorChosen, "vm", f.VM, "region", f.Region)
 	}
 	c.leastWeakness = c.ownWeakness()
 	for _, f := range list {
@@ -145,17 +169,31 @@
 	}
 	for i, f := range list {
 		u := replica.Update{
-			LeastWeaknessMs: c.leastWeakness.Milliseconds(),
-			LeaseVersion:    c.coordinator.Version(), StoreAge: age, Index: i + 1, Count: len(list) + 1, Deltas: plain, Packed: packed, Routes: changed,
+			LeastWeaknessMs: c.leastWeakness.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(list) + 1,
+			Distributor: f.Distributor,
 		}
-		if f.Fresh {
-			u.Deltas, u.Packed, u.Routes, u.AllRoutes = nil, c.everything(), c.lastRoutes, true
+		switch {
+		case f.Distributor != "":
+		case f.Fresh:
+			u.StoreAge, u.Packed, u.Routes, u.AllRoutes = age, c.everything(), c.lastRoutes, true
 			f.Fresh = false
+		default:
+			u.StoreAge, u.Deltas, u.Packed, u.Routes = age, plain, packed, changed
 		}
 		f.Update(u)
 	}
 }
 
+// shrink packs deltas that are large.
+func (c *Control) shrink(deltas []replica.Delta) (plain []replica.Delta, packed []byte) {
+	plain, packed, err := replica.Shrink(deltas)
+	if err != nil {
+		c.log.Emit(event.ProcessFailed, "error", err.Error())
+		return deltas, nil
+	}
+	return plain, packed
+}
+
 // deltas returns what has changed in the relayed tables since the last call.
 func (c *Control) deltas() []replica.Delta {
 	if c.published == nil {
@@ -240,7 +278,10 @@
 	c.following = leader.Address
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.stopFollow = cancel
-	first := replica.Report{VM: c.settings.VM, Domain: c.settings.Domain, Region: c.settings.Region, WeaknessMs: c.ownWeakness().Milliseconds()}
+	first := replica.Report{
+		VM: c.settings.VM, Domain: c.settings.Domain, Region: c.settings.Region, Address: c.relayAddress(),
+		WeaknessMs: c.ownWeakness().Milliseconds(),
+	}
 	go func() {
 		link, err := replica.Follow(ctx, leader.Address, first, replica.Receiver{
 			Linked:  func(l *replica.Link) { c.post(func() { c.linked(ctx, l, leader.VM) }) },
@@ -292,32 +333,16 @@
 		return
 	}
 	c.heardAt = now
-	c.relayFreshAt = max(c.relayFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
-	for _, table := range []string{c.tables.Operator, c.tables.Targets} {
-		c.mirror.Relayed(table, c.relayFreshAt)
-	}
 	c.leastWeakness = time.Duration(u.LeastWeaknessMs) * time.Millisecond
 	c.coordinator.Heard(u.LeaseVersion, now)
 	c.balancer.SetShare(u.Index, u.Count)
-	changed := false
-	if len(u.Packed) > 0 {
-		deltas, err := replica.Unpack(u.Packed)
-		if err != nil {
-			c.log.Emit(event.CoordinatorLost, "error", err.Error())
-			l.Close()
-			return
-		}
-		u.Deltas = append(u.Deltas, deltas...)
-	}
-	for _, d := range u.Deltas {
-		changed = c.mirror.Apply(d) || changed
-	}
-	if changed {
-		c.rebuild()
+	c.useDistributor(u.Distributor, now)
+	if u.Distributor != "" {
+		return
 	}
-	if u.Routes != nil || u.AllRoutes {
-		c.takeRoutes(u)
-		c.refreshView()
+	if err := c.takeTables(u, now); err != nil {
+		c.log.Emit(event.CoordinatorLost, "error", err.Error())
+		l.Close()
 	}
 }
 
@@ -338,6 +363,9 @@
 		return
 	}
 	c.nextReport = now.Add(reportInterval)
+	if c.source.link != nil {
+		c.source.link.Report(replica.Report{})
+	}
 	keys := c.used.take()
 	if leading {
 		c.loads.add(keys, now)
--- /dev/null
+++ b/pkg/entry/tables.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/coordinator"
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/replica"
+)
+
+// distributorPause is how long a distributor that was silent isn't turned to again.
+const distributorPause = time.Second
+
+// tableSource is the VM of this region that passes the tables and routes on to this one.
+type tableSource struct {
+	address string
+	link    *replica.Link
+	stop    context.CancelFunc
+	// heardAt is when it last sent something, or when it was turned to.
+	heardAt clock.Instant
+}
+
+// useDistributor turns to the distributor that the coordinator has named, or to none.
+func (c *Control) useDistributor(address string, now clock.Instant) {
+	if address == c.source.address || address != "" && address == c.silentSource && now < c.silentUntil {
+		return
+	}
+	c.leaveDistributor()
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.source = tableSource{address: address, stop: cancel, heardAt: now}
+	first := replica.Report{VM: c.settings.VM, Domain: c.settings.Domain, Region: c.settings.Region, TablesOnly: true}
+	go func() {
+		_, err := replica.Follow(ctx, address, first, replica.Receiver{
+			Linked:  func(l *replica.Link) { c.post(func() { c.sourceLinked(ctx, l) }) },
+			Update:  func(l *replica.Link, u replica.Update) { c.post(func() { c.tablesUpdated(l, u) }) },
+			Verdict: func(replica.Verdict) {},
+		})
+		c.post(func() {
+			if ctx.Err() == nil {
+				c.distributorLost("error", err.Error())
+			}
+		})
+	}()
+}
+
+func (c *Control) leaveDistributor() {
+	if c.source.stop != nil {
+		c.source.stop()
+	}
+	c.source = tableSource{}
+}
+
+func (c *Control) sourceLinked(ctx context.Context, l *replica.Link) {
+	if ctx.Err() != nil {
+		l.Close()
+		return
+	}
+	c.source.link, c.source.heardAt = l, c.clock.Now()
+	c.log.Emit(event.DistributorFollowed, "distributor", c.source.address)
+}
+
+// tablesUpdated takes in what the distributor has sent.
+func (c *Control) tablesUpdated(l *replica.Link, u replica.Update) {
+	if l == nil || l != c.source.link {
+		return
+	}
+	now := c.clock.Now()
+	c.source.heardAt = now
+	if err := c.takeTables(u, now); err != nil {
+		c.distributorLost("error", err.Error())
+	}
+}
+
+// takeTables takes relayed tables and routes in. An error means that they can't be decoded.
+func (c *Control) takeTables(u replica.Update, now clock.Instant) error {
+	c.relayFreshAt = max(c.relayFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
+	for _, table := range []string{c.tables.Operator, c.tables.Targets} {
+		c.mirror.Relayed(table, c.relayFreshAt)
+	}
+	if len(u.Packed) > 0 {
+		deltas, err := replica.Unpack(u.Packed)
+		if err != nil {
+			return err
+		}
+		u.Deltas = append(u.Deltas, deltas...)
+	}
+	changed := false
+	for _, d := range u.Deltas {
+		changed = c.mirror.Apply(d) || changed
+	}
+	if changed {
+		c.rebuild()
+	}
+	if u.Routes != nil || u.AllRoutes {
+		c.takeRoutes(u)
+		c.refreshView()
+	}
+	return nil
+}
+
+// checkDistributor gives up a distributor that is silent.
+func (c *Control) checkDistributor(now clock.Instant) {
+	if silent := now.Sub(c.source.heardAt); c.source.address != "" && silent > linkSilence {
+		c.distributorLost("silent_ms", silent.Milliseconds())
+	}
+}
+
+// distributorLost leaves the distributor and asks the coordinator for the tables or for another one.
+func (c *Control) distributorLost(fields ...any) {
+	address := c.source.address
+	c.log.Emit(event.DistributorLost, append([]any{"distributor", address}, fields...)...)
+	c.leaveDistributor()
+	c.silentSource, c.silentUntil = address, c.clock.Now().Add(distributorPause)
+	if c.link != nil {
+		c.link.Report(replica.Report{Unreachable: address})
+	}
+}
+
+// distributed tells whether the distributor is heard.
+func (c *Control) distributed(now clock.Instant) bool {
+	return c.source.link != nil && now.Sub(c.source.heardAt) < contactLoss
+}
+
+// distribute sends the tables and routes that have changed, or a sign of life, to the VMs that take this one for their distributor.
+// It goes on without a coordinator, with what this VM reads from the store.
+func (c *Control) distribute(now clock.Instant) {
+	if len(c.subscribers) == 0 || c.snapshot == nil {
+		return
+	}
+	c.publishedAt = now
+	changed, deltas := c.changedRelayed(), c.deltas()
+	if len(changed) == 0 && len(deltas) == 0 && now.Sub(c.lastBeat) < heartbeatInterval {
+		return
+	}
+	c.lastBeat = now
+	plain, packed := c.shrink(deltas)
+	age := now.Sub(max(c.freshAt, c.relayFreshAt)).Milliseconds()
+	for f := range c.subscribers {
+		u := replica.Update{StoreAge: age, Deltas: plain, Packed: packed, Routes: changed}
+		if f.Fresh {
+			u.Deltas, u.Packed, u.Routes, u.AllRoutes = nil, c.everything(), c.relayed, c.relayed != nil
+			f.Fresh = false
+		}
+		f.Update(u)
+	}
+}
+
+// changedRelayed returns the relayed routes that have changed since the last call.
+func (c *Control) changedRelayed() map[string][]coordinator.Route {
+	if c.relayedAt.Equal(c.passedOnAt) {
+		return nil
+	}
+	c.passedOnAt = c.relayedAt
+	changed := map[string][]coordinator.Route{}
+	for pool, list := range c.relayed {
+		if diff := coordinator.DiffRoutes(c.passedOn[pool], list); len(diff) > 0 {
+			changed[pool] = diff
+		}
+	}
+	c.passedOn = maps.Clone(c.relayed)
+	return changed
+}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -23,6 +23,10 @@
 	FollowerJoined       = define(818, log.InfoLevel, "entry VM connected to this coordinator")
 	FollowerLeft         = define(819, log.InfoLevel, "connection of an entry VM ended")
 
+	DistributorChosen   = define(812, log.InfoLevel, "VM passes the tables on to its region")
+	DistributorFollowed = define(813, log.InfoLevel, "tables come from another VM of the region")
+	DistributorLost     = define(831, log.WarnLevel, "VM that passes the tables on is silent")
+
 	LeadershipTaken    = define(820, log.InfoLevel, "this VM has become the coordinator")
 	LeadershipLost     = define(821, log.WarnLevel, "this VM is no longer the coordinator")
 	LeadershipReleased = define(822, log.InfoLevel, "this VM has given up the coordinator's role")
--- /dev/null
+++ b/pkg/replica/distribution_test.go
@@ -0,0 +1,99 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
+
+// region returns the followers of a region, the last one the strongest.
+func region(name string, n int) []*Follower {
+	var list []*Follower
+	for i := range n {
+		list = append(list, &Follower{
+			VM: fmt.Sprint(name, i), Region: name, Address: fmt.Sprintf("%s:%d", name, i), Weakness: time.Duration(n-i) * time.Millisecond, Fresh: true,
+		})
+	}
+	return list
+}
+
+// direct counts the VMs that get the tables from the coordinator.
+func direct(list []*Follower) int {
+	n := 0
+	for _, f := range list {
+		if f.Distributor == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against the tables crossing the link between the regions once for each VM there.
+func TestOneVMOfALargeRegionGetsTheTables(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	far, near, small := region("far", 150), region("own", 150), region("small", distributeFrom-1)
+	list := append(append(append([]*Follower{}, far...), near...), small...)
+	added := d.Assign(list, now)
+	if len(added) != 1 || added[0] != far[149] {
+		t.Fatalf("the distributors are %v", added)
+	}
+	if n := direct(far); n != 1 || direct(near) != len(near) || direct(small) != len(small) {
+		t.Errorf("%d, %d and %d VMs get the tables from the coordinator", n, direct(near), direct(small))
+	}
+	if far[0].Fresh || !far[149].Fresh {
+		t.Error("the coordinator sends the whole tables to a VM that has a distributor, or not to the distributor")
+	}
+	stronger := &Follower{VM: "late", Region: "far", Address: "far:late", Fresh: true}
+	if d.Assign(append(list, stronger), now) != nil {
+		t.Error("a distributor is replaced without need")
+	}
+}
+
+// Guards against a VM that keeps waiting for a distributor that it can't reach, and that gets changes without the tables that they
+// belong to.
+func TestVMWithoutItsDistributorTurnsToTheCoordinator(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	far := region("far", 20)
+	d.Assign(far, now)
+	f := far[0]
+	d.Unreachable(f, "another", now)
+	if d.Assign(far, now); f.Distributor == "" {
+		t.Error("a complaint about a former distributor counts")
+	}
+	d.Unreachable(f, f.Distributor, now)
+	d.Assign(far, now)
+	if f.Distributor != "" || !f.Fresh || direct(far) != 2 {
+		t.Errorf("distributor %q, whole tables due: %v, direct: %d", f.Distributor, f.Fresh, direct(far))
+	}
+	f.Fresh = false
+	if d.Assign(far, now.Add(directTime)); f.Distributor == "" || f.Fresh {
+		t.Error("the distributor isn't tried again")
+	}
+}
+
+// Guards against whole tables for all VMs of a region at once when its distributor is lost or stands still.
+func TestLostDistributorIsReplaced(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	far := region("far", 20)
+	d.Assign(far, now)
+	for _, f := range far[:maxDoubts] {
+		d.Unreachable(f, f.Distributor, now)
+	}
+	added := d.Assign(far, now)
+	if len(added) != 1 || added[0] != far[18] || far[10].Distributor != far[18].Address {
+		t.Fatalf("the distributors are %v", added)
+	}
+	if n := direct(far); n > maxDoubts+1 {
+		t.Errorf("%d VMs get the tables from the coordinator", n)
+	}
+	d.Forget(far[18])
+	added = d.Assign(append(far[:18:18], far[19]), now)
+	if len(added) != 1 || added[0] != far[17] {
+		t.Errorf("after the loss of one and the doubts about another, the distributors are %v", added)
+	}
+}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -15,6 +15,9 @@
 	AllRoutes bool                           `msgpack:"w,omitempty"`
 	// Leader is set by a VM that doesn't lead: where to turn to.
 	Leader *coordinator.Notice `msgpack:"o,omitempty"`
+	// Distributor is the address of the VM in the receiver's region from which it gets the tables and routes; empty if they come
+	// with this update.
+	Distributor string `msgpack:"h,omitempty"`
 	// LeastWeaknessMs is that of the strongest connected VM, the coordinator included.
 	LeastWeaknessMs int64 `msgpack:"s,omitempty"`
 	// LeaseVersion is the version of the coordinator's row.
@@ -31,6 +34,12 @@
 	VM     string `msgpack:"vm,omitempty"`
 	Domain string `msgpack:"d,omitempty"`
 	Region string `msgpack:"r,omitempty"`
+	// Address is where other VMs reach this one. It comes with the first report.
+	Address string `msgpack:"p,omitempty"`
+	// TablesOnly is set in the first report by a VM that wants the tables and routes from a distributor.
+	TablesOnly bool `msgpack:"t,omitempty"`
+	// Unreachable is the address of a distributor that sends nothing.
+	Unreachable string `msgpack:"u,omitempty"`
 	// DelayMs is how late verdicts come, without the time in the broker's queues, in milliseconds.
 	DelayMs int64 `msgpack:"l,omitempty"`
 	// WeaknessMs is the VM's delay as a candidate for the coordinator's role, in milliseconds. It comes with the first report.
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -26,8 +27,16 @@
 	*outbox
 	// VerdictDelay is the last reported delay of verdicts. It belongs to the receiver of the events.
 	VerdictDelay time.Duration
-	// Fresh tells that the VM hasn't got any update yet. It belongs to the receiver of the events.
+	// Address is where other VMs reach the VM.
+	Address string
+	// TablesOnly tells that the VM takes this one for its distributor.
+	TablesOnly bool
+	// Fresh tells that the VM needs the whole tables with its next update. It belongs to the receiver of the events.
 	Fresh bool
+	// Distributor is the address of the VM from which it gets the tables, empty for the coordinator. It belongs to Distribution,
+	// as does directUntil, until when it gets them from the coordinator.
+	Distributor string
+	directUntil clock.Instant
 }
 
 // Update sends an update.
@@ -75,7 +84,7 @@
 		events.Leader(*first.Leader)
 		return
 	}
-	f := &Follower{ID: first.VM + "#" + strconv.FormatInt(connections.Add(1), 10), VM: first.VM, Domain: first.Domain, Region: first.Region, Weakness: time.Duration(first.WeaknessMs) * time.Millisecond, outbox: newOutbox(c), Fresh: true}
+	f := &Follower{ID: first.VM + "#" + strconv.FormatInt(connections.Add(1), 10), VM: first.VM, Domain: first.Domain, Region: first.Region, Address: first.Address, TablesOnly: first.TablesOnly, Weakness: time.Duration(first.WeaknessMs) * time.Millisecond, outbox: newOutbox(c), Fresh: true}
 	events.Joined(f)
 	defer func() {
 		f.Close()
