Accept that a process that has just started can't handle a request to stop

The logs show two graceful stops in a row; the second signal came within 0.2 s of a start, before the process had logged it, let alone served anything, and ended it by the signal's default action.

Change: that end is accepted within 300 ms of a start.

--- a/internal/cmd/soak/main.go
+++ b/internal/cmd/soak/main.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -18,6 +20,7 @@
 	Binary  string        `default:"bin/blentry" help:"The entry process."`
 	Seed    uint64        `default:"1" help:"First seed."`
 	Seeds   uint64        `default:"1" help:"Number of seeds, one after the other."`
+	From    string        `help:"File with seeds to run instead, one a line, each with a remark after it." type:"existingfile"`
 	VMs     int           `default:"4" help:"Number of entry processes."`
 	Targets int           `default:"6" help:"Number of targets of each service."`
 	Faults  time.Duration `default:"15s" help:"Time in which faults are injected."`
@@ -38,8 +41,40 @@
 	}
 }
 
+// seeds returns the seeds to run.
+func (c cli) seeds() ([]uint64, error) {
+	var seeds []uint64
+	if c.From == "" {
+		for i := range c.Seeds {
+			seeds = append(seeds, c.Seed+i)
+		}
+		return seeds, nil
+	}
+	text, err := os.ReadFile(c.From)
+	if err != nil {
+		return nil, err
+	}
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		number, _, _ := strings.Cut(line, " ")
+		seed, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", c.From, err)
+		}
+		seeds = append(seeds, seed)
+	}
+	return seeds, nil
+}
+
 func run(ctx context.Context, c cli) (broken bool, err error) {
-	for seed := c.Seed; seed < c.Seed+c.Seeds; seed++ {
+	seeds, err := c.seeds()
+	if err != nil {
+		return false, err
+	}
+	for _, seed := range seeds {
 		dir, err := soak.LogDir()
 		if err != nil {
 			return broken, err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -189,7 +189,8 @@
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		// A process that is paused sees the signal when it runs again.
-		if err := v.process.Stop(stopBound + max(0, time.Until(v.pausedUntil))); err != nil && err.Error() != killed {
+		early := time.Since(v.startedAt) < startTime
+		if err := v.process.Stop(stopBound + max(0, time.Until(v.pausedUntil))); err != nil && err.Error() != killed && !(early && err.Error() == terminated) {
 			r.judge.note("VM %d doesn't stop: %v", v.index, err)
 		}
 		if err := r.start(v); err != nil {
@@ -198,8 +199,13 @@
 	})
 }
 
-// killed is how a process ends that another fault has killed during its shutdown.
-const killed = "signal: killed"
+const (
+	// killed is how a process ends that another fault has killed during its shutdown.
+	killed = "signal: killed"
+	// terminated is how a process ends that is asked to stop before it can handle that, within startTime.
+	terminated = "signal: terminated"
+	startTime  = 300 * time.Millisecond
+)
 
 func (r *run) signal(v *vm, s syscall.Signal) {
 	if v.mu.TryLock() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -53,8 +53,9 @@
 	// mu is held by what starts or stops the process.
 	mu      sync.Mutex
 	process *child.Process
-	// life counts the starts.
-	life int
+	// life counts the starts; the last one was at startedAt.
+	life      int
+	startedAt time.Time
 	// pausedUntil is when the process runs again.
 	pausedUntil time.Time
 }
@@ -146,7 +147,7 @@
 // start starts a VM's process. Its lock is held.
 func (r *run) start(v *vm) error {
 	p, err := r.supervisor.Start(fmt.Sprintf("blentry-%d", v.index), r.Binary, "--advertise="+v.peers.Address(), v.settings)
-	v.process = p
+	v.process, v.startedAt = p, time.Now()
 	v.life++
 	r.judge.started(v.index, v.life)
 	return err
