Send fewer requests to targets that answer with errors

Cause: an answer with an error counted like any other, and its short time made the target look fast. A target that fails two in five requests while its health check is good (a neighbour's trouble, a bad release) drew more requests the more it failed.

Change: the broker and each VM keep the smoothed share of failed requests of a target (errors, broken connections, refusals while it has room). What is above the usual tenth costs up to 2 s in the choice of a target. Fast errors don't lower the service time.

Ruled out: blocking such targets; under overload three answers of five are better than an idle slot, and the comparison with the expected wait decides that.

--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -296,6 +296,8 @@
 	}
 	ending := placing.Failed
 	switch {
+	case r.outcome == answered && r.answer.status >= http.StatusInternalServerError:
+		ending = placing.Erred
 	case r.outcome == answered:
 		ending = placing.Answered
 	case r.outcome == notRun && r.answer.status == http.StatusMisdirectedRequest:
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -232,7 +232,7 @@
 		if now < l.blockedUntil || now < l.coldUntil && !b.coldReady(l, now) {
 			continue
 		}
-		score := l.expected(now) + distance(b.regionOf, w.Domain, w.Region, l.target, w.BodyBytes)
+		score := l.expected(now) + l.penalty() + distance(b.regionOf, w.Domain, w.Region, l.target, w.BodyBytes)
 		best.fastest = min(best.fastest, score)
 		if score < best.score && b.hasPlace(l, now) {
 			best.load, best.score = l, score
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -30,6 +30,12 @@
 	// brokenPause keeps a target without requests after a connection failed; it doubles up to brokenPauseMax.
 	brokenPause    = 250 * time.Millisecond
 	brokenPauseMax = 2 * time.Second
+	// failingWeight is the weight of the newest request in the share of failed ones.
+	failingWeight = 0.08
+	// failingUsual is the share of failures that a target may have on any day; a single one stays below it.
+	failingUsual = 0.1
+	// failurePenalty is the latency that a certain failure would be worth avoiding: most objectives are between 0.5 and 2 s.
+	failurePenalty = 2 * time.Second
 	// targetQueue is the number of requests that a target queues beyond its slots.
 	targetQueue = 8
 	// coldInterval is the time between requests of one VM to a cold target.
@@ -63,8 +69,10 @@
 	measured     bool
 	blockedUntil clock.Instant
 	broken       int
-	lastCold     clock.Instant
-	everCold     bool
+	// failing is the smoothed share of the requests that the target failed.
+	failing  float64
+	lastCold clock.Instant
+	everCold bool
 }
 
 // othersNow estimates the requests of other VMs at the target.
@@ -215,7 +223,7 @@
 			}
 			continue
 		}
-		score := expected + distance(b.regionOf, b.domain, b.region, t, n.BodyBytes) + time.Duration(rand.Int64N(int64(5*time.Millisecond)))
+		score := expected + l.penalty() + distance(b.regionOf, b.domain, b.region, t, n.BodyBytes) + time.Duration(rand.Int64N(int64(5*time.Millisecond)))
 		if best.Target == nil || score < bestScore {
 			best, bestScore = Choice{Target: t, Expected: expected}, score
 		}
@@ -278,6 +286,8 @@
 	Failed
 	// Abandoned means that this VM ended the request, which says little about the target.
 	Abandoned
+	// Erred means that the target answered with an error of its own.
+	Erred
 )
 
 // Done gives a place back and takes the target's report in.
@@ -309,16 +319,26 @@
 	switch how {
 	case Answered:
 		l.broken = 0
+		l.failing -= failingWeight * l.failing
 		l.measure(elapsed, now)
+	case Erred:
+		l.broken = 0
+		l.fail()
+		if elapsed > l.service {
+			// Errors are often faster than answers, which would make the target look like the best one.
+			l.measure(elapsed, now)
+		}
 	case Refused:
 		if l.inFlight < l.target.Slots && l.othersNow(now) < 1 {
 			// The target had room, so that its refusal says nothing about the next request.
+			l.fail()
 			return
 		}
 		l.blockedUntil = max(l.blockedUntil, now.Add(refusedPause))
 	case Failed:
 		pause := min(brokenPause<<min(l.broken, 4), brokenPauseMax)
 		l.broken++
+		l.fail()
 		l.blockedUntil = max(l.blockedUntil, now.Add(pause))
 	case Abandoned:
 		if elapsed > l.service {
@@ -328,6 +348,15 @@
 	}
 }
 
+func (l *load) fail() {
+	l.failing += failingWeight * (1 - l.failing)
+}
+
+// penalty is the latency that a request may cost elsewhere instead of going to a target that fails part of its requests.
+func (l *load) penalty() time.Duration {
+	return time.Duration(max(0, l.failing-failingUsual) * float64(failurePenalty))
+}
+
 func (l *load) take(r *Report, now clock.Instant) {
 	// The report may still count the request that it comes with.
 	l.others = max(0, float64(r.Running+r.Waiting-1-l.inFlight))
