--- a/internal/cmd/soak/main.go
+++ b/internal/cmd/soak/main.go
@@ -21,7 +21,7 @@
 	Seed    uint64        `default:"1" help:"First seed."`
 	Seeds   uint64        `default:"1" help:"Number of seeds, one after the other."`
 	From    string        `help:"File with seeds to run instead, one a line, each with a remark after it." type:"existingfile"`
-	VMs     int           `default:"4" help:"Number of entry processes."`
+	VMs     int           `name:"vms" default:"4" help:"Number of entry processes."`
 	Targets int           `default:"6" help:"Number of targets of each service."`
 	Faults  time.Duration `default:"15s" help:"Time in which faults are injected."`
 	Port    int           `default:"21000" help:"First of ten ports for each entry process."`
--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/bronzelever/bronzelever/platform/standin"
@@ -15,6 +17,8 @@
 	configureBound = 2 * time.Second
 	drainBound     = 2 * time.Second
 	takeOutBound   = 5 * time.Second
+	// probes is the number of times that a VM is asked for the newest configuration.
+	probes = 5
 )
 
 // checkCalm checks, with all faults over, that requests are served and that planned work keeps its times.
@@ -48,7 +52,7 @@
 	}
 	r.deployment.Ledger.CloseTargets(time.Now().Add(takeOutBound), ids...)
 	wait(ctx, configureBound)
-	r.judge.expectVersions(len(r.vms))
+	r.probeVersions(ctx)
 	wait(ctx, takeOutBound)
 	r.deployment.Ledger.Reopen()
 	leaving.Draining.Store(false)
@@ -56,6 +60,23 @@
 	return nil
 }
 
+// probeVersions asks each VM for the route of the newest configuration. A VM that is busy is asked again.
+func (r *run) probeVersions(ctx context.Context) {
+	version := r.judge.expectNewest()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, v := range r.vms {
+		for n := 0; n < probes && !r.judge.shows(v.index, version); n++ {
+			x := exchange{id: fmt.Sprintf("%d-probe-%d-%d", r.Seed, v.index, n), vm: v.index, version: version}
+			x.path = standin.PathOf(version) + x.id
+			r.send(ctx, client, &x, 0, patientWait)
+			r.judge.take(x)
+		}
+		if !r.judge.shows(v.index, version) {
+			r.judge.note("VM %d doesn't show version %d of the configuration when it must be in force", v.index, version)
+		}
+	}
+}
+
 // checkStop stops a process while callers use their connections.
 func (r *run) checkStop(ctx context.Context) {
 	r.stop(r.anyVM())
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -190,17 +190,19 @@
 	}
 }
 
-// expectVersions notes each VM that hasn't shown the newest configuration, or that has refused its route since it must be in
-// force.
-func (j *judge) expectVersions(vms int) {
+// expectNewest makes each answer that doesn't know the newest configuration a broken promise from now on. It returns its version.
+func (j *judge) expectNewest() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.due = j.newest
-	for vm := range vms {
-		if known := j.seen[vm]; known.version < j.newest {
-			j.noteLocked("VM %d shows version %d of the configuration when %d must be in force", vm, known.version, j.newest)
-		}
-	}
+	return j.due
+}
+
+// shows tells whether a VM has served a route of a version.
+func (j *judge) shows(vm, version int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.seen[vm].version >= version
 }
 
 // countServed counts the requests from now on.
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -61,11 +61,15 @@
 	j := newJudge(standin.NewLedger())
 	j.started(0, 1)
 	j.configured(9)
-	j.expectVersions(1)
+	version := j.expectNewest()
+	if j.shows(0, version) {
+		t.Error("a VM that was never asked shows the newest configuration")
+	}
+	j.take(exchange{life: 1, version: version, status: http.StatusNotFound})
 	j.countServed()
 	j.take(exchange{id: "7", path: "/read/7", status: http.StatusBadGateway})
 	j.checkServed("here")
-	for _, want := range []string{"VM 0 shows version 0", "0 of 1 requests are served here"} {
+	for _, want := range []string{"VM 0 doesn't know version 9 any more", "0 of 1 requests are served here"} {
 		if got := strings.Join(j.verdict(), "; "); !strings.Contains(got, want) {
 			t.Errorf("found %q, want %q", got, want)
 		}
