--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -189,8 +189,8 @@
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		// A process that is paused sees the signal when it runs again.
-		early := time.Since(v.startedAt) < startTime
-		if err := v.process.Stop(stopBound + max(0, time.Until(v.pausedUntil))); err != nil && err.Error() != killed && !(early && err.Error() == terminated) {
+		starting := time.Since(v.startedAt) < startTime
+		if err := v.process.Stop(stopBound + max(0, time.Until(v.pausedUntil))); !stopped(err, starting) {
 			r.judge.note("VM %d doesn't stop: %v", v.index, err)
 		}
 		if err := r.start(v); err != nil {
@@ -207,6 +207,11 @@
 	startTime  = 300 * time.Millisecond
 )
 
+// stopped tells whether a process has ended as it should after a request to stop.
+func stopped(err error, starting bool) bool {
+	return err == nil || err.Error() == killed || starting && err.Error() == terminated
+}
+
 func (r *run) signal(v *vm, s syscall.Signal) {
 	if v.mu.TryLock() {
 		v.process.Signal(s)
