Bound what is read from targets and the store; survive unexpected errors

Cause: heads of targets' answers, informational answers, answers to grants and the store's answers were read without a bound, so that one target in trouble could fill a VM's memory until the caller's deadline. A second copy of an answer was taken for the next answer on the connection if it bore no ID, or if the same request was sent again on that connection: an order that ran was told not to have run. A panic outside net/http ended the process.

An answer without an ID counts only on a connection's first exchange; a request that is sent again gets another connection. Panics end the request, the connection or the step; a coordinator gives its role up after one. Events 845 to 847, counter requests.target_bounds_broken.

Ruled out: counting fields while the head arrives, since the first bytes of a body arrive with it.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -237,22 +237,35 @@
 			c.leaveDistributor()
 			return
 		case f := <-c.events:
-			f()
+			c.step(f)
 			c.drain()
-			c.advance(c.clock.Now())
+			c.step(func() { c.advance(c.clock.Now()) })
 		case <-timer.C:
 			timer.Reset(c.tickInterval())
-			c.tick(c.clock.Now())
+			c.step(func() { c.tick(c.clock.Now()) })
 		}
 	}
 }
 
+// step runs a part of the control goroutine's work. After an unexpected error the coordinator's state may be incomplete, so
+// that its role ends and another VM starts from what is stored.
+func (c *Control) step(f func()) {
+	defer func() {
+		if v := recover(); v != nil {
+			c.log.Panicked("control", v)
+			c.barredUntil = c.clock.Now().Add(yieldPause)
+			c.run(c.coordinator.Abandon())
+		}
+	}()
+	f()
+}
+
 // drain runs what else has happened, so that a burst of events costs one tick.
 func (c *Control) drain() {
 	for range cap(c.events) {
 		select {
 		case f := <-c.events:
-			f()
+			c.step(f)
 		default:
 			return
 		}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -26,6 +26,8 @@
 const (
 	// heldBodiesShare is the part of the memory that callers' bodies may take.
 	heldBodiesShare = 0.25
+	// heldAnswersShare is the part of the memory that targets' answers may take.
+	heldAnswersShare = 0.15
 	// memoryShare is the part of the memory at which the garbage collector works harder.
 	memoryShare = 0.7
 	// headerTimeout bounds the reading of a request's head; no configuration permits more than a few seconds.
@@ -123,7 +125,8 @@
 		Dialect: o.Protocol, Knowledge: p.control, Placer: p.control.placer, Balancer: balancer,
 		Budget: placing.NewLocalBudget(o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow),
 		Clock:  clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
-		MaxHeldBodies: int64(float64(o.Settings.MemoryBytes) * heldBodiesShare),
+		MaxHeldBodies:  int64(float64(o.Settings.MemoryBytes) * heldBodiesShare),
+		MaxHeldAnswers: int64(float64(o.Settings.MemoryBytes) * heldAnswersShare),
 	})
 	p.callers = &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: o.Log.HTTPLog(),
@@ -167,7 +170,7 @@
 	internal.HandleFunc("GET /debug/pprof/", pprof.Index)
 	internal.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	for listener, mux := range map[net.Listener]*http.ServeMux{l.ready: ready, l.metrics: internal} {
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, ErrorLog: p.Log.HTTPLog()}
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.Log.HTTPLog()}
 		go func() {
 			if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.Log.Emit(event.MetricsFailed, "error", err.Error())
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -188,7 +188,7 @@
 		return
 	}
 	c.configRow = version
-	next, err := c.decoder.Configuration(rows)
+	next, err := c.readConfiguration(rows)
 	if err != nil {
 		c.log.Emit(event.ConfigurationBad, "error", err.Error())
 		return
@@ -201,13 +201,30 @@
 		"store_version", version)
 }
 
+// errUndecodable means that a decoder has failed unexpectedly.
+var errUndecodable = errors.New("unexpected error in the decoder")
+
+// readConfiguration decodes the configuration. Whatever a row holds, the others are still read.
+func (c *Control) readConfiguration(rows map[string]rowstore.Row) (next *inventory.Configuration, err error) {
+	err = errUndecodable
+	defer c.log.Recovered("configuration")
+	return c.decoder.Configuration(rows)
+}
+
+// readTarget decodes a registration.
+func (c *Control) readTarget(r rowstore.Row) (t *inventory.Target, err error) {
+	err = errUndecodable
+	defer c.log.Recovered("registration " + r.Key)
+	return c.decoder.Target(r)
+}
+
 // decodeTargets returns the registered targets. Rows that name no usable target are left out.
 func (c *Control) decodeTargets() (list []*inventory.Target, changed bool) {
 	rows := c.mirror.Rows(c.tables.Targets)
 	for key, r := range rows {
 		known, ok := c.targets[key]
 		if !ok || known.version != r.Version {
-			t, err := c.decoder.Target(r)
+			t, err := c.readTarget(r)
 			if err != nil && (!ok || known.target != nil) {
 				c.log.Emit(event.RegistrationBad, "error", err.Error())
 			}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -33,6 +33,7 @@
 		Ask:    c.placer.asked,
 		Done:   c.placer.ended,
 		Left:   func(f *replica.Follower) { c.post(func() { c.left(f) }) },
+		Failed: func(vm string, err error) { c.log.Emit(event.MessageRejected, "vm", vm, "error", err.Error()) },
 	})
 	if c.ctx.Err() == nil {
 		c.log.Emit(event.ProcessFailed, "error", err.Error())
--- a/pkg/event/catalogue_test.go
+++ b/pkg/event/catalogue_test.go
@@ -1,11 +1,15 @@
 package event
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"regexp"
 	"strconv"
+	"strings"
 	"testing"
+
+	"github.com/charmbracelet/log"
 )
 
 const cataloguePage = "../../docs/events.md"
@@ -55,3 +59,16 @@
 		}
 	}
 }
+
+// Guards against a panic that ends the process although Recovered is deferred as a function value.
+func TestRecoveredEndsAPanic(t *testing.T) {
+	var out bytes.Buffer
+	recovered := NewLogger(&out, log.InfoLevel).Recovered
+	func() {
+		defer recovered("a test")
+		panic("planted")
+	}()
+	if text := out.String(); !strings.Contains(text, "event=846") || !strings.Contains(text, "planted") || !strings.Contains(text, "a test") {
+		t.Errorf("the event is %q", text)
+	}
+}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -44,4 +44,8 @@
 	RequestFailed   = define(842, log.WarnLevel, "request failed")
 	AttemptFailed   = define(843, log.InfoLevel, "attempt at a target failed")
 	CallerLeft      = define(844, log.InfoLevel, "caller gave up")
+
+	TargetBoundBroken = define(845, log.WarnLevel, "target broke a bound of what is read from it")
+	MessageRejected   = define(847, log.WarnLevel, "message of another VM can't be handled, its connection is closed")
+	PanicRecovered    = define(846, log.ErrorLevel, "unexpected error, the process goes on")
 )
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"runtime/debug"
 
 	"github.com/charmbracelet/log"
 )
@@ -64,6 +65,22 @@
 	return NewLogger(io.Discard, log.FatalLevel)
 }
 
+// stackBytes bounds the stack in an event.
+const stackBytes = 2 << 10
+
+// Panicked notes a panic that was recovered while place was being handled.
+func (l *Logger) Panicked(place string, v any) {
+	stack := debug.Stack()
+	l.Emit(PanicRecovered, "place", place, "error", fmt.Sprint(v), "stack", string(stack[:min(len(stack), stackBytes)]))
+}
+
+// Recovered, when deferred, ends a panic with an event. It must be deferred itself, not be called by a deferred function.
+func (l *Logger) Recovered(place string) {
+	if v := recover(); v != nil {
+		l.Panicked(place, v)
+	}
+}
+
 // Emit writes an event with key-value fields.
 func (l *Logger) Emit(d Definition, fields ...any) {
 	l.out.Log(d.Level, d.Text, append([]any{"event", int(d.ID)}, fields...)...)
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -30,6 +30,7 @@
 		}
 		result := c.send(ctx, target)
 		if result.outcome == answered && !c.worthRepeating(result.answer) {
+			defer c.sender.drop(result.answer)
 			c.deliver(result.answer)
 			return nil
 		}
@@ -40,8 +41,10 @@
 			Left: time.Until(c.deadline), Usual: c.Balancer.Service(target.ID),
 		})
 		if next == placing.GiveUp {
+			defer c.sender.drop(result.answer)
 			return c.giveUp(result)
 		}
+		c.sender.drop(result.answer)
 		if result.outcome == unsent {
 			unsentCount++
 		}
@@ -274,16 +277,19 @@
 	copyHeaders(header, c.r.Header)
 	request := &upstreamRequest{
 		method: c.r.Method, uri: c.uri(), host: c.r.Host, header: header, id: c.meta.ID, body: c.body, idempotent: c.route.Idempotent,
+		carriers: c.carriers,
 	}
 	c.lastTarget = t.ID
 	begun := time.Now()
+	before := c.mayHaveRun
+	// An unexpected error on the way must not be answered with "not run".
+	c.mayHaveRun = true
 	r := c.sender.exchange(ctx, t.ID, t.Address, request, c.deadline)
+	c.carriers = request.carriers
 	if r.outcome != unsent {
 		c.attempts++
 	}
-	if r.outcome == unknown || r.outcome == expired || r.outcome == answered {
-		c.mayHaveRun = true
-	}
+	c.mayHaveRun = before || r.outcome == unknown || r.outcome == expired || r.outcome == answered
 	c.settle(t, r, time.Since(begun))
 	return r
 }
@@ -327,6 +333,10 @@
 	if r.cause != nil {
 		cause = r.cause.Error()
 	}
+	if boundBroken(r.cause) {
+		c.Metrics.boundBroken()
+		c.Log.Emit(event.TargetBoundBroken, "request", c.meta.ID, "target", t.ID, "cause", cause)
+	}
 	status := 0
 	if r.answer != nil {
 		status = r.answer.status
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
 const (
@@ -40,6 +42,10 @@
 	RegionOf map[string]string
 	// MaxHeldBodies bounds the bytes of the bodies that are held at the same time.
 	MaxHeldBodies int64
+	// MaxHeldAnswers bounds the bytes of targets' answers that are buffered at the same time. 0 takes MaxHeldBodies.
+	MaxHeldAnswers int64
+	// MaxAnswerBytes bounds the body of an answer. 0 takes 1 GiB.
+	MaxAnswerBytes int64
 }
 
 // Handler serves callers' requests.
@@ -59,7 +65,12 @@
 
 // NewHandler returns a handler.
 func NewHandler(o Options) *Handler {
-	h := &Handler{Options: o, sender: sender{dialect: o.Dialect, pools: newConnPools()}, splitter: splitter{routes: map[string]*rotation{}}, ages: ages{full: map[string]time.Duration{}}}
+	h := &Handler{
+		Options: o, sender: sender{dialect: o.Dialect, pools: newConnPools(), recovered: o.Log.Recovered},
+		splitter: splitter{routes: map[string]*rotation{}}, ages: ages{full: map[string]time.Duration{}},
+	}
+	h.sender.memory.limit = cmp.Or(o.MaxHeldAnswers, o.MaxHeldBodies)
+	h.sender.maxAnswer = cmp.Or(o.MaxAnswerBytes, defaultMaxAnswer)
 	h.ended, h.end = context.WithCancel(context.Background())
 	return h
 }
@@ -99,6 +110,10 @@
 	lastTarget string
 	// placement is the place of the present attempt, nil if it was placed locally.
 	placement Placement
+	// carriers are the connections on which the request was sent.
+	carriers []*targetconn.Conn
+	// begun tells that the caller may have got the head of an answer.
+	begun bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -109,12 +124,40 @@
 	}
 	// net/http must not guess the type of a target's answer.
 	w.Header()["Content-Type"] = nil
+	defer func() {
+		if c.body != nil {
+			c.body.release()
+		}
+	}()
+	defer c.recover()
 	if err := c.serve(); err != nil {
 		c.refuse(err)
 	}
-	if c.body != nil {
-		c.body.release()
+}
+
+// recover answers a request whose handling has failed unexpectedly. An answer that has begun must not look complete.
+func (c *call) recover() {
+	v := recover()
+	if v == nil {
+		return
+	}
+	c.settlePlace(0, placing.Abandoned, nil)
+	if v == http.ErrAbortHandler {
+		panic(v)
 	}
+	c.Log.Panicked("request "+c.meta.ID, v)
+	if c.begun {
+		panic(http.ErrAbortHandler)
+	}
+	c.refuse(&refusal{status: c.statusUnserved(), reason: "internal", retry: 0})
+}
+
+// statusUnserved is the status of a request that no target answered.
+func (c *call) statusUnserved() int {
+	if c.mayHaveRun {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
 }
 
 // refusal is an answer that no target gave.
@@ -232,6 +275,7 @@
 		h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	}
 	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
+	c.begun = true
 	c.w.WriteHeader(a.status)
 	if bodyAllowed(c.r.Method, a.status) {
 		c.copyAnswer(a)
@@ -249,8 +293,10 @@
 	if a.rest == nil {
 		return
 	}
-	defer func() { _ = a.rest.Close() }()
 	if err := copyStream(c.w, a.rest); err != nil {
+		if boundBroken(err) {
+			c.Metrics.boundBroken()
+		}
 		c.Log.Emit(event.AnswerBroken, "request", c.meta.ID, "target", c.lastTarget, "error", err.Error())
 		panic(http.ErrAbortHandler)
 	}
@@ -272,10 +318,8 @@
 	var e *refusal
 	switch {
 	case errors.As(err, &e):
-	case c.mayHaveRun:
-		e = &refusal{status: http.StatusBadGateway, reason: err.Error()}
 	default:
-		e = &refusal{status: http.StatusServiceUnavailable, reason: err.Error()}
+		e = &refusal{status: c.statusUnserved(), reason: err.Error()}
 	}
 	h := c.w.Header()
 	c.Dialect.StampAnswer(h, c.meta.ID)
@@ -287,6 +331,7 @@
 	}
 	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeGrace))
 	h.Set("Content-Length", "0")
+	c.begun = true
 	c.w.WriteHeader(e.status)
 	c.Metrics.refused(e.status, e.reason)
 	c.logRefusal(e)
--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -142,6 +142,7 @@
 		{Name: "order", Host: "h", Prefix: "/order/", MaxAttempts: 2, Shares: []inventory.Share{{Pool: "p", Weight: 1}}, Objective: time.Second},
 		{Name: "short", Host: "h", Prefix: "/short/", Idempotent: true, MaxAttempts: 2, Timeout: 400 * time.Millisecond, Shares: []inventory.Share{{Pool: "p", Weight: 1}}},
 		{Name: "key", Host: "h", Prefix: "/key/", Idempotent: true, MaxAttempts: 2, Shares: []inventory.Share{{Pool: "k", Weight: 1}}},
+		{Name: "keyed-order", Host: "h", Prefix: "/keyed-order/", MaxAttempts: 2, Shares: []inventory.Share{{Pool: "k", Weight: 1}}},
 		{Name: "home", Host: "h", Prefix: "/home/", Idempotent: true, MaxAttempts: 2, HomeRegions: []string{"south"}, Shares: []inventory.Share{{Pool: "p", Weight: 1}}},
 	}
 	cfg := inventory.NewConfiguration(1, inventory.Limits{BodyBytes: 4 << 20}, pools, routes)
@@ -167,6 +168,15 @@
 	return f
 }
 
+// logged returns what the handler has logged.
+func (f *front) logged() string {
+	text, err := io.ReadAll(f.log.reader())
+	if err != nil {
+		return err.Error()
+	}
+	return string(text)
+}
+
 type reply struct {
 	status int
 	header http.Header
@@ -416,3 +426,10 @@
 		t.Errorf("%v", count)
 	}
 }
+
+// panickingPlacer stands for an unexpected error.
+type panickingPlacer struct{}
+
+func (panickingPlacer) Place(context.Context, placing.Ask) (Placement, placing.Verdict, bool) {
+	panic("planted")
+}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -22,6 +22,7 @@
 	unsafe     tally.Histogram
 	attemptFor tally.Histogram
 	leftEarly  tally.Counter
+	bounds     tally.Counter
 }
 
 // NewMetrics returns the metrics of callers' requests.
@@ -33,6 +34,7 @@
 	return &Metrics{
 		scope: s, safe: kind("idempotent"), unsafe: kind("once"),
 		attemptFor: s.Histogram("attempt_latency", latencyBuckets), leftEarly: s.Counter("left"),
+		bounds: s.Counter("target_bounds_broken"),
 	}
 }
 
@@ -60,3 +62,8 @@
 func (m *Metrics) left() {
 	m.leftEarly.Inc(1)
 }
+
+// boundBroken counts targets' answers that went beyond a bound.
+func (m *Metrics) boundBroken() {
+	m.bounds.Inc(1)
+}
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -14,9 +13,6 @@
 )
 
 const (
-	// maxBufferedAnswer is the size up to which an answer is read completely before the caller gets its head, so that a
-	// broken one can still be replaced.
-	maxBufferedAnswer = 512 << 10
 	// inlineBodyBytes is the size up to which a body is written before the answer is read. It fits the socket's buffers.
 	inlineBodyBytes = 16 << 10
 	// maxCrossed bounds the answers to other requests that are skipped on one connection.
@@ -32,6 +28,7 @@
 	errEncoded  = errors.New("the answer has a content encoding that nobody asked for")
 	errUnsigned = errors.New("the answer isn't signed by a target")
 	errSwitched = errors.New("the target switched protocols")
+	errPanicked = errors.New("an unexpected error ended the sending")
 )
 
 // upstreamRequest is a request as it is sent to a target.
@@ -41,6 +38,9 @@
 	id                string
 	body              *requestBody
 	idempotent        bool
+	// carriers are the connections on which the request was sent before. A second copy of an answer on one of them would bear
+	// the request's ID, too.
+	carriers []*targetconn.Conn
 }
 
 // answer is a target's answer.
@@ -66,6 +66,11 @@
 type sender struct {
 	dialect Dialect
 	pools   *connPools
+	memory  answerMemory
+	// maxAnswer bounds an answer's body in bytes.
+	maxAnswer int64
+	// recovered ends a panic of a goroutine with an event.
+	recovered func(place string)
 }
 
 // exchange sends a request and reads the answer. ctx ends with the deadline or when the caller leaves.
@@ -75,7 +80,7 @@
 		maxIdle = safeMaxIdle
 	}
 	pool := s.pools.of(target, address)
-	c, err := pool.GetRecent(ctx, maxIdle)
+	c, err := pool.GetRecent(ctx, maxIdle, r.carriers)
 	if err != nil {
 		return result{outcome: unsent, cause: err}
 	}
@@ -85,6 +90,7 @@
 		return result{outcome: unsent, cause: context.DeadlineExceeded}
 	}
 	c.Begin(nil)
+	r.carriers = append(r.carriers, c)
 	stop := context.AfterFunc(ctx, c.Abort)
 	s.dialect.StampRequest(r.header, target, left)
 	written := s.write(c, r)
@@ -106,7 +112,12 @@
 		written <- writeRequest(c, r)
 		return written
 	}
-	go func() { written <- writeRequest(c, r) }()
+	go func() {
+		err := errPanicked
+		defer func() { written <- err }()
+		defer s.recovered("request body")
+		err = writeRequest(c, r)
+	}()
 	return written
 }
 
@@ -126,17 +137,19 @@
 }
 
 // read returns the answer to the request. Answers that belong to other requests are skipped: a target may have answered an
-// earlier one twice.
+// earlier one twice. One without an ID may be such a copy, too, unless the connection has carried no other request.
 func (s *sender) read(c *targetconn.Conn, r *upstreamRequest) (*answer, error) {
 	for range maxCrossed + 1 {
 		got, err := s.readOne(c, r)
 		if err != nil {
 			return nil, err
 		}
-		if got.meta.ID == "" || got.meta.ID == r.id {
+		if got.meta.ID == r.id || got.meta.ID == "" && c.First() {
 			return got, nil
 		}
-		if got.rest != nil {
+		partial := got.rest != nil
+		s.drop(got)
+		if partial || got.meta.ID == "" {
 			break
 		}
 	}
@@ -152,37 +165,28 @@
 	if response.Header.Get("Content-Encoding") != "" {
 		return nil, errEncoded
 	}
-	var buffer bytes.Buffer
-	if n := response.ContentLength; n > 0 && n <= maxBufferedAnswer {
-		buffer.Grow(int(n) + bytes.MinRead)
-	}
-	n, err := io.CopyN(&buffer, response.Body, maxBufferedAnswer)
-	got.body = buffer.Bytes()
-	switch {
-	case errors.Is(err, io.EOF):
-		return got, nil
-	case err != nil:
+	body, complete, err := s.memory.buffer(response)
+	if err != nil {
+		s.memory.held.Add(-int64(len(body)))
 		return nil, err
-	case response.ContentLength == n:
-		return got, nil
 	}
-	got.rest = response.Body
+	got.body = body
+	if !complete {
+		got.rest = &boundedBody{ReadCloser: response.Body, left: s.maxAnswer - int64(len(body))}
+	}
 	return got, nil
 }
 
-func readHead(c *targetconn.Conn, method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.Reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errSwitched
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
+// drop ends the use of an answer that isn't passed on, or has been.
+func (s *sender) drop(a *answer) {
+	if a == nil {
+		return
+	}
+	s.memory.held.Add(-int64(len(a.body)))
+	if a.rest != nil {
+		_ = a.rest.Close()
 	}
+	a.body, a.rest = nil, nil
 }
 
 // finish decides whether the connection may carry another request.
@@ -232,9 +236,6 @@
 	case got.meta.NotRun && got.rest == nil:
 		return result{outcome: notRun, answer: got, cause: errors.New("the target refused: status " + strconv.Itoa(got.status))}
 	case !got.meta.Signed:
-		if got.rest != nil {
-			_ = got.rest.Close()
-		}
 		return result{outcome: unknown, answer: got, cause: errUnsigned}
 	default:
 		return result{outcome: answered, answer: got}
--- a/pkg/keygrant/keygrant.go
+++ b/pkg/keygrant/keygrant.go
@@ -22,6 +22,8 @@
 	idleTimeout = 5 * time.Second
 	// maxAnswerBytes bounds what is read of an answer's body, which carries nothing.
 	maxAnswerBytes = 4 << 10
+	// maxHeadBytes bounds the head of an answer. A target in trouble may send one that doesn't end.
+	maxHeadBytes = 16 << 10
 )
 
 var (
@@ -67,6 +69,7 @@
 func NewClient(dialect Dialect) *Client {
 	return &Client{dialect: dialect, releases: &http.Client{Transport: &http.Transport{
 		DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}}
 }
 
--- a/pkg/keygrant/keygrant_test.go
+++ b/pkg/keygrant/keygrant_test.go
@@ -165,3 +165,52 @@
 		t.Errorf("%d sessions", n)
 	}
 }
+
+// Guards against answers to grants and releases that don't end: a target in trouble may send bytes until the caller closes.
+func TestEndlessAnswersAreCutOff(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	var sent atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				block := make([]byte, 32<<10)
+				for {
+					n, err := c.Write(block)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	client, peer := NewClient(testDialect{}), Peer{ID: "t1", Address: l.Addr().String()}
+	begun := time.Now()
+	if _, err := client.Grant(t.Context(), peer, Grant{}, 0); !errors.Is(err, ErrUnknown) {
+		t.Errorf("grant: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if _, err := client.Release(ctx, peer, Grant{}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("release: %v", err)
+	}
+	if took := time.Since(begun); took > callTimeout {
+		t.Errorf("two calls took %v", took)
+	}
+	// Sockets of both sides hold a few MB beside what is read.
+	if n := sent.Load(); n > 16<<20 {
+		t.Errorf("%d bytes were taken in", n)
+	}
+}
--- a/pkg/keygrant/session.go
+++ b/pkg/keygrant/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -134,6 +135,8 @@
 	if err := s.conn.Writer.Flush(); err != nil {
 		return nil, err
 	}
+	s.conn.AllowReading(maxHeadBytes + maxAnswerBytes)
+	defer s.conn.AllowReading(math.MaxInt64)
 	response, err := http.ReadResponse(s.conn.Reader, r)
 	if err != nil {
 		return nil, err
--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -86,7 +86,9 @@
 	}
 }
 
-func (l *Link) receive(frame wire.Frame, r Receiver) error {
+// receive passes a message on. An error ends the connection.
+func (l *Link) receive(frame wire.Frame, r Receiver) (err error) {
+	defer recovered(&err)
 	switch frame.Type {
 	case wire.TypeRelayUpdate:
 		var u Update
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -59,6 +59,8 @@
 	Ask    func(*Follower, Ask)
 	Done   func(*Follower, Done)
 	Left   func(*Follower)
+	// Failed is called when the handling of a message has ended a connection.
+	Failed func(vm string, err error)
 }
 
 // Serve accepts VMs until the listener is closed.
@@ -75,9 +77,8 @@
 func serveFollower(c net.Conn, events Events) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
-	var first Report
-	frame, err := readFrame(c, reader)
-	if err != nil || frame.Type != wire.TypeRelayReport || frame.Decode(&first) != nil {
+	first, err := firstReport(c, reader)
+	if err != nil {
 		return
 	}
 	if first.Leader != nil {
@@ -92,14 +93,33 @@
 	}()
 	for {
 		frame, err := readFrame(c, reader)
-		if err != nil || f.receive(frame, events) != nil {
+		if err != nil {
 			return
 		}
+		if err := f.receive(frame, events); err != nil {
+			events.Failed(f.VM, err)
+			return
+		}
+	}
+}
+
+// firstReport reads the message that opens a connection.
+func firstReport(c net.Conn, reader *bufio.Reader) (first Report, err error) {
+	defer recovered(&err)
+	frame, err := readFrame(c, reader)
+	switch {
+	case err != nil:
+		return first, err
+	case frame.Type != wire.TypeRelayReport:
+		return first, errOutOfTurn
+	default:
+		return first, frame.Decode(&first)
 	}
 }
 
 // receive passes a message on. An error ends the connection.
-func (f *Follower) receive(frame wire.Frame, events Events) error {
+func (f *Follower) receive(frame wire.Frame, events Events) (err error) {
+	defer recovered(&err)
 	switch frame.Type {
 	case wire.TypeRelayReport:
 		var r Report
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,13 +24,18 @@
 	cancelGrace = 250 * time.Millisecond
 )
 
+// ErrTooLong means that a target has sent more bytes than were allowed.
+var ErrTooLong = errors.New("the target has sent more than is allowed")
+
 // Conn is a connection to a target. It carries one exchange at a time and counts what was written, so that an outcome
 // "not run" can be proven.
 type Conn struct {
 	net.Conn
 	Reader *bufio.Reader
 	// reading is held during a read.
-	reading   sync.Mutex
+	reading sync.Mutex
+	// readable is the number of bytes that may still be read.
+	readable  atomic.Int64
 	cancelled atomic.Bool
 	Writer    *bufio.Writer
 	// writing is held during a write and guards the fields up to guard.
@@ -42,12 +48,15 @@
 	closing sync.Once
 	// returned is when the connection became idle.
 	returned time.Time
+	// exchanges counts the exchanges that were begun.
+	exchanges int
 	// ended is closed once the target can no longer work on an exchange of this connection.
 	ended chan struct{}
 }
 
 func New(c net.Conn) *Conn {
 	wrapped := &Conn{Conn: c, ended: make(chan struct{})}
+	wrapped.AllowReading(math.MaxInt64)
 	wrapped.Reader = bufio.NewReaderSize(wrapped, BufferBytes)
 	wrapped.Writer = bufio.NewWriterSize(wrapped, BufferBytes)
 	return wrapped
@@ -82,6 +91,13 @@
 	defer c.writing.Unlock()
 	c.written = 0
 	c.guard = guard
+	c.exchanges++
+}
+
+// First tells whether the exchange in progress is the first one of the connection, so that no earlier request can be answered
+// on it.
+func (c *Conn) First() bool {
+	return c.exchanges == 1
 }
 
 // Sent returns the number of bytes of the exchange that the kernel has accepted and the error of the last write. The
@@ -124,6 +140,12 @@
 	})
 }
 
+// AllowReading bounds the bytes that are read from the target from now on, beside those in the buffer of Reader. Reads
+// beyond the bound fail with ErrTooLong.
+func (c *Conn) AllowReading(bytes int64) {
+	c.readable.Store(bytes)
+}
+
 // Read implements io.Reader.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.reading.Lock()
@@ -131,7 +153,12 @@
 	if c.cancelled.Load() {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Read(p)
+	allowed := c.readable.Load()
+	if allowed <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := c.Conn.Read(p[:min(int64(len(p)), allowed)])
+	c.readable.Add(-int64(n))
 	if c.cancelled.Load() {
 		// The target's reaction to the cancellation may arrive before the deadline has woken this reader.
 		return 0, net.ErrClosed
@@ -201,14 +228,14 @@
 
 // Get returns an idle connection or dials a new one.
 func (p *Pool) Get(ctx context.Context) (*Conn, error) {
-	return p.GetRecent(ctx, math.MaxInt64)
+	return p.GetRecent(ctx, math.MaxInt64, nil)
 }
 
 // GetRecent is like Get, but closes connections that have been idle for longer than maxIdle: a target may have dropped
-// them without notice, and what was written to them can't be proven not to have run.
-func (p *Pool) GetRecent(ctx context.Context, maxIdle time.Duration) (*Conn, error) {
+// them without notice, and what was written to them can't be proven not to have run. It returns none of except.
+func (p *Pool) GetRecent(ctx context.Context, maxIdle time.Duration, except []*Conn) (*Conn, error) {
 	for {
-		c := p.pop()
+		c := p.pop(except)
 		if c == nil {
 			break
 		}
@@ -224,16 +251,17 @@
 	return New(raw), nil
 }
 
-func (p *Pool) pop() *Conn {
+// pop removes the connection that became idle last.
+func (p *Pool) pop(except []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !slices.Contains(except, c) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
 	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	return c
+	return nil
 }
 
 // Put returns a connection whose exchange has ended completely.
