Let few VMs read the store for all, and send tables by failure domain

Cause: a VM that didn't hear the coordinator read three tables every 450 ms.

Change: a distributor in each failure domain with 12 VMs or more, also in the coordinator's region; in other regions it gets the tables from the region's. Distributors read the store while the coordinator is silent and tell their VMs who leads. The others read rarely and spread out (pkg/entry/pace.go), only the control table while the store fails. The coordinator's row names the number of VMs and the distributors, for VMs that start. With a distributor a VM gets only signs of life from the coordinator, and a VM that joins no longer causes a message to all.

Ruled out: longer pauses alone, since a VM without fresh tables must learn of a leaving target within 2 s.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -35,6 +35,8 @@
 	Weakness time.Duration
 	// Capacity estimates the requests a second that a target can carry.
 	Capacity func(t *inventory.Target) float64
+	// Fleet is stored with the next renewal.
+	Fleet Fleet
 }
 
 // poolState is a keyed pool.
@@ -217,7 +219,7 @@
 	case err == nil:
 		c.pending = nil
 		c.version, c.read, c.seen = version, version, now
-		c.row = Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && len(c.calls) == 0}
+		c.row = Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && len(c.calls) == 0, Fleet: c.fleet}
 		c.succeed(p, now)
 	case errors.Is(err, rowstore.ErrRefused) && !p.unsure:
 		c.pending = nil
@@ -317,7 +319,7 @@
 
 // Tick does what is due.
 func (c *Coordinator) Tick(now clock.Instant, view View, candidate bool) []Effect {
-	c.view, c.slowness, c.weakness = view, view.Slowness, view.Weakness
+	c.view, c.slowness, c.weakness, c.fleet = view, view.Slowness, view.Weakness, view.Fleet
 	c.noteAddresses()
 	if c.pending != nil {
 		if !c.pending.inFlight && now >= c.nextTry {
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -50,6 +50,15 @@
 	Released bool `msgpack:"rel"`
 	// Clean tells that it left no call whose outcome is open.
 	Clean bool `msgpack:"clean"`
+	Fleet
+}
+
+// Fleet is what the coordinator stores about the VMs, for those that start or have lost it.
+type Fleet struct {
+	// VMs is the number of connected VMs, the coordinator included; 0 if it isn't known.
+	VMs int `msgpack:"vms,omitempty"`
+	// Distributors are the addresses of the VMs that pass the tables on, by failure domain.
+	Distributors map[string]string `msgpack:"dist,omitempty"`
 }
 
 // Identity tells the processes apart that may lead.
@@ -100,6 +109,9 @@
 	free     clock.Instant
 	freeSeen bool
 
+	// fleet is stored with each renewal.
+	fleet Fleet
+
 	leading  bool
 	leaseEnd clock.Instant
 	pending  *commit
@@ -166,7 +178,7 @@
 // newCommit returns a transaction that also writes the coordinator's row. It takes effect only if nobody has written that
 // row since.
 func (l *leadership) newCommit(puts []rowstore.Row, release, clean bool) (*commit, error) {
-	next := Leader{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Renewal: l.row.Renewal + 1, Released: release, Clean: clean}
+	next := Leader{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Renewal: l.row.Renewal + 1, Released: release, Clean: clean, Fleet: l.fleet}
 	value, err := msgpack.Marshal(next)
 	if err != nil {
 		return nil, err
--- a/pkg/coordinator/notice.go
+++ b/pkg/coordinator/notice.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	c.version, c.seen, c.known = n.Version, now, true
-	c.row = Leader{VM: n.VM, Incarnation: n.Incarnation, Address: n.Address, Renewal: c.row.Renewal}
+	c.row = Leader{VM: n.VM, Incarnation: n.Incarnation, Address: n.Address, Renewal: c.row.Renewal, Fleet: c.row.Fleet}
 	if c.pending != nil && !c.pending.inFlight {
 		// Its condition can't hold any more. The answer of a write in flight is still awaited: it must not be taken for the
 		// next one's.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -25,10 +25,6 @@
 	leaderTick = 50 * time.Millisecond
 	// followerTick is the granularity of all other VMs.
 	followerTick = 150 * time.Millisecond
-	// leaderPoll is the time between the coordinator's reads of the store. A target that leaves must get nothing 2 s later.
-	leaderPoll = 400 * time.Millisecond
-	// ownPoll is the time between the reads of a VM that doesn't hear from the coordinator.
-	ownPoll = 450 * time.Millisecond
 	// maxStoreAge is the age of relayed data after which a VM reads the store itself.
 	maxStoreAge = 1000 * time.Millisecond
 	// pollTimeout bounds a read. A slow store takes 380 ms for an answer.
@@ -110,6 +106,16 @@
 	// reads counts the reads of each table.
 	reads    map[string]int
 	nextPoll map[string]clock.Instant
+	// paces are the tables' paces.
+	paces map[string]*pace
+	// vms is the number of VMs as the coordinator has last told it, 0 before.
+	vms int
+	// ledSince is when this VM took the coordinator's role.
+	ledSince clock.Instant
+	// greet tells that VMs have joined or need another distributor.
+	greet bool
+	// noticed is the newest coordinator that the subscribers were told of.
+	noticed coordinator.Notice
 	// freshAt is when the newest state of the store that was read here was current, relayFreshAt the same for relayed ones.
 	freshAt      clock.Instant
 	relayFreshAt clock.Instant
@@ -187,7 +193,7 @@
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
 		balancer: o.Balancer, onView: o.OnView, events: make(chan func(), 256), mirror: replica.NewMirror(),
-		targets: map[string]decodedTarget{}, loads: newLoadWindow(), polling: map[string]bool{}, reads: map[string]int{}, nextPoll: map[string]clock.Instant{},
+		targets: map[string]decodedTarget{}, loads: newLoadWindow(), polling: map[string]bool{}, reads: map[string]int{}, nextPoll: map[string]clock.Instant{}, paces: map[string]*pace{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
 	}
@@ -226,6 +232,7 @@
 // Run works until the context ends. The relay listener is closed then.
 func (c *Control) Run(ctx context.Context, relay net.Listener) {
 	c.ctx, c.startedAt = ctx, c.clock.Now()
+	c.nextPoll[coordinator.Table] = c.startedAt.Add(firstRead(c.ownWeakness()))
 	go c.serveRelay(relay)
 	defer func() { _ = relay.Close() }()
 	timer := time.NewTimer(0)
@@ -317,10 +324,23 @@
 func (c *Control) coordinatorView(now clock.Instant) coordinator.View {
 	return coordinator.View{
 		Snapshot: c.snapshot, Slowness: c.slowness(now), Weakness: c.weakness(), Capacity: c.capacity,
-		Load: func(pool string) keyrange.Load { return c.loads.load(pool, now) },
+		Load:  func(pool string) keyrange.Load { return c.loads.load(pool, now) },
+		Fleet: c.fleet(now),
 	}
 }
 
+// fleetSettle is how long a new coordinator leaves what its row tells about the VMs as it is, while they connect to it.
+const fleetSettle = 3 * time.Second
+
+// fleet is what this VM's next renewal tells about the VMs.
+func (c *Control) fleet(now clock.Instant) coordinator.Fleet {
+	row, _ := c.coordinator.Leader()
+	if !c.wasLeading || now.Sub(c.ledSince) < fleetSettle {
+		return row.Fleet
+	}
+	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors()}
+}
+
 // run carries effects out.
 func (c *Control) run(effects []coordinator.Effect) {
 	for _, e := range effects {
@@ -396,6 +416,7 @@
 		f.Close()
 	}
 	if leading {
+		c.ledSince = c.clock.Now()
 		c.unfollow()
 		c.leaveDistributor()
 		c.published, c.lastRoutes = nil, nil
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -15,31 +15,85 @@
 
 // poll starts the reads of the store that are due.
 func (c *Control) poll(now clock.Instant, leading bool) {
-	interval := leaderPoll
 	relayed := c.tablesRelayed(now)
-	if !leading {
-		if relayed && c.coordinatorHeard(now) {
-			return
-		}
-		interval = ownPoll
+	if !leading && relayed && c.coordinatorHeard(now) {
+		c.rest(now)
+		return
 	}
+	s := c.standing(now, leading)
 	for _, table := range []string{c.tables.Operator, c.tables.Targets, coordinator.Table} {
 		if !leading && table != coordinator.Table && (relayed || c.snapshot == nil && c.spared(now)) {
+			c.restTable(table, now)
+			continue
+		}
+		if !leading && table != coordinator.Table && c.storeDown {
+			// The smallest table shows when the store answers again.
 			continue
 		}
 		if leading && table == coordinator.Table || now < c.nextPoll[table] || c.polling[table] {
 			continue
 		}
-		c.nextPoll[table] = now.Add(interval)
+		c.nextPoll[table] = now.Add(c.pace(table).pause(s, c.fleetSize()))
 		c.startPoll(table)
 	}
 }
 
+// rest puts the next reads off while others read for this VM. A VM with a distributor gives it time to read again first.
+func (c *Control) rest(now clock.Instant) {
+	for _, table := range []string{c.tables.Operator, c.tables.Targets, coordinator.Table} {
+		c.pace(table).reads = 0
+		c.restTable(table, now)
+	}
+}
+
+func (c *Control) restTable(table string, now clock.Instant) {
+	switch {
+	case c.source.link != nil:
+		if c.nextPoll[table] < now.Add(guidedPause) {
+			c.nextPoll[table] = now.Add(guidedRest())
+		}
+	case c.snapshot == nil && c.nextPoll[table] == 0:
+		c.nextPoll[table] = c.startedAt.Add(startGrace + startRest(c.fleetSize()))
+	}
+}
+
+// standing tells what this VM is to the others when it comes to reading the store.
+func (c *Control) standing(now clock.Instant, leading bool) standing {
+	switch {
+	case leading:
+		return coordinating
+	case len(c.subscribers) > 0:
+		return watching
+	case c.distributed(now):
+		return guided
+	default:
+		return alone
+	}
+}
+
+// fleetSize is the number of VMs as it is known, 0 if it isn't.
+func (c *Control) fleetSize() int {
+	if c.vms > 0 {
+		return c.vms
+	}
+	row, _ := c.coordinator.Leader()
+	return row.VMs
+}
+
+func (c *Control) pace(table string) *pace {
+	p := c.paces[table]
+	if p == nil {
+		p = &pace{}
+		c.paces[table] = p
+	}
+	return p
+}
+
 // spared tells whether a new process may expect the tables from the coordinator. After a restart of all VMs their own reads
 // would fill the link between the regions for seconds.
 func (c *Control) spared(now clock.Instant) bool {
 	age := now.Sub(c.startedAt)
-	return age < startGrace || c.coordinatorHeard(now) && age < linkedGrace
+	return age < startGrace || (c.coordinatorHeard(now) || c.distributed(now)) && age < linkedGrace
 }
 
 // coordinatorHeard tells whether the coordinator is heard.
@@ -100,6 +154,7 @@
 func (c *Control) changed(table string, changes rowstore.Changes, err error, begun clock.Instant) {
 	c.polling[table] = false
 	c.noteStore(err)
+	c.pace(table).note(err)
 	if err != nil {
 		return
 	}
@@ -113,12 +168,14 @@
 	c.polling[table] = false
 	now := c.clock.Now()
 	c.noteStore(err)
+	c.pace(table).note(err)
 	if err != nil {
 		return
 	}
 	if table == coordinator.Table {
 		c.run(c.coordinator.Observe(page, now.Sub(begun), now))
 		c.controlReadAt = time.Now()
+		c.useStoredDistributor(now)
 		c.refreshView()
 		return
 	}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -25,7 +25,7 @@
 				c.loads.add(r.Keys, c.clock.Now())
 				if r.Unreachable != "" {
 					c.distribution.Unreachable(f, r.Unreachable, c.clock.Now())
-					c.lastBeat = 0
+					c.greet = true
 				}
 			})
 		},
@@ -52,7 +52,7 @@
 	}
 	c.followers[f] = true
 	c.log.Emit(event.FollowerJoined, "vm", f.VM, "vms", len(c.followers)+1)
-	c.lastBeat = 0
+	c.greet = true
 }
 
 // subscribe takes a VM in that wants the tables from this one as its distributor. A coordinator sends them itself.
@@ -62,7 +62,7 @@
 		return
 	}
 	c.subscribers[f] = true
-	c.lastBeat = 0
+	c.greet = true
 }
 
 // redirectTime is the time in which the VM that has connected gets the answer.
@@ -127,11 +127,15 @@
 	c.publishedAt = now
 	changed := c.changedRoutes(now)
 	deltas := c.deltas()
-	if len(changed) == 0 && len(deltas) == 0 && now.Sub(c.lastBeat) < heartbeatInterval {
+	beat := now.Sub(c.lastBeat) >= heartbeatInterval
+	if len(changed) == 0 && len(deltas) == 0 && !beat && !c.greet {
 		return
 	}
-	c.lastBeat = now
-	c.broadcast(now, changed, deltas)
+	if beat {
+		c.lastBeat = now
+	}
+	c.greet = false
+	c.broadcast(now, changed, deltas, beat)
 }
 
 // changedRoutes returns the routes that have changed since the last call, and puts them into force here.
@@ -155,7 +159,9 @@
 	return changed
 }
 
-func (c *Control) broadcast(now clock.Instant, changed map[string][]coordinator.Route, deltas []replica.Delta) {
+// broadcast sends an update to all VMs that it concerns. With a distributor a VM gets only signs of life: for 295 VMs, a message to
+// each with every change took more of the coordinator's processor than the placing of requests.
+func (c *Control) broadcast(now clock.Instant, changed map[string][]coordinator.Route, deltas []replica.Delta, beat bool) {
 	list := slices.Collect(maps.Keys(c.followers))
 	replica.SortFollowers(list)
 	c.balancer.SetShare(0, len(list)+1)
@@ -168,7 +174,12 @@
 	for _, f := range list {
 		c.leastWeakness = min(c.leastWeakness, f.Weakness)
 	}
+	news := len(changed) > 0 || len(deltas) > 0
 	for i, f := range list {
+		if !beat && !f.Fresh && !f.Reassigned && (!news || f.Distributor != "") {
+			continue
+		}
+		f.Reassigned = false
 		u := replica.Update{
 			LeastWeaknessMs: c.leastWeakness.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(list) + 1,
 			Distributor: f.Distributor,
@@ -318,8 +329,10 @@
 	if l != nil && l == c.link {
 		c.log.Emit(event.CoordinatorLost, "error", err.Error())
 	}
-	// The coordinator may have given the role up, which the control table tells.
-	c.nextPoll[coordinator.Table] = 0
+	if !c.distributed(c.clock.Now()) {
+		// The coordinator may have given the role up, which the control table tells.
+		c.nextPoll[coordinator.Table] = min(c.nextPoll[coordinator.Table], c.clock.Now().Add(c.pace(coordinator.Table).pause(alone, c.fleetSize())-ownPoll))
+	}
 	c.unfollow()
 }
 
@@ -337,6 +350,7 @@
 	c.leastWeakness = time.Duration(u.LeastWeaknessMs) * time.Millisecond
 	c.coordinator.Heard(u.LeaseVersion, now)
 	c.balancer.SetShare(u.Index, u.Count)
+	c.vms = u.Count
 	c.useDistributor(u.Distributor, now)
 	if u.Distributor != "" {
 		return
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -49,6 +49,18 @@
 	}()
 }
 
+// useStoredDistributor turns to the distributor that the coordinator's row names while the coordinator isn't heard. It tells this
+// VM who leads next.
+func (c *Control) useStoredDistributor(now clock.Instant) {
+	if c.wasLeading || c.link != nil || c.source.address != "" {
+		return
+	}
+	row, _ := c.coordinator.Leader()
+	if address := row.Distributors[c.settings.Domain]; address != c.relayAddress() {
+		c.useDistributor(address, now)
+	}
+}
+
 func (c *Control) leaveDistributor() {
 	if c.source.stop != nil {
 		c.source.stop()
@@ -72,6 +84,9 @@
 	}
 	now := c.clock.Now()
 	c.source.heardAt = now
+	if u.Leader != nil {
+		c.introduce(*u.Leader)
+	}
 	if err := c.takeTables(u, now); err != nil {
 		c.distributorLost("error", err.Error())
 	}
@@ -127,30 +142,58 @@
 	return c.source.link != nil && now.Sub(c.source.heardAt) < contactLoss
 }
 
-// distribute sends the tables and routes that have changed, or a sign of life, to the VMs that take this one for their distributor.
-// It goes on without a coordinator, with what this VM reads from the store.
+// distribute sends the tables and routes that have changed, or a sign of life, to the VMs that take this one for their distributor,
+// and who leads. It goes on without a coordinator, with what this VM reads from the store.
 func (c *Control) distribute(now clock.Instant) {
-	if len(c.subscribers) == 0 || c.snapshot == nil {
+	if len(c.subscribers) == 0 {
 		return
 	}
 	c.publishedAt = now
-	changed, deltas := c.changedRelayed(), c.deltas()
-	if len(changed) == 0 && len(deltas) == 0 && now.Sub(c.lastBeat) < heartbeatInterval {
+	var changed map[string][]coordinator.Route
+	var deltas []replica.Delta
+	if c.snapshot != nil {
+		changed, deltas = c.changedRelayed(), c.deltas()
+	}
+	leader, newLeader := c.newLeader()
+	beat := now.Sub(c.lastBeat) >= heartbeatInterval
+	if len(changed) == 0 && len(deltas) == 0 && !beat && !c.greet && !newLeader {
 		return
 	}
-	c.lastBeat = now
+	if beat {
+		c.lastBeat = now
+	}
+	c.greet = false
 	plain, packed := c.shrink(deltas)
 	age := now.Sub(max(c.freshAt, c.relayFreshAt)).Milliseconds()
 	for f := range c.subscribers {
 		u := replica.Update{StoreAge: age, Deltas: plain, Packed: packed, Routes: changed}
+		if newLeader {
+			u.Leader = leader
+		}
 		if f.Fresh {
-			u.Deltas, u.Packed, u.Routes, u.AllRoutes = nil, c.everything(), c.relayed, c.relayed != nil
-			f.Fresh = false
+			u.Leader = leader
+			f.Fresh = c.snapshot == nil
+			if !f.Fresh {
+				u.Deltas, u.Packed, u.Routes, u.AllRoutes = nil, c.everything(), c.relayed, c.relayed != nil
+			}
 		}
 		f.Update(u)
 	}
 }
 
+// newLeader returns who leads, as far as is known, and whether the subscribers don't know.
+func (c *Control) newLeader() (*coordinator.Notice, bool) {
+	n, known := c.coordinator.Notice()
+	if !known {
+		return nil, false
+	}
+	if n.VM == c.noticed.VM && n.Incarnation == c.noticed.Incarnation {
+		return &n, false
+	}
+	c.noticed = n
+	return &n, true
+}
+
 // changedRelayed returns the relayed routes that have changed since the last call.
 func (c *Control) changedRelayed() map[string][]coordinator.Route {
 	if c.relayedAt.Equal(c.passedOnAt) {
--- a/pkg/replica/distribution.go
+++ b/pkg/replica/distribution.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// distributeFrom is the number of VMs in another region from which on one of them passes the tables on to the others. Each
-	// copy crosses the link between the regions: with 150 VMs there, the tables of 3,000 targets filled it for seconds.
+	// distributeFrom is the number of VMs in a failure domain, or in another region, from which on one of them passes the tables
+	// on to the others. Each copy crosses the link between the regions or domains: with 150 VMs in another region, the tables of
+	// 3,000 targets filled it for seconds.
 	distributeFrom = 12
 	// directTime is how long a VM gets the tables from the coordinator after it couldn't get them in its region.
 	directTime = 5 * time.Second
@@ -22,15 +23,22 @@
 	barredTime = 10 * time.Second
 )
 
-// Distribution chooses a distributor in each other region with many VMs: the VM that passes the tables on to the region's others.
-// It answers the load of whole tables that cross the link between the regions once for each VM, after a restart or when a large
-// configuration changes.
+// group names VMs that share a distributor: those of a failure domain, or of a whole region if domain is empty.
+type group struct {
+	region, domain string
+}
+
+// Distribution chooses distributors, VMs that pass the tables on to others: one in each other region and one in each failure
+// domain with many VMs. It answers two loads: whole tables that cross the link between the regions once for each VM, after a
+// restart or when a large configuration changes; and all VMs reading the store at once when the coordinator is lost, since
+// only the distributors read it then.
 //
-// Invariant: a VM that is turned from a distributor to the coordinator gets the whole tables first.
+// Invariants: a VM that is turned from a distributor to the coordinator gets the whole tables first; the sources form a tree,
+// coordinator - region's distributor - domain's distributor - VM, in which each level may be missing.
 type Distribution struct {
-	// Region is the coordinator's own, whose VMs get the tables from it.
+	// Region is the coordinator's own.
 	Region string
-	chosen map[string]*Follower
+	chosen map[group]*Follower
 	doubts map[*Follower]map[*Follower]clock.Instant
 	barred map[*Follower]clock.Instant
 }
@@ -38,49 +46,87 @@
 // NewDistribution returns a distribution for a coordinator in a region.
 func NewDistribution(region string) *Distribution {
 	return &Distribution{
-		Region: region, chosen: map[string]*Follower{}, doubts: map[*Follower]map[*Follower]clock.Instant{}, barred: map[*Follower]clock.Instant{},
+		Region: region, chosen: map[group]*Follower{}, doubts: map[*Follower]map[*Follower]clock.Instant{}, barred: map[*Follower]clock.Instant{},
 	}
 }
 
 // Assign sets where each VM gets the tables. It returns the distributors that are new.
 func (d *Distribution) Assign(list []*Follower, now clock.Instant) (added []*Follower) {
-	regions := map[string][]*Follower{}
-	for _, f := range list {
-		if f.Region != d.Region {
-			regions[f.Region] = append(regions[f.Region], f)
+	groups := d.groups(list)
+	for g := range d.chosen {
+		if groups[g] == nil {
+			delete(d.chosen, g)
 		}
 	}
-	for region, members := range regions {
-		if d.renew(region, members, now) {
-			added = append(added, d.chosen[region])
+	for g, members := range groups {
+		if d.renew(g, members, now) {
+			added = append(added, d.chosen[g])
 		}
 	}
 	for _, f := range list {
-		f.assign(d.sourceOf(f, len(regions[f.Region]), now))
+		f.assign(d.sourceOf(f, now))
 	}
 	return added
 }
 
+// groups returns the groups that are large enough for a distributor.
+func (d *Distribution) groups(list []*Follower) map[group][]*Follower {
+	groups := map[group][]*Follower{}
+	for _, f := range list {
+		if f.Region != d.Region {
+			g := group{region: f.Region}
+			groups[g] = append(groups[g], f)
+		}
+		if f.Domain != "" {
+			g := group{f.Region, f.Domain}
+			groups[g] = append(groups[g], f)
+		}
+	}
+	for g, members := range groups {
+		if len(members) < distributeFrom {
+			delete(groups, g)
+		}
+	}
+	return groups
+}
+
+// Distributors returns the address of the distributor that each failure domain's VMs turn to.
+func (d *Distribution) Distributors() map[string]string {
+	list := map[string]string{}
+	for g, f := range d.chosen {
+		if g.domain != "" {
+			list[g.domain] = f.Address
+		}
+	}
+	return list
+}
+
 // sourceOf returns the address of the VM's distributor, empty for the coordinator.
-func (d *Distribution) sourceOf(f *Follower, members int, now clock.Instant) string {
-	chosen := d.chosen[f.Region]
-	if f.Region == d.Region || members < distributeFrom || chosen == nil || chosen == f || now < f.directUntil {
+func (d *Distribution) sourceOf(f *Follower, now clock.Instant) string {
+	ofRegion, ofDomain := d.chosen[group{region: f.Region}], d.chosen[group{f.Region, f.Domain}]
+	switch {
+	case now < f.directUntil || f == ofRegion:
+		return ""
+	case ofDomain != nil && f != ofDomain:
+		return ofDomain.Address
+	case ofRegion != nil:
+		return ofRegion.Address
+	default:
 		return ""
 	}
-	return chosen.Address
 }
 
 func (f *Follower) assign(source string) {
 	if f.Distributor == source {
 		return
 	}
-	f.Distributor = source
+	f.Distributor, f.Reassigned = source, true
 	f.Fresh = source == ""
 }
 
-// renew chooses a distributor for a region if there is none that is fit. It tells whether there is a new one.
-func (d *Distribution) renew(region string, members []*Follower, now clock.Instant) bool {
-	chosen := d.chosen[region]
+// renew chooses a distributor for a group if there is none that is fit. It tells whether there is a new one.
+func (d *Distribution) renew(g group, members []*Follower, now clock.Instant) bool {
+	chosen := d.chosen[g]
 	if chosen != nil && slices.Contains(members, chosen) && !d.doubted(chosen, now) {
 		return false
 	}
@@ -88,12 +134,12 @@
 		d.barred[chosen] = now.Add(barredTime)
 		delete(d.doubts, chosen)
 	}
+	delete(d.chosen, g)
 	fit := slices.DeleteFunc(slices.Clone(members), func(f *Follower) bool { return f.Address == "" || now < d.barred[f] })
-	delete(d.chosen, region)
-	if len(members) < distributeFrom || len(fit) == 0 {
+	if len(fit) == 0 {
 		return false
 	}
-	d.chosen[region] = slices.MinFunc(fit, func(a, b *Follower) int {
+	d.chosen[g] = slices.MinFunc(fit, func(a, b *Follower) int {
 		return cmp.Or(cmp.Compare(a.Weakness, b.Weakness), cmp.Compare(a.VM, b.VM))
 	})
 	return true
@@ -113,7 +159,10 @@
 // Unreachable notes that a VM can't get the tables from the distributor at an address. It gets them from the coordinator until it is
 // tried again; if many complain, another distributor is chosen.
 func (d *Distribution) Unreachable(f *Follower, address string, now clock.Instant) {
-	chosen := d.chosen[f.Region]
+	chosen := d.chosen[group{f.Region, f.Domain}]
+	if chosen == nil || chosen.Address != address {
+		chosen = d.chosen[group{region: f.Region}]
+	}
 	if chosen == nil || chosen.Address != address {
 		return
 	}
--- a/pkg/replica/distribution_test.go
+++ b/pkg/replica/distribution_test.go
@@ -97,3 +97,67 @@
 		t.Errorf("after the loss of one and the doubts about another, the distributors are %v", added)
 	}
 }
+
+// domains returns n followers in each of the given failure domains of a region.
+func domains(name string, n int, names ...string) []*Follower {
+	var list []*Follower
+	for _, domain := range names {
+		for _, f := range region(name+domain, n) {
+			f.Region, f.Domain = name, domain
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// Guards against tables that the coordinator sends to each VM of its own region, and that cross the link between the regions
+// more than once, or never reach a VM because the sources form a circle.
+func TestDomainsHaveDistributors(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	near, far := domains("own", 37, "a", "b", "c", "d"), domains("far", 37, "e", "f", "g", "h")
+	list := append(append([]*Follower{}, near...), far...)
+	if added := d.Assign(list, now); len(added) != 9 {
+		t.Errorf("%d distributors", len(added))
+	}
+	if direct(near) != 4 || direct(far) != 1 {
+		t.Errorf("%d near and %d far VMs get the tables from the coordinator", direct(near), direct(far))
+	}
+	at := map[string]*Follower{}
+	for _, f := range list {
+		at[f.Address] = f
+	}
+	for _, f := range list {
+		hops := 0
+		for g := f; g.Distributor != ""; g = at[g.Distributor] {
+			if hops++; hops > 2 {
+				t.Fatalf("the tables reach %s after more than two VMs", f.VM)
+			}
+		}
+	}
+	if got := d.Distributors(); len(got) != 8 || at[got["b"]].Domain != "b" {
+		t.Errorf("the distributors are %v", got)
+	}
+}
+
+// Guards against a failure domain that keeps a distributor that its VMs can't reach, and against one that has too few VMs to
+// need one.
+func TestDomainsDistributorIsReplaced(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	list := append(domains("own", 20, "a"), domains("own", distributeFrom-1, "b")...)
+	d.Assign(list, now)
+	if direct(list) != 1+distributeFrom-1 {
+		t.Errorf("%d VMs get the tables from the coordinator", direct(list))
+	}
+	for _, f := range list[:maxDoubts] {
+		d.Unreachable(f, f.Distributor, now)
+	}
+	if added := d.Assign(list, now); len(added) != 1 || added[0] != list[18] || list[10].Distributor != list[18].Address {
+		t.Errorf("the distributors are %v", added)
+	}
+	d.Assign(list[:distributeFrom-2], now)
+	if n := direct(list[:distributeFrom-2]); n != distributeFrom-2 || len(d.Distributors()) != 0 {
+		t.Errorf("%d VMs of a small domain get the tables from the coordinator, distributors %v", n, d.Distributors())
+	}
+}
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -37,6 +37,8 @@
 	// as does directUntil, until when it gets them from the coordinator.
 	Distributor string
 	directUntil clock.Instant
+	// Reassigned tells that the VM doesn't know its distributor yet.
+	Reassigned bool
 }
 
 // Update sends an update.
