Give each vacancy of the role its own delay; spare the coordinator at scale

A VM with 0.16 of a core had taken the role just before, at once after it was given up, because the time since it had first seen the role free was counted from another vacancy. The strong VMs then waited for it. Besides, 294 VMs dialled a VM that didn't lead 1,000 times a second, and the first VMs to connect to a new coordinator all got whole tables.

Ruled out: the store, which had been back for 4 s before the kill.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -359,6 +359,17 @@
 	return c.take()
 }
 
+// Slices returns the number of slices of all pools.
+func (c *Coordinator) Slices() int {
+	n := 0
+	for _, p := range c.pools {
+		if p.table != nil {
+			n += len(p.table.Slices)
+		}
+	}
+	return n
+}
+
 // Revision changes with each change of the routes.
 func (c *Coordinator) Revision() uint64 {
 	return c.revision
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -105,7 +105,7 @@
 	slowness time.Duration
 	// weakness is the delay for the VM's processor and link.
 	weakness time.Duration
-	// free is when the role was first seen to be free.
+	// free is when the role was first seen to be free with the present version of the row.
 	free     clock.Instant
 	freeSeen bool
 
@@ -135,7 +135,7 @@
 		return nil
 	}
 	if !l.known || version != l.version {
-		l.version, l.seen, l.known = version, now, true
+		l.version, l.seen, l.known, l.freeSeen = version, now, true, false
 	}
 	l.row, l.read = row, version
 	return nil
@@ -149,7 +149,7 @@
 // heard notes that the coordinator has told this VM the version of its row.
 func (l *leadership) heard(version uint64, now clock.Instant) {
 	if version > l.version {
-		l.version, l.seen = version, now
+		l.version, l.seen, l.freeSeen = version, now, false
 	}
 }
 
--- a/pkg/coordinator/model_test.go
+++ b/pkg/coordinator/model_test.go
@@ -5,10 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/keygrant"
 	"github.com/bronzelever/bronzelever/pkg/keyrange"
+	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
 // Guards against two holders of a key, and against fences that don't increase, under crashes, restarts, partitions of the
@@ -248,3 +251,31 @@
 		t.Error("the role was taken without a read of the store")
 	}
 }
+
+// Guards against a weak VM that takes a role which was just given up, because it had seen the role free long before: it led 295 VMs
+// after the next one, and all processes were killed then.
+func TestEachVacancyHasItsOwnDelay(t *testing.T) {
+	l := leadership{self: Identity{VM: "weak"}, weakness: time.Second}
+	now := clock.Instant(time.Minute)
+	l.known, l.version, l.read, l.row, l.seen = true, 1, 1, Leader{VM: "a"}, now.Add(-time.Minute)
+	if l.mayTake(now) {
+		t.Fatal("a weak VM doesn't wait")
+	}
+	// Another VM takes the role, is followed for a while and gives it up.
+	l.heard(2, now.Add(100*time.Millisecond))
+	l.heard(3, now.Add(5*time.Second))
+	value, err := msgpack.Marshal(Leader{VM: "b", Released: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now = now.Add(10 * time.Second)
+	if err := l.observe(rowstore.Page{Version: 4, Rows: []rowstore.Row{{Key: KeyLeader, Value: value, Version: 4}}}, now); err != nil {
+		t.Fatal(err)
+	}
+	if l.mayTake(now) || l.mayTake(now.Add(900*time.Millisecond)) {
+		t.Error("a weak VM takes the role before strong ones have had a chance")
+	}
+	if !l.mayTake(now.Add(1100 * time.Millisecond)) {
+		t.Error("a weak VM never takes the role")
+	}
+}
--- a/pkg/coordinator/notice.go
+++ b/pkg/coordinator/notice.go
@@ -15,7 +15,7 @@
 	if n.Version <= c.version || n.VM == c.self.VM {
 		return nil
 	}
-	c.version, c.seen, c.known = n.Version, now, true
+	c.version, c.seen, c.known, c.freeSeen = n.Version, now, true, false
 	c.row = Leader{VM: n.VM, Incarnation: n.Incarnation, Address: n.Address, Renewal: c.row.Renewal, Fleet: c.row.Fleet}
 	if c.pending != nil && !c.pending.inFlight {
 		// Its condition can't hold any more. The answer of a write in flight is still awaited: it must not be taken for the
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -41,8 +41,6 @@
 	heartbeatInterval = 300 * time.Millisecond
 	// reportInterval is the time between reports to the coordinator.
 	reportInterval = 250 * time.Millisecond
-	// redialInterval is the time between attempts to reach the coordinator.
-	redialInterval = 300 * time.Millisecond
 	// unownedWait is the least time that a key without an owner is expected to stay so.
 	unownedWait = 100 * time.Millisecond
 	// linkSilence is the silence after which the coordinator isn't asked any more.
@@ -94,6 +92,7 @@
 	used   usedKeys
 
 	coordinator *coordinator.Coordinator
+	driving     driving
 	mirror      *replica.Mirror
 	snapshot    *inventory.Snapshot
 	targets     map[string]decodedTarget
@@ -116,12 +115,16 @@
 	greet bool
 	// noticed is the newest coordinator that the subscribers were told of.
 	noticed coordinator.Notice
+	// announced tells that they were told that it leads.
+	announced bool
 	// freshAt is when the newest state of the store that was read here was current, relayFreshAt the same for relayed ones.
 	freshAt      clock.Instant
 	relayFreshAt clock.Instant
 	storeDown    bool
 
-	followers    map[*replica.Follower]bool
+	followers map[*replica.Follower]bool
+	// listed are the followers by name as of the last sign of life; nil after one has left.
+	listed       []*replica.Follower
 	distribution *replica.Distribution
 	// subscribers are the VMs that take this one for their distributor; source is this VM's own.
 	subscribers map[*replica.Follower]bool
@@ -145,9 +148,11 @@
 	following         string
 	stopFollow        context.CancelFunc
 	nextDial          clock.Instant
-	heardAt           clock.Instant
-	relayed           map[string][]coordinator.Route
-	relayedAt         time.Time
+	// vainDials counts the attempts to reach the coordinator since its last update.
+	vainDials int
+	heardAt   clock.Instant
+	relayed   map[string][]coordinator.Route
+	relayedAt time.Time
 	// controlReadAt is when the control table was last read from the store.
 	controlReadAt time.Time
 	nextReport    clock.Instant
@@ -293,7 +298,7 @@
 		c.tick(now)
 		return
 	}
-	if leading {
+	if leading && c.driving.due(now, c.coordinator.Slices()) {
 		c.run(c.coordinator.Advance(now))
 	}
 	if now.Sub(c.publishedAt) >= publishInterval {
@@ -365,7 +370,10 @@
 	ctx, cancel := context.WithTimeout(c.ctx, commitTimeout)
 	defer cancel()
 	version, err := c.store.Commit(ctx, e.Transaction)
-	c.post(func() { c.run(c.coordinator.Committed(version, err, c.clock.Now())) })
+	c.post(func() {
+		c.driving.wanted = true
+		c.run(c.coordinator.Committed(version, err, c.clock.Now()))
+	})
 }
 
 func (c *Control) grant(e coordinator.SendGrant) {
@@ -373,14 +381,20 @@
 	if c.clock.Now() < e.Before {
 		connection, err = c.grants.Grant(c.ctx, e.To, e.Grant, e.Connection)
 	}
-	c.post(func() { c.run(c.coordinator.Granted(e.Call, connection, err, c.clock.Now())) })
+	c.post(func() {
+		c.driving.wanted = true
+		c.run(c.coordinator.Granted(e.Call, connection, err, c.clock.Now()))
+	})
 }
 
 func (c *Control) release(e coordinator.SendRelease) {
 	ctx, cancel := context.WithTimeout(c.ctx, e.Within)
 	defer cancel()
 	handover, err := c.grants.Release(ctx, e.From, e.Grant)
-	c.post(func() { c.run(c.coordinator.Released(e.Slice, handover, err, c.clock.Now())) })
+	c.post(func() {
+		c.driving.wanted = true
+		c.run(c.coordinator.Released(e.Slice, handover, err, c.clock.Now()))
+	})
 }
 
 // Stop gives the coordinator's role up. It returns once that is done, or after the given time.
@@ -419,8 +433,10 @@
 		c.ledSince = c.clock.Now()
 		c.unfollow()
 		c.leaveDistributor()
-		c.published, c.lastRoutes = nil, nil
+		c.published, c.lastRoutes, c.listed = nil, nil, nil
 		c.distribution = replica.NewDistribution(c.settings.Region)
+		row, _ := c.coordinator.Leader()
+		c.distribution.Expect(row.Distributors, c.ledSince)
 		c.placer.use(true, nil)
 		c.updateBroker()
 		return
--- a/pkg/entry/pace.go
+++ b/pkg/entry/pace.go
@@ -43,6 +43,10 @@
 	// startSpread is the range over which VMs begin to read the tables after a start of all of them. The first ones to read become
 	// coordinator and distributors meanwhile.
 	startSpread = 3 * time.Second
+	// redialInterval is the time between attempts to reach the coordinator, maxRedial the longest in a large fleet. Distributors tell
+	// when there is another one or it leads again.
+	redialInterval = 300 * time.Millisecond
+	maxRedial      = 1500 * time.Millisecond
 	// firstReadFactor multiplies a VM's weakness to the delay of its first read. The strong VMs take the role first, so that the
 	// others find its row at once.
 	firstReadFactor = 2
@@ -91,6 +95,16 @@
 	return time.Duration(firstReadFactor * float64(weakness) * (1 + pollSpread*rand.Float64()))
 }
 
+// redialPause is the time until the next attempt to reach the coordinator, after a number of attempts that brought no update. A VM
+// that doesn't lead, or leads no more, got 1,000 connections a second from 294 VMs.
+func redialPause(vain int, vms int) time.Duration {
+	pause := redialInterval
+	if vms == 0 || vms > readers {
+		pause = min(pause<<min(vain, 3), maxRedial)
+	}
+	return time.Duration(float64(pause) * (1 - pollSpread/2 + pollSpread*rand.Float64()))
+}
+
 // startRest is how long a new VM that nobody passes the tables on to leaves the reading of them to others.
 func startRest(vms int) time.Duration {
 	if vms > 0 && vms <= readers {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -110,6 +110,7 @@
 	c.distribution.Forget(f)
 	if c.followers[f] {
 		delete(c.followers, f)
+		c.listed = nil
 		c.placer.broker.Lost(f.ID, c.clock.Now())
 		c.log.Emit(event.FollowerLeft, "vm", f.VM, "vms", len(c.followers)+1)
 	}
@@ -134,8 +135,9 @@
 	if beat {
 		c.lastBeat = now
 	}
+	greet := c.greet
 	c.greet = false
-	c.broadcast(now, changed, deltas, beat)
+	c.broadcast(now, changed, deltas, beat, greet)
 }
 
 // changedRoutes returns the routes that have changed since the last call, and puts them into force here.
@@ -161,19 +163,17 @@
 
 // broadcast sends an update to all VMs that it concerns. With a distributor a VM gets only signs of life: for 295 VMs, a message to
 // each with every change took more of the coordinator's processor than the placing of requests.
-func (c *Control) broadcast(now clock.Instant, changed map[string][]coordinator.Route, deltas []replica.Delta, beat bool) {
-	list := slices.Collect(maps.Keys(c.followers))
-	replica.SortFollowers(list)
-	c.balancer.SetShare(0, len(list)+1)
+func (c *Control) broadcast(now clock.Instant, changed map[string][]coordinator.Route, deltas []replica.Delta, beat, greet bool) {
+	list := c.listed
+	if beat || greet || list == nil {
+		list = slices.Collect(maps.Keys(c.followers))
+		replica.SortFollowers(list)
+		c.listed = list
+		c.balancer.SetShare(0, len(list)+1)
+		c.assignSources(list, now)
+	}
 	age := now.Sub(c.freshAt).Milliseconds()
 	plain, packed := c.shrink(deltas)
-	for _, f := range c.distribution.Assign(list, now) {
-		c.log.Emit(event.DistributorChosen, "vm", f.VM, "region", f.Region)
-	}
-	c.leastWeakness = c.ownWeakness()
-	for _, f := range list {
-		c.leastWeakness = min(c.leastWeakness, f.Weakness)
-	}
 	news := len(changed) > 0 || len(deltas) > 0
 	for i, f := range list {
 		if !beat && !f.Fresh && !f.Reassigned && (!news || f.Distributor != "") {
@@ -196,6 +196,17 @@
 	}
 }
 
+// assignSources sets where each VM gets the tables, and notes how strong the strongest one is.
+func (c *Control) assignSources(list []*replica.Follower, now clock.Instant) {
+	for _, f := range c.distribution.Assign(list, now) {
+		c.log.Emit(event.DistributorChosen, "vm", f.VM, "region", f.Region, "domain", f.Domain)
+	}
+	c.leastWeakness = c.ownWeakness()
+	for _, f := range list {
+		c.leastWeakness = min(c.leastWeakness, f.Weakness)
+	}
+}
+
 // shrink packs deltas that are large.
 func (c *Control) shrink(deltas []replica.Delta) (plain []replica.Delta, packed []byte) {
 	plain, packed, err := replica.Shrink(deltas)
@@ -286,7 +297,8 @@
 		return
 	}
 	c.unfollow()
-	c.nextDial = now.Add(redialInterval)
+	c.nextDial = now.Add(redialPause(c.vainDials, c.fleetSize()))
+	c.vainDials++
 	c.following = leader.Address
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.stopFollow = cancel
@@ -308,7 +320,7 @@
 	if c.stopFollow != nil {
 		c.stopFollow()
 	}
-	c.stopFollow, c.link, c.following = nil, nil, ""
+	c.stopFollow, c.link, c.following, c.announced = nil, nil, "", false
 	c.placer.use(c.wasLeading, nil)
 }
 
@@ -329,13 +341,23 @@
 	if l != nil && l == c.link {
 		c.log.Emit(event.CoordinatorLost, "error", err.Error())
 	}
-	if !c.distributed(c.clock.Now()) {
-		// The coordinator may have given the role up, which the control table tells.
-		c.nextPoll[coordinator.Table] = min(c.nextPoll[coordinator.Table], c.clock.Now().Add(c.pace(coordinator.Table).pause(alone, c.fleetSize())-ownPoll))
-	}
+	c.readSoon(c.clock.Now())
 	c.unfollow()
 }
 
+// readSoon makes this VM look for the next coordinator, which may have given the role up. Distributors and the VMs of a small fleet do
+// so at once, the others are told by their distributor.
+func (c *Control) readSoon(now clock.Instant) {
+	switch c.standing(now, false) {
+	case watching:
+		c.nextPoll[coordinator.Table] = 0
+	case alone:
+		if n := c.fleetSize(); n > 0 && n <= readers {
+			c.nextPoll[coordinator.Table] = 0
+		}
+	}
+}
+
 func (c *Control) updated(l *replica.Link, u replica.Update) {
 	if l == nil || l != c.link {
 		return
@@ -346,7 +368,11 @@
 		c.unfollow()
 		return
 	}
-	c.heardAt = now
+	c.heardAt, c.vainDials = now, 0
+	if !c.announced {
+		// The VMs that this one passes the tables on to dial at once when they hear of it.
+		c.announced, c.noticed = true, coordinator.Notice{}
+	}
 	c.leastWeakness = time.Duration(u.LeastWeaknessMs) * time.Millisecond
 	c.coordinator.Heard(u.LeaseVersion, now)
 	c.balancer.SetShare(u.Index, u.Count)
--- a/pkg/replica/distribution.go
+++ b/pkg/replica/distribution.go
@@ -21,6 +21,8 @@
 	maxDoubts = 3
 	// barredTime is how long a distributor that was replaced isn't chosen again.
 	barredTime = 10 * time.Second
+	// expectTime is how long a new coordinator expects the distributors of the former one to connect.
+	expectTime = 10 * time.Second
 )
 
 // group names VMs that share a distributor: those of a failure domain, or of a whole region if domain is empty.
@@ -41,6 +43,9 @@
 	chosen map[group]*Follower
 	doubts map[*Follower]map[*Follower]clock.Instant
 	barred map[*Follower]clock.Instant
+	// expected are the addresses of the former coordinator's distributors, until expectUntil.
+	expected    map[string]bool
+	expectUntil clock.Instant
 }
 
 // NewDistribution returns a distribution for a coordinator in a region.
@@ -50,8 +55,20 @@
 	}
 }
 
+// Expect names the distributors of the former coordinator by their failure domain. Each is chosen as soon as it connects, since those
+// that connect before a domain has enough VMs would all get whole tables from the coordinator.
+func (d *Distribution) Expect(distributors map[string]string, now clock.Instant) {
+	d.expected, d.expectUntil = map[string]bool{}, now.Add(expectTime)
+	for _, address := range distributors {
+		d.expected[address] = true
+	}
+}
+
 // Assign sets where each VM gets the tables. It returns the distributors that are new.
 func (d *Distribution) Assign(list []*Follower, now clock.Instant) (added []*Follower) {
+	if now >= d.expectUntil {
+		d.expected = nil
+	}
 	groups := d.groups(list)
 	for g := range d.chosen {
 		if groups[g] == nil {
@@ -83,13 +100,17 @@
 		}
 	}
 	for g, members := range groups {
-		if len(members) < distributeFrom {
+		if len(members) < distributeFrom && !slices.ContainsFunc(members, d.expects) {
 			delete(groups, g)
 		}
 	}
 	return groups
 }
 
+func (d *Distribution) expects(f *Follower) bool {
+	return d.expected[f.Address]
+}
+
 // Distributors returns the address of the distributor that each failure domain's VMs turn to.
 func (d *Distribution) Distributors() map[string]string {
 	list := map[string]string{}
@@ -136,6 +157,9 @@
 	}
 	delete(d.chosen, g)
 	fit := slices.DeleteFunc(slices.Clone(members), func(f *Follower) bool { return f.Address == "" || now < d.barred[f] })
+	if slices.ContainsFunc(fit, d.expects) {
+		fit = slices.DeleteFunc(fit, func(f *Follower) bool { return !d.expects(f) })
+	}
 	if len(fit) == 0 {
 		return false
 	}
--- a/pkg/replica/distribution_test.go
+++ b/pkg/replica/distribution_test.go
@@ -161,3 +161,25 @@
 		t.Errorf("%d VMs of a small domain get the tables from the coordinator, distributors %v", n, d.Distributors())
 	}
 }
+
+// Guards against whole tables for the first VMs of each domain that connect to a new coordinator.
+func TestFormerDistributorsAreChosenAgain(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	d := NewDistribution("own")
+	near, far := domains("own", 20, "a", "b"), domains("far", 20, "e", "f")
+	expected := map[string]string{"a": near[3].Address, "b": near[25].Address, "e": far[4].Address, "f": far[30].Address}
+	d.Expect(expected, now)
+	first := []*Follower{near[3], near[4], near[25], near[26], far[4], far[5], far[30], far[31]}
+	d.Assign(first, now)
+	if n := direct(first); n != 3 {
+		t.Errorf("%d of the first VMs get the tables from the coordinator", n)
+	}
+	all := append(append([]*Follower{}, near...), far...)
+	if added := d.Assign(all, now); len(added) != 0 {
+		t.Errorf("they are replaced by %v", added)
+	}
+	d.Assign(first, now.Add(expectTime))
+	if n := direct(first); n != len(first) {
+		t.Errorf("a small fleet has %d distributors", len(first)-n)
+	}
+}
