--- a/pkg/keyrange/plan.go
+++ b/pkg/keyrange/plan.go
@@ -7,11 +7,14 @@
 )
 
 const (
-	// minBalanceMoves and membersPerMove bound the load moves of one plan, so that each plan sees the effect of the one before. In a
-	// large pool hot keys need dozens of owners: with four moves a plan, 430 requests a second on 200 keys of 483 targets were
-	// refused for as long as the keys were hot.
-	minBalanceMoves = 4
-	membersPerMove  = 8
+	// maxBalanceMoves bounds the load moves of one plan, so that each plan sees the effect of the one before. Each move makes its
+	// keys wait for some 100 ms.
+	maxBalanceMoves = 4
+	// glowingUtilization is the use of a target's capacity above which its keys are spread at once, with moves beyond
+	// maxBalanceMoves: one for each membersPerMove targets. With four moves a plan, 430 requests a second on 200 keys of 483
+	// targets were refused for as long as the keys were hot.
+	glowingUtilization = 3
+	membersPerMove     = 8
 	// hotUtilization is the use of a target's capacity above which requests queue noticeably.
 	hotUtilization = 1.1
 	// spareUtilization is the use of a target's capacity below which it can take load from others. While all targets are
@@ -240,26 +243,51 @@
 	if len(p.load.Keys) < minSamples {
 		return
 	}
+	q := quota{usual: maxBalanceMoves, spread: len(p.members) / membersPerMove, glowing: map[*usage]bool{}}
+	for _, u := range p.members {
+		q.glowing[u] = u.utilization() > glowingUtilization
+	}
 	done := map[*usage]bool{}
-	for range max(minBalanceMoves, len(p.members)/membersPerMove) {
+	for {
 		hot, cold := p.hottest(done), p.coldest(done)
-		if hot == nil || cold == nil || hot == cold {
-			return
-		}
-		if hot.utilization() < hotUtilization || cold.utilization() > spareUtilization || hot.utilization()-cold.utilization() < minGap {
+		if hot == nil || cold == nil || hot == cold || !worthMoving(hot, cold) {
 			return
 		}
-		if !p.relieve(hot, cold) {
-			// Its load can't be divided further in this plan.
+		if !q.permits(hot) || !p.relieve(hot, cold) {
+			// Nothing more of its load can be moved in this plan.
 			done[hot] = true
 			continue
 		}
+		q.use(hot)
 		if cold.utilization() > spareUtilization {
 			done[cold] = true
 		}
 	}
 }
 
+func worthMoving(hot, cold *usage) bool {
+	return hot.utilization() >= hotUtilization && cold.utilization() <= spareUtilization && hot.utilization()-cold.utilization() >= minGap
+}
+
+// quota is what is left of the load moves of one plan.
+type quota struct {
+	usual, spread int
+	// glowing are the members whose keys are spread at once.
+	glowing map[*usage]bool
+}
+
+func (q *quota) permits(hot *usage) bool {
+	return q.usual > 0 || q.glowing[hot] && q.spread > 0
+}
+
+func (q *quota) use(hot *usage) {
+	if q.glowing[hot] && q.spread > 0 {
+		q.spread--
+		return
+	}
+	q.usual--
+}
+
 // relieve moves the narrowest range that a cold member can take from a hot one. It returns false if nothing was moved.
 func (p *planner) relieve(hot, cold *usage) bool {
 	fill := max(fillUtilization, p.meanUtilization())
