--- a/pkg/entry/tables_test.go
+++ b/pkg/entry/tables_test.go
@@ -141,4 +141,20 @@
 	vm.leaveDistributor()
 }
 
+// Guards against a target that had left being used again after a restart: a VM that knows newer tables than the distributor that it
+// turns to keeps them.
+func TestOlderTablesOfADistributorAreIgnored(t *testing.T) {
+	distributor, vm := testControl(t, "a"), testControl(t, "b")
+	address, _ := serve(t, distributor)
+	read(distributor, 3, "t1", "left")
+	read(vm, 5, "t1")
+	vm.useDistributor(address, vm.clock.Now())
+	runUntil(t, "the VM hears from the distributor", func() bool { return vm.relayFreshAt > 0 }, distributor, vm)
+	if !has(vm, "t1") {
+		t.Errorf("the VM knows %v", vm.mirror.Rows("servers"))
+	}
+	read(distributor, 6, "t1", "t2")
+	runUntil(t, "the VM has newer changes", func() bool { return has(vm, "t1", "t2") }, distributor, vm)
+}
+
 var _ ingress.Knowledge = (*Control)(nil)
