Let a new coordinator read the tables at once

A VM put its first reads of the tables off by up to 3 s before it knew how few VMs there are, and kept to that when it became the coordinator, so that nothing was served for 3.9 s instead of 1.2 s.

Change: taking the role clears the times of the next reads, and the rest after a start is decided once the coordinator's row has been read.

Measured: both tests fail without the change.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -431,6 +431,8 @@
 	}
 	if leading {
 		c.ledSince = c.clock.Now()
+		// The others wait for what this VM reads, however long it was to leave the reading to others.
+		clear(c.nextPoll)
 		c.unfollow()
 		c.leaveDistributor()
 		c.published, c.lastRoutes, c.listed = nil, nil, nil
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -30,6 +30,13 @@
 			// The smallest table shows when the store answers again.
 			continue
 		}
+		if s == alone && c.snapshot == nil && c.nextPoll[table] == 0 && table != coordinator.Table {
+			if c.pace(coordinator.Table).reads == 0 {
+				// The coordinator's row tells how many VMs there are.
+				continue
+			}
+			c.nextPoll[table] = now.Add(startRest(c.fleetSize()))
+		}
 		if leading && table == coordinator.Table || now < c.nextPoll[table] || c.polling[table] {
 			continue
 		}
@@ -47,13 +54,8 @@
 }
 
 func (c *Control) restTable(table string, now clock.Instant) {
-	switch {
-	case c.source.link != nil:
-		if c.nextPoll[table] < now.Add(guidedPause) {
-			c.nextPoll[table] = now.Add(guidedRest())
-		}
-	case c.snapshot == nil && c.nextPoll[table] == 0:
-		c.nextPoll[table] = c.startedAt.Add(startGrace + startRest(c.fleetSize()))
+	if c.source.link != nil && c.nextPoll[table] < now.Add(guidedPause) {
+		c.nextPoll[table] = now.Add(guidedRest())
 	}
 }
 
--- a/pkg/entry/pace_test.go
+++ b/pkg/entry/pace_test.go
@@ -227,3 +227,39 @@
 		t.Errorf("a VM of another domain turns to %q", c.source.address)
 	}
 }
+
+// Guards against a new coordinator that still leaves the reading of the tables to others: after all processes of 12 VMs were killed, it
+// read them up to 4.2 s after its start, and nothing was served until then.
+func TestNewCoordinatorReadsAtOnce(t *testing.T) {
+	f := newFleet(t)
+	c := f.vms[0]
+	for _, table := range []string{"op", "servers"} {
+		c.nextPoll[table] = f.clock.now.Add(guidedRest())
+	}
+	c.noteLeading(true)
+	c.poll(f.clock.now, true)
+	if !c.polling["op"] || !c.polling["servers"] {
+		t.Errorf("it reads %v", c.polling)
+	}
+}
+
+// Guards against VMs of a small fleet that wait to read the tables after a start, although the coordinator's row tells how few they are.
+func TestSmallFleetReadsSoonAfterAStart(t *testing.T) {
+	row, err := msgpack.Marshal(coordinator.Leader{VM: "former", Address: "127.0.0.1:9", Fleet: coordinator.Fleet{VMs: 12}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := newFleet(t)
+	f.vms = f.vms[:12]
+	f.store.row = row
+	f.heard = func(time.Duration) (bool, bool) { return false, false }
+	for _, c := range f.vms {
+		c.nextPoll[coordinator.Table] = f.clock.now.Add(firstRead(c.ownWeakness()))
+	}
+	f.run(startGrace + 2*followerTick)
+	for _, c := range f.vms {
+		if c.reads["op"] == 0 || c.reads["servers"] == 0 {
+			t.Errorf("%s has not read the tables", c.settings.VM)
+		}
+	}
+}
