Log which request, target life and broken connection a failed attempt had

Cause: lines of failed attempts named the request by its ID only, which is new with each sending, so that the same request under several targets couldn't be told from several requests, nor a crash from a lost answer.

Change: event 843 has the content's fingerprint, the target's life and whether the connection ended without an answer; a counter tells repeats from first attempts, and who placed them. No decision uses the fingerprint yet.

--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
@@ -28,6 +29,7 @@
 		if err != nil {
 			return err
 		}
+		c.Metrics.placed(repeat && c.attempts > 0, c.placement != nil)
 		result := c.send(ctx, target)
 		if result.outcome == answered && !c.worthRepeating(result.answer) {
 			defer c.sender.drop(result.answer)
@@ -346,6 +348,7 @@
 	if r.answer != nil {
 		status = r.answer.status
 	}
-	c.Log.Emit(event.AttemptFailed, "request", c.meta.ID, "route", c.route.Name, "target", t.ID, "attempt", c.attempts,
-		"outcome", r.outcome.String(), "status", status, "cause", cause, "left_ms", time.Until(c.deadline).Milliseconds())
+	c.Log.Emit(event.AttemptFailed, "request", c.meta.ID, "route", c.route.Name, "target", t.ID, "started", t.Started, "attempt", c.attempts,
+		"outcome", r.outcome.String(), "status", status, "cause", cause, "broken", r.broken(),
+		"content", strconv.FormatUint(c.fingerprint.Content, 16), "left_ms", time.Until(c.deadline).Milliseconds())
 }
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -97,7 +99,9 @@
 	route *inventory.Route
 	pool  *inventory.Pool
 	body  *requestBody
-	start time.Time
+	// fingerprint names the request whatever its ID.
+	fingerprint quarantine.Fingerprint
+	start       time.Time
 	// age is the time since the caller's first try, as far as it can be told.
 	age time.Duration
 	// deadline is when the caller gets its last answer.
@@ -188,6 +192,7 @@
 	if err := c.readBody(view.Snapshot.Configuration.Limits); err != nil {
 		return err
 	}
+	c.fingerprint = c.request().Fingerprint()
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(c.ended, cancel)()
@@ -223,6 +228,19 @@
 	return nil
 }
 
+// request returns what makes the request the same as another one.
+func (c *call) request() quarantine.Request {
+	caller := c.meta.Caller
+	if caller == "" {
+		if host, _, err := net.SplitHostPort(c.r.RemoteAddr); err == nil {
+			caller = host
+		}
+	}
+	return quarantine.Request{
+		Method: c.r.Method, Host: c.r.Host, URI: c.uri(), Key: c.meta.Key, Body: c.body.head, BodyBytes: c.body.size(), Caller: caller,
+	}
+}
+
 // uri returns the target of the request line as it came.
 func (c *call) uri() string {
 	if strings.HasPrefix(c.r.RequestURI, "/") {
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -59,6 +59,11 @@
 	m.attemptFor.RecordDuration(took)
 }
 
+// placed counts the attempts that have a target, by who chose it. Repeats are those of requests that were sent before.
+func (m *Metrics) placed(repeat, byBroker bool) {
+	m.scope.Tagged(map[string]string{"repeat": strconv.FormatBool(repeat), "by_broker": strconv.FormatBool(byBroker)}).Counter("placed").Inc(1)
+}
+
 func (m *Metrics) left() {
 	m.leftEarly.Inc(1)
 }
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
@@ -24,11 +25,12 @@
 )
 
 var (
-	errCrossed  = errors.New("the answer belongs to another request")
-	errEncoded  = errors.New("the answer has a content encoding that nobody asked for")
-	errUnsigned = errors.New("the answer isn't signed by a target")
-	errSwitched = errors.New("the target switched protocols")
-	errPanicked = errors.New("an unexpected error ended the sending")
+	errCrossed   = errors.New("the answer belongs to another request")
+	errEncoded   = errors.New("the answer has a content encoding that nobody asked for")
+	errUnsigned  = errors.New("the answer isn't signed by a target")
+	errSwitched  = errors.New("the target switched protocols")
+	errTruncated = errors.New("the answer broke off")
+	errPanicked  = errors.New("an unexpected error ended the sending")
 )
 
 // upstreamRequest is a request as it is sent to a target.
@@ -62,6 +64,12 @@
 	cause   error
 }
 
+// broken tells whether the connection ended after the request was sent and before any answer, as it does when a target crashes.
+func (r result) broken() bool {
+	return r.outcome == unknown && r.answer == nil && !errors.Is(r.cause, errTruncated) &&
+		(errors.Is(r.cause, io.EOF) || errors.Is(r.cause, io.ErrUnexpectedEOF) || errors.Is(r.cause, syscall.ECONNRESET) || errors.Is(r.cause, syscall.EPIPE))
+}
+
 // sender sends requests to targets.
 type sender struct {
 	dialect Dialect
@@ -168,7 +176,7 @@
 	body, complete, err := s.memory.buffer(response)
 	if err != nil {
 		s.memory.held.Add(-int64(len(body)))
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errTruncated, err)
 	}
 	got.body = body
 	if !complete {
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -22,6 +22,8 @@
 	Wait time.Duration
 	// Key is NoKey if the request names none.
 	Key int
+	// Caller is the caller's credential, empty if it shows none.
+	Caller string
 }
 
 // AnswerMeta is what a target says beside its answer.
