--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,7 +61,7 @@
 	}},
 	{"VM cut off", beginCutOff},
 	{"target replaced", func(r *run, ctx context.Context, d time.Duration) (func(), error) {
-		at, ahead := r.rand.IntN(len(r.deployment.Targets)), time.Duration(r.rand.Int64N(int64(2*skew)))-skew
+		at, ahead := r.rand.IntN(len(r.deployment.Targets())), time.Duration(r.rand.Int64N(int64(2*skew)))-skew
 		return nil, r.deployment.Replace(at, func() { wait(ctx, d) }, ahead)
 	}},
 	{"target's grants late", func(r *run, _ context.Context, _ time.Duration) (func(), error) {
@@ -97,7 +97,8 @@
 }
 
 func (r *run) anyTarget() *standin.Target {
-	return r.deployment.Targets[r.rand.IntN(len(r.deployment.Targets))]
+	targets := r.deployment.Targets()
+	return targets[r.rand.IntN(len(targets))]
 }
 
 // anyLink returns a link to or from a VM, or one to a target.
