Let repeat budgets begin nearly empty, and divide them among all VMs

What callers would see: targets in trouble that get more repeats than the service's bound while the coordinator's role passes on, VMs restart, or many VMs place their requests by themselves.

Change: a budget is refilled by time, and begins with a fiftieth of the extra on a new broker and with at most one repeat on a VM; a broker that has lost the role begins anew; VMs divide their share by the number that the coordinator tells.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -86,8 +86,10 @@
 	balancer *placing.Balancer
 	suspects *quarantine.Tracker
 	stored   storedSuspects
-	placer   *placer
-	onView   func(*inventory.Snapshot)
+	// localBudget bounds the repeats that this VM places without a broker.
+	localBudget *placing.Budget
+	placer      *placer
+	onView      func(*inventory.Snapshot)
 
 	events chan func()
 	ctx    context.Context
@@ -191,8 +193,9 @@
 	Balancer *placing.Balancer
 	// Suspects are the requests that may crash targets. The broker, and the placing of requests without it, work with them.
 	Suspects *quarantine.Tracker
-	// Budget bounds the repeats that this VM's broker permits.
+	// Budget bounds the repeats that this VM's broker permits, LocalBudget those that it places without one.
 	Budget      *placing.Budget
+	LocalBudget *placing.Budget
 	Incarnation string
 	// OnView is called with each new snapshot, from the control goroutine.
 	OnView func(*inventory.Snapshot)
@@ -203,9 +206,12 @@
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NewTracker()
 	}
+	if o.LocalBudget == nil {
+		o.LocalBudget = placing.NewLocalBudget(0, 0, time.Second)
+	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, onView: o.OnView, events: make(chan func(), 256), mirror: replica.NewMirror(),
+		balancer: o.Balancer, suspects: o.Suspects, localBudget: o.LocalBudget, onView: o.OnView, events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loads: newLoadWindow(), polling: map[string]bool{}, reads: map[string]int{}, nextPoll: map[string]clock.Instant{}, paces: map[string]*pace{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
--- a/pkg/entry/control_test.go
+++ b/pkg/entry/control_test.go
@@ -59,7 +59,7 @@
 	return NewControl(ControlOptions{
 		Settings: settings, Store: store, Decoder: panickingDecoder{}, Tables: Tables{Operator: "op", Targets: "servers"},
 		Grants: keygrant.NewClient(nil), Clock: clock.Boottime{}, Log: event.NewLogger(out, log.InfoLevel),
-		Balancer: placing.NewBalancer("d", "r", settings.RegionOf), Budget: placing.NewBrokerBudget(0.2, 10), Incarnation: "1",
+		Balancer: placing.NewBalancer("d", "r", settings.RegionOf), Budget: placing.NewBrokerBudget(0.2, 10, 10*time.Second), Incarnation: "1",
 		OnView: func(*inventory.Snapshot) {},
 	})
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -114,20 +114,21 @@
 
 func newProcess(o Options, registry *metric.Registry) *process {
 	suspects := quarantine.NewTracker()
+	localBudget := placing.NewLocalBudget(o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	p := &process{Options: o, stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects,
-		Budget:      placing.NewBrokerBudget(o.Settings.RepeatRatio, o.Settings.RepeatExtra),
+		Budget:      placing.NewBrokerBudget(o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow),
+		LocalBudget: localBudget,
 		Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnView:      func(s *inventory.Snapshot) { p.handler.Retain(s) },
 	})
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, Knowledge: p.control, Placer: p.control.placer, Balancer: balancer,
-		Budget:   placing.NewLocalBudget(o.Settings.RepeatRatio, o.Settings.RepeatExtra, o.Settings.RepeatWindow),
-		Suspects: suspects,
-		Clock:    clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
+		Budget: localBudget, Suspects: suspects,
+		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		MaxHeldBodies:  int64(float64(o.Settings.MemoryBytes) * heldBodiesShare),
 		MaxHeldAnswers: int64(float64(o.Settings.MemoryBytes) * heldAnswersShare),
 	})
--- a/pkg/entry/pace_test.go
+++ b/pkg/entry/pace_test.go
@@ -79,7 +79,7 @@
 		c := NewControl(ControlOptions{
 			Settings: Settings{VM: name, IP: "127.0.0.1", Domain: fmt.Sprint(i % fleetDomains), Region: "r", FirstPort: 1 + i, CoreShare: 0.16, LinkMbps: 20},
 			Store:    storeView{f.store, i}, Decoder: rowDecoder{}, Tables: Tables{Operator: "op", Targets: "servers"}, Clock: &f.clock,
-			Log: event.Discard(), Balancer: placing.NewBalancer("d", "r", nil), Budget: placing.NewBrokerBudget(0.2, 60), OnView: func(*inventory.Snapshot) {},
+			Log: event.Discard(), Balancer: placing.NewBalancer("d", "r", nil), Budget: placing.NewBrokerBudget(0.2, 60, 10*time.Second), OnView: func(*inventory.Snapshot) {},
 		})
 		c.ctx, c.startedAt = t.Context(), f.clock.now
 		f.vms = append(f.vms, c)
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -172,6 +172,7 @@
 		replica.SortFollowers(list)
 		c.listed = list
 		c.balancer.SetShare(0, len(list)+1)
+		c.localBudget.Divide(len(list) + 1)
 		c.assignSources(list, now)
 	}
 	var suspects []quarantine.Record
@@ -391,6 +392,7 @@
 	c.coordinator.Heard(u.LeaseVersion, now)
 	c.balancer.SetShare(u.Index, u.Count)
 	c.vms = u.Count
+	c.localBudget.Divide(u.Count)
 	c.useDistributor(u.Distributor, now)
 	if u.Distributor != "" {
 		return
--- a/pkg/entry/tables_test.go
+++ b/pkg/entry/tables_test.go
@@ -34,7 +34,7 @@
 	c := NewControl(ControlOptions{
 		Settings: Settings{VM: vm, Region: "far"}, Decoder: rowDecoder{}, Tables: Tables{Operator: "op", Targets: "servers"},
 		Clock: clock.Boottime{}, Log: event.Discard(), Balancer: placing.NewBalancer("d", "far", nil),
-		Budget: placing.NewBrokerBudget(0.2, 60), OnView: func(*inventory.Snapshot) {},
+		Budget: placing.NewBrokerBudget(0.2, 60, 10*time.Second), OnView: func(*inventory.Snapshot) {},
 	})
 	c.ctx, c.startedAt = t.Context(), c.clock.Now()
 	return c
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -133,6 +133,7 @@
 	b.queues, b.waiting, b.permits = map[bucketID][]*waiter{}, map[askID]*waiter{}, map[askID]permit{}
 	b.loads, b.groups = map[string]*load{}, map[groupID][]*load{}
 	b.suspects.Forget()
+	b.budget.Reset()
 }
 
 // Place queues an ask. reply is called once, possibly before Place returns, and must not block.
--- a/pkg/placing/broker_test.go
+++ b/pkg/placing/broker_test.go
@@ -33,7 +33,7 @@
 		x.target = append(x.target, &inventory.Target{ID: fmt.Sprintf("k%d", i), Pool: "keyed", Domain: "a", Slots: slots, Started: 1})
 	}
 	x.owner = "k0"
-	x.b = NewBroker(map[string]string{"a": "r", "b": "s"}, NewBrokerBudget(0.2, 60), quarantine.NewTracker(), func(string, int) {})
+	x.b = NewBroker(map[string]string{"a": "r", "b": "s"}, NewBrokerBudget(0.2, 60, 10*time.Second), quarantine.NewTracker(), func(string, int) {})
 	x.update()
 	return x
 }
@@ -252,7 +252,7 @@
 	const ratio, extra, window = 0.2, 60.0, 10 * time.Second
 	for seed := range uint64(20) {
 		r := rand.New(rand.NewPCG(seed, 9))
-		budgets := []*Budget{NewBrokerBudget(ratio, extra)}
+		budgets := []*Budget{NewBrokerBudget(ratio, extra, window)}
 		for range 12 {
 			budgets = append(budgets, NewLocalBudget(ratio, extra, window))
 		}
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -38,12 +38,10 @@
 }
 
 type modelRun struct {
-	id       Run
-	request  *modelRequest
-	target   *modelTarget
-	life     Life
-	ends     clock.Instant
-	reported bool
+	id      Run
+	request *modelRequest
+	target  *modelTarget
+	ends    clock.Instant
 }
 
 // modelRequest is a request that is sent again until it is served or given up.
@@ -199,7 +197,7 @@
 		if q.crashes {
 			work = modelCrash
 		}
-		r := &modelRun{id: Run{"vm", m.seq}, request: q, target: target, life: target.life, ends: m.now.Add(work)}
+		r := &modelRun{id: Run{"vm", m.seq}, request: q, target: target, ends: m.now.Add(work)}
 		target.runs[r] = true
 		q.running = true
 		m.tracker.Begin(r.id, q.fingerprint, target.life, m.now)
