Leave distributors that are behind, and read the store before changes are due

Cause: suspected, not traced. A distributor that neither reads the store nor hears the coordinator still sends signs of life. Its VMs left the reading to it for up to 3.7 s after tables that were up to 1 s old, and the coordinator didn't know.

Change: the coordinator's signs of life tell how old its own tables are. A VM that doesn't hear the coordinator rests only as long as config_apply_s permits.

Both tests fail on the former code: the distributor is kept, and rests are up to 3.7 s where 3 s are left in all.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -125,7 +125,9 @@
 	// freshAt is when the newest state of the store that was read here was current, relayFreshAt the same for relayed ones.
 	freshAt      clock.Instant
 	relayFreshAt clock.Instant
-	storeDown    bool
+	// leaderFreshAt is the same for the tables that the coordinator has.
+	leaderFreshAt clock.Instant
+	storeDown     bool
 
 	followers map[*replica.Follower]bool
 	// listed are the followers by name as of the last sign of life; nil after one has left.
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -55,7 +55,7 @@
 
 func (c *Control) restTable(table string, now clock.Instant) {
 	if c.source.link != nil && c.nextPoll[table] < now.Add(guidedPause) {
-		c.nextPoll[table] = now.Add(guidedRest())
+		c.nextPoll[table] = now.Add(guidedRest(c.settings.ConfigApply))
 	}
 }
 
--- a/pkg/entry/pace.go
+++ b/pkg/entry/pace.go
@@ -36,6 +36,10 @@
 	// range over which the VMs begin to read after it: a distributor that can't read the store has mostly company.
 	guidedPause  = 700 * time.Millisecond
 	guidedSpread = 3 * time.Second
+	// leastGuidedSpread keeps the VMs of a domain from reading at the same moment, and readReserve is the time for a read of the store
+	// and for one that fails before it.
+	leastGuidedSpread = 300 * time.Millisecond
+	readReserve       = 500 * time.Millisecond
 	// maxGuidedPoll is the longest time between two reads of a VM with a distributor.
 	maxGuidedPoll = 6 * time.Second
 	// pollSpread is the relative range over which reads are spread, so that the VMs don't read together.
@@ -113,7 +117,9 @@
 	return time.Duration(rand.Int64N(int64(startSpread)))
 }
 
-// guidedRest is how long a VM rests after its distributor's last sign that the tables are recent.
-func guidedRest() time.Duration {
-	return guidedPause + time.Duration(rand.Int64N(int64(guidedSpread)))
+// guidedRest is how long a VM rests after its distributor's last sign that the tables are recent. A change must be in force within
+// apply, of which the tables may already be maxStoreAge old, and the read takes readReserve.
+func guidedRest(apply time.Duration) time.Duration {
+	spread := min(guidedSpread, max(leastGuidedSpread, apply-maxStoreAge-guidedPause-readReserve))
+	return guidedPause + time.Duration(rand.Int64N(int64(spread)))
 }
--- a/pkg/entry/pace_test.go
+++ b/pkg/entry/pace_test.go
@@ -234,7 +234,7 @@
 	f := newFleet(t)
 	c := f.vms[0]
 	for _, table := range []string{"op", "servers"} {
-		c.nextPoll[table] = f.clock.now.Add(guidedRest())
+		c.nextPoll[table] = f.clock.now.Add(guidedRest(3 * time.Second))
 	}
 	c.noteLeading(true)
 	c.poll(f.clock.now, true)
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -189,7 +189,7 @@
 		f.Reassigned = false
 		u := replica.Update{
 			LeastWeaknessMs: c.leastWeakness.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(list) + 1,
-			Distributor: f.Distributor, Suspects: suspects,
+			Distributor: f.Distributor, Suspects: suspects, StoreAge: age,
 		}
 		if !f.Informed {
 			u.Suspects, f.Informed = c.suspects.All(now), true
@@ -197,10 +197,10 @@
 		switch {
 		case f.Distributor != "":
 		case f.Fresh:
-			u.StoreAge, u.Packed, u.Routes, u.AllRoutes = age, c.everything(), c.lastRoutes, true
+			u.Packed, u.Routes, u.AllRoutes = c.everything(), c.lastRoutes, true
 			f.Fresh = false
 		default:
-			u.StoreAge, u.Deltas, u.Packed, u.Routes = age, plain, packed, changed
+			u.Deltas, u.Packed, u.Routes = plain, packed, changed
 		}
 		f.Update(u)
 	}
@@ -384,6 +384,7 @@
 	}
 	c.heardAt, c.vainDials = now, 0
 	c.suspects.Merge(u.Suspects, now)
+	c.leaderFreshAt = max(c.leaderFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
 	if !c.announced {
 		// The VMs that this one passes the tables on to dial at once when they hear of it.
 		c.announced, c.noticed = true, coordinator.Notice{}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -30,4 +30,6 @@
 	RepeatRatio  float64
 	RepeatExtra  float64
 	RepeatWindow time.Duration
+	// ConfigApply is the time in which a change that the store has acknowledged must be in force on every VM.
+	ConfigApply time.Duration
 }
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -14,6 +14,10 @@
 // distributorPause is how long a distributor that was silent isn't turned to again.
 const distributorPause = time.Second
 
+// staleShare is the part of the time in which changes must be in force by which a distributor may be behind the coordinator. The rest
+// is for the coordinator's own reads and for the tables to come from it instead; a distributor in order is up to 0.6 s behind.
+const staleShare = 0.5
+
 // tableSource is the VM of this region that passes the tables and routes on to this one.
 type tableSource struct {
 	address string
@@ -119,10 +123,18 @@
 	return nil
 }
 
-// checkDistributor gives up a distributor that is silent.
+// checkDistributor gives up a distributor that is silent, or that goes on although it neither reads the store nor hears the coordinator.
 func (c *Control) checkDistributor(now clock.Instant) {
-	if silent := now.Sub(c.source.heardAt); c.source.address != "" && silent > linkSilence {
+	if c.source.address == "" {
+		return
+	}
+	if silent := now.Sub(c.source.heardAt); silent > linkSilence {
 		c.distributorLost("silent_ms", silent.Milliseconds())
+		return
+	}
+	behind := c.leaderFreshAt.Sub(c.relayFreshAt)
+	if c.source.link != nil && c.coordinatorHeard(now) && behind > time.Duration(staleShare*float64(c.settings.ConfigApply)) {
+		c.distributorLost("behind_ms", behind.Milliseconds())
 	}
 }
 
--- a/pkg/entry/tables_test.go
+++ b/pkg/entry/tables_test.go
@@ -141,6 +141,58 @@
 	vm.leaveDistributor()
 }
 
+// Guards against VMs that know no newer configuration for seconds because their distributor neither reads the store nor hears the
+// coordinator, but goes on sending signs of life. One that is as old as the coordinator's tables is kept: nobody has newer ones.
+func TestDistributorThatIsBehindIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		behind time.Duration
+		heard  bool
+		left   bool
+	}{{2 * time.Second, true, true}, {time.Second, true, false}, {2 * time.Second, false, false}} {
+		vm := testControl(t, "b")
+		vm.settings.ConfigApply = 3 * time.Second
+		now := vm.clock.Now()
+		vm.source = tableSource{address: "10.0.0.1:1", link: &replica.Link{}, heardAt: now}
+		vm.relayFreshAt, vm.leaderFreshAt = now.Add(-c.behind-time.Second), now.Add(-time.Second)
+		if c.heard {
+			vm.link, vm.heardAt = quietLink(t), now
+		}
+		vm.checkDistributor(now)
+		if left := vm.source.address == ""; left != c.left {
+			t.Errorf("%v behind, coordinator heard: %v: left: %v", c.behind, c.heard, left)
+		}
+	}
+}
+
+// quietLink returns a link to a peer that sends nothing.
+func quietLink(t *testing.T) *replica.Link {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	linked := make(chan *replica.Link, 1)
+	go func() {
+		_, _ = replica.Follow(t.Context(), l.Addr().String(), replica.Report{VM: "b"}, replica.Receiver{
+			Linked: func(k *replica.Link) { linked <- k }, Update: func(*replica.Link, replica.Update) {},
+		})
+	}()
+	return <-linked
+}
+
+// Guards against a VM that leaves the reading to its distributor for longer than a change may take: the rest was up to 3.7 s, after
+// which the tables were up to 4.7 s old.
+func TestRestsEndBeforeChangesAreDue(t *testing.T) {
+	for _, apply := range []time.Duration{3 * time.Second, 6 * time.Second, 10 * time.Second} {
+		for range 200 {
+			if rest := guidedRest(apply); rest+maxStoreAge+readReserve > apply {
+				t.Fatalf("a VM rests for %v although changes must be in force within %v", rest, apply)
+			}
+		}
+	}
+}
+
 // Guards against a target that had left being used again after a restart: a VM that knows newer tables than the distributor that it
 // turns to keeps them.
 func TestOlderTablesOfADistributorAreIgnored(t *testing.T) {
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -25,7 +25,7 @@
 
 	DistributorChosen   = define(812, log.InfoLevel, "VM passes the tables on to its region")
 	DistributorFollowed = define(813, log.InfoLevel, "tables come from another VM of the region")
-	DistributorLost     = define(831, log.WarnLevel, "VM that passes the tables on is silent")
+	DistributorLost     = define(831, log.WarnLevel, "VM that passes the tables on is silent or behind")
 
 	LeadershipTaken    = define(820, log.InfoLevel, "this VM has become the coordinator")
 	LeadershipLost     = define(821, log.WarnLevel, "this VM is no longer the coordinator")
