--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
@@ -59,7 +60,7 @@
 	f := quarantine.Request{URI: "/bad", Caller: "c"}.Fingerprint()
 	for i := range 3 {
 		run := quarantine.Run{VM: "vm", Seq: uint64(i)}
-		t.Begin(run, f, quarantine.Life{Target: "t", Started: int64(i)}, now)
+		t.Begin(run, f, inventory.Life{Target: "t", Started: int64(i)}, now)
 		t.End(run, quarantine.Broken, now)
 	}
 	return f
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -222,7 +222,7 @@
 			return nil, c.unplaced(choice)
 		}
 		c.run = quarantine.Run{Seq: c.runs.Add(1)}
-		c.Suspects.Begin(c.run, c.fingerprint, quarantine.LifeOf(choice.Target), c.Clock.Now())
+		c.Suspects.Begin(c.run, c.fingerprint, choice.Target.Life(), c.Clock.Now())
 		return choice.Target, nil
 	}
 }
@@ -239,7 +239,7 @@
 	case c.Suspects.Busy(c.fingerprint, c.Clock.Now()):
 		return nil, c.unplaced(placing.Choice{Reason: placing.ReasonSuspected})
 	}
-	return slices.DeleteFunc(slices.Clone(candidates), func(t *inventory.Target) bool { return c.Suspects.SuspectAt(quarantine.LifeOf(t)) }), nil
+	return slices.DeleteFunc(slices.Clone(candidates), func(t *inventory.Target) bool { return c.Suspects.SuspectAt(t.Life()) }), nil
 }
 
 // mayWait tells whether a key that gets its owner soon is worth waiting for.
--- a/pkg/inventory/snapshot.go
+++ b/pkg/inventory/snapshot.go
@@ -23,6 +23,18 @@
 	ColdFor time.Duration
 }
 
+// Life names one life of a target.
+type Life struct {
+	Target string `msgpack:"t"`
+	// Started is the Unix millisecond at which it began.
+	Started int64 `msgpack:"s"`
+}
+
+// Life returns the life that the registration tells of.
+func (t *Target) Life() Life {
+	return Life{Target: t.ID, Started: t.Started}
+}
+
 // SameAs tells whether two registrations mean the same for routing.
 func (t *Target) SameAs(o *Target) bool {
 	return t.Pool == o.Pool && t.Address == o.Address && t.Domain == o.Domain && t.Slots == o.Slots &&
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -301,7 +301,7 @@
 	}
 	l.inFlight++
 	b.permits[askID{w.VM, w.Seq}] = permit{target: l.target.ID, end: w.deadline.Add(permitSlack)}
-	b.suspects.Begin(quarantine.Run{VM: w.VM, Seq: w.Seq}, w.Fingerprint, quarantine.LifeOf(l.target), now)
+	b.suspects.Begin(quarantine.Run{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Life(), now)
 	b.settle(w, Verdict{Target: l.target.ID, Expected: l.expected(now)})
 }
 
--- a/pkg/placing/market.go
+++ b/pkg/placing/market.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
-	"github.com/bronzelever/bronzelever/pkg/quarantine"
 )
 
 // market is the state, at one moment, of the targets that some waiters of a queue may use. The waiters of a long queue share it,
@@ -42,7 +41,7 @@
 func (b *Broker) surveyFor(w *waiter, now clock.Instant) *market {
 	if w.suspected {
 		// A suspect runs alone among suspects, so that a crash shows which one it was.
-		return b.survey(b.candidates(w, now), now, func(l *load) bool { return b.hasPlace(l, now) && !b.suspects.SuspectAt(quarantine.LifeOf(l.target)) })
+		return b.survey(b.candidates(w, now), now, func(l *load) bool { return b.hasPlace(l, now) && !b.suspects.SuspectAt(l.target.Life()) })
 	}
 	return b.survey(b.candidates(w, now), now, func(l *load) bool { return b.hasPlace(l, now) })
 }
--- a/pkg/quarantine/model_test.go
+++ b/pkg/quarantine/model_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 // Figures of the model: few targets that work on many requests at once, and a crash on average each second, so that many others run
@@ -32,7 +33,7 @@
 )
 
 type modelTarget struct {
-	life      Life
+	life      inventory.Life
 	downUntil clock.Instant
 	runs      map[*modelRun]bool
 }
@@ -75,7 +76,7 @@
 
 func (m *model) play() {
 	for i := range modelTargets {
-		m.targets = append(m.targets, &modelTarget{life: Life{fmt.Sprintf("t%d", i), 1}, runs: map[*modelRun]bool{}})
+		m.targets = append(m.targets, &modelTarget{life: inventory.Life{Target: fmt.Sprintf("t%d", i), Started: 1}, runs: map[*modelRun]bool{}})
 	}
 	for i := range modelCrashers {
 		first := m.now.Add(time.Duration(m.random.Int64N(int64(modelTime * 4 / 5))))
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -24,19 +24,7 @@
 	mostEvents = 64
 )
 
-// Life is one life of a target.
-type Life struct {
-	Target string
-	// Started is the Unix millisecond at which it began.
-	Started int64
-}
-
-// LifeOf returns the life that a registration tells of.
-func LifeOf(t *inventory.Target) Life {
-	return Life{Target: t.ID, Started: t.Started}
-}
-
-func (l Life) hash() uint64 {
+func hashLife(l inventory.Life) uint64 {
 	d := xxhash.New()
 	writePart(d, l.Target)
 	writeNumber(d, l.Started)
@@ -79,7 +67,7 @@
 type Event struct {
 	Kind EventKind
 	// Life is set with EventCrash and EventAlive, with the number of requests that were in flight and of those blamed.
-	Life             Life
+	Life             inventory.Life
 	InFlight, Blamed int
 	// Content, Crashes and For are set with EventQuarantined. Content stands for the content together with the caller if only this
 	// caller's requests are refused.
@@ -104,9 +92,9 @@
 	// known is the number of records, readable without the lock: on most days there is none.
 	known  atomic.Int64
 	runs   map[Run]*running
-	atLife map[Life]map[*running]bool
+	atLife map[inventory.Life]map[*running]bool
 	// crashes are the lives that have ended, as far as connections show.
-	crashes map[Life]*crash
+	crashes map[inventory.Life]*crash
 	proven  *recent
 	changed map[uint64]bool
 	events  []Event
@@ -115,7 +103,7 @@
 // running is a run in flight.
 type running struct {
 	fingerprint Fingerprint
-	life        Life
+	life        inventory.Life
 	begun       clock.Instant
 	// suspected tells that the request had a record when the run began.
 	suspected bool
@@ -130,7 +118,7 @@
 // NewTracker returns a tracker without records.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: map[uint64]*record{}, runs: map[Run]*running{}, atLife: map[Life]map[*running]bool{}, crashes: map[Life]*crash{},
+		records: map[uint64]*record{}, runs: map[Run]*running{}, atLife: map[inventory.Life]map[*running]bool{}, crashes: map[inventory.Life]*crash{},
 		proven: newRecent(provenLimit), changed: map[uint64]bool{},
 	}
 }
@@ -172,7 +160,7 @@
 }
 
 // Begin notes that a request is sent to a target.
-func (t *Tracker) Begin(id Run, f Fingerprint, life Life, now clock.Instant) {
+func (t *Tracker) Begin(id Run, f Fingerprint, life inventory.Life, now clock.Instant) {
 	if f.ByCaller == 0 {
 		return
 	}
@@ -251,7 +239,7 @@
 }
 
 // SuspectAt tells whether a request that was sent as a suspect is in flight at a target's life.
-func (t *Tracker) SuspectAt(life Life) bool {
+func (t *Tracker) SuspectAt(life inventory.Life) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for r := range t.atLife[life] {
@@ -280,7 +268,7 @@
 }
 
 // accuse blames a crash on the requests that were sent to the life after a moment and are in flight there. It returns their number.
-func (t *Tracker) accuse(c *crash, life Life, since, now clock.Instant) int {
+func (t *Tracker) accuse(c *crash, life inventory.Life, since, now clock.Instant) int {
 	var list []Fingerprint
 	for other := range t.atLife[life] {
 		if other.begun > since && !slices.Contains(list, other.fingerprint) {
@@ -289,7 +277,7 @@
 		}
 	}
 	for _, f := range list {
-		t.blame(t.blamable(f, now), life.hash(), now)
+		t.blame(t.blamable(f, now), hashLife(life), now)
 	}
 	return len(list)
 }
@@ -326,7 +314,7 @@
 		}
 		for _, id := range c.blamed {
 			if !slices.Contains(ids, id) {
-				t.takeBack(id, life.hash(), now)
+				t.takeBack(id, hashLife(life), now)
 			}
 		}
 	}
@@ -365,7 +353,7 @@
 	}
 	delete(t.crashes, r.life)
 	for _, id := range c.blamed {
-		t.takeBack(id, r.life.hash(), now)
+		t.takeBack(id, hashLife(r.life), now)
 	}
 	t.note(Event{Kind: EventAlive, Life: r.life})
 }
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 // trial plays runs at targets, each life of which is new.
@@ -19,7 +20,7 @@
 	return &trial{Tracker: NewTracker(), now: clock.Instant(time.Hour)}
 }
 
-func (x *trial) begin(f Fingerprint, life Life) Run {
+func (x *trial) begin(f Fingerprint, life inventory.Life) Run {
 	x.seq++
 	x.Begin(Run{"vm", x.seq}, f, life, x.now)
 	return Run{"vm", x.seq}
@@ -27,7 +28,7 @@
 
 // run plays one request at a life of its own.
 func (x *trial) run(f Fingerprint, how Ending) {
-	id := x.begin(f, Life{Target: fmt.Sprint("t", x.seq)})
+	id := x.begin(f, inventory.Life{Target: fmt.Sprint("t", x.seq)})
 	x.now = x.now.Add(100 * time.Millisecond)
 	x.End(id, how, x.now)
 }
@@ -82,7 +83,7 @@
 		t.Errorf("%v after a success", v)
 	}
 	for range 2 * crashLimit {
-		life := Life{Target: fmt.Sprint("t", x.seq)}
+		life := inventory.Life{Target: fmt.Sprint("t", x.seq)}
 		x.End(x.begin(lost, life), Broken, x.now)
 		x.now = x.now.Add(50 * time.Millisecond)
 		id := x.begin(named("other"), life)
@@ -98,7 +99,7 @@
 // that there was no crash.
 func TestNextLifeProvesNothing(t *testing.T) {
 	x, bad := newTrial(), named("bad")
-	life := Life{Target: "t", Started: 1}
+	life := inventory.Life{Target: "t", Started: 1}
 	x.End(x.begin(bad, life), Broken, x.now)
 	x.now = x.now.Add(2 * time.Second)
 	// The registration of the next life isn't known yet.
@@ -111,7 +112,7 @@
 // Guards against a crash that counts for each connection that ends with the target.
 func TestLifeCountsOnce(t *testing.T) {
 	x, bad := newTrial(), named("bad")
-	life := Life{Target: "t"}
+	life := inventory.Life{Target: "t"}
 	for range 2 * crashLimit {
 		x.End(x.begin(bad, life), Broken, x.now)
 		x.now = x.now.Add(time.Millisecond)
