Send nothing new to targets that say in an answer that they leave

What callers would see: requests sent to a target that is about to exit, cut off with it.

Change: the adapter decodes the header; any answer that a VM reads, those to grants and releases too, marks this life of the target as leaving. VMs tell the coordinator with the next tick, the coordinator the others with its signs of life. Only a new life ends it.

Ruled out: keeping the last target of a pool in use. A target can take nobody but itself out, as it can with its registration; one that says it leaves will be gone.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -102,9 +102,12 @@
 	snapshot    *inventory.Snapshot
 	targets     map[string]decodedTarget
 	leaving     map[string]clock.Instant
-	config      *inventory.Configuration
-	configRow   uint64
-	loads       loadWindow
+	// leavers are the targets that have said in an answer that they leave. remake makes a new snapshot due.
+	leavers   leavers
+	remake    bool
+	config    *inventory.Configuration
+	configRow uint64
+	loads     loadWindow
 
 	polling map[string]bool
 	// reads counts the reads of each table.
@@ -218,6 +221,9 @@
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
 	}
+	if c.grants != nil {
+		c.grants.OnLeaving = c.peerLeaves
+	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.Budget, o.Suspects, c.used.add))
 	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress()})
 	c.view.Store(&ingress.View{Changed: make(chan struct{})})
@@ -329,6 +335,7 @@
 	c.follow(now, leading)
 	c.checkDistributor(now)
 	c.report(now, leading)
+	c.tellLeavers()
 	c.logSuspects()
 	c.syncSuspects(now, leading)
 	if c.stopRequest {
--- a/pkg/entry/knowledge.go
+++ b/pkg/entry/knowledge.go
@@ -204,9 +204,11 @@
 	targets, changed := c.decodeTargets()
 	out := c.decoder.DomainsOut(c.mirror.Rows(c.tables.Operator))
 	old := c.snapshot
-	if old != nil && !changed && old.Configuration == c.config && sameSet(old.DomainsOut, out) {
+	if old != nil && !changed && !c.remake && old.Configuration == c.config && sameSet(old.DomainsOut, out) {
 		return
 	}
+	c.remake = false
+	targets = c.leavers.apply(targets)
 	c.snapshot = inventory.NewSnapshot(c.config, targets, out)
 	c.snapshot.LeavingSince = c.leavingSince(targets)
 	if old != nil && !sameSet(old.DomainsOut, out) {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/replica"
@@ -25,6 +26,7 @@
 				f.VerdictDelay = time.Duration(r.DelayMs) * time.Millisecond
 				c.loads.add(r.Keys, c.clock.Now())
 				c.suspects.Merge(r.Suspects, c.clock.Now())
+				c.noteLeavers(r.Leaving)
 				if r.Unreachable != "" {
 					c.distribution.Unreachable(f, r.Unreachable, c.clock.Now())
 					c.greet = true
@@ -176,8 +178,9 @@
 		c.assignSources(list, now)
 	}
 	var suspects []quarantine.Record
+	var leaving []inventory.Life
 	if beat {
-		suspects = c.suspects.News(now)
+		suspects, leaving = c.suspects.News(now), c.leavers.takeNews()
 	}
 	age := now.Sub(c.freshAt).Milliseconds()
 	plain, packed := c.shrink(deltas)
@@ -189,10 +192,10 @@
 		f.Reassigned = false
 		u := replica.Update{
 			LeastWeaknessMs: c.leastWeakness.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(list) + 1,
-			Distributor: f.Distributor, Suspects: suspects, StoreAge: age,
+			Distributor: f.Distributor, Suspects: suspects, Leaving: leaving, StoreAge: age,
 		}
 		if !f.Informed {
-			u.Suspects, f.Informed = c.suspects.All(now), true
+			u.Suspects, u.Leaving, f.Informed = c.suspects.All(now), c.leavers.all(c.registered()), true
 		}
 		switch {
 		case f.Distributor != "":
@@ -341,8 +344,9 @@
 	}
 	c.link, c.heardAt = l, c.clock.Now()
 	// The coordinator may be a new one, or a new process.
-	if suspects := c.suspects.All(c.heardAt); len(suspects) > 0 {
-		l.Report(replica.Report{Suspects: suspects})
+	suspects, leaving := c.suspects.All(c.heardAt), c.leavers.all(c.registered())
+	if len(suspects) > 0 || len(leaving) > 0 {
+		l.Report(replica.Report{Suspects: suspects, Leaving: leaving})
 	}
 	c.placer.use(false, l)
 	c.log.Emit(event.CoordinatorRegained, "vm", vm)
@@ -384,6 +388,7 @@
 	}
 	c.heardAt, c.vainDials = now, 0
 	c.suspects.Merge(u.Suspects, now)
+	c.noteLeavers(u.Leaving)
 	c.leaderFreshAt = max(c.leaderFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
 	if !c.announced {
 		// The VMs that this one passes the tables on to dial at once when they hear of it.
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -328,6 +328,9 @@
 
 // settle tells the balancer how the attempt ended.
 func (c *call) settle(t *inventory.Target, r result, elapsed time.Duration) {
+	if r.answer != nil && r.answer.meta.Leaving {
+		c.Knowledge.TargetLeaves(t.Life())
+	}
 	var report *placing.Report
 	if r.answer != nil && r.answer.meta.HasLoad {
 		report = &r.answer.meta.Load
--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -49,7 +49,7 @@
 }
 func (testDialect) StampAnswer(h http.Header, id string) { h.Set("T-Id", id) }
 func (testDialect) ReadAnswer(status int, h http.Header) AnswerMeta {
-	return AnswerMeta{ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Signed: h.Get("T-Signed") != ""}
+	return AnswerMeta{ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Leaving: h.Get("T-Leaving") != "", Signed: h.Get("T-Signed") != ""}
 }
 
 // nobody places no request, so that the handler places all locally.
@@ -60,11 +60,18 @@
 }
 
 type fixedView struct {
-	view atomic.Pointer[View]
+	view    atomic.Pointer[View]
+	mu      sync.Mutex
+	leaving []inventory.Life
 }
 
 func (f *fixedView) Current() *View      { return f.view.Load() }
 func (f *fixedView) KeyUsed(string, int) {}
+func (f *fixedView) TargetLeaves(life inventory.Life) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = append(f.leaving, life)
+}
 
 // scriptedTarget answers each request by a function that writes to the connection.
 type scriptedTarget struct {
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -31,6 +31,8 @@
 	ID string
 	// NotRun tells that the target has not run the request and never will.
 	NotRun bool
+	// Leaving tells that the target leaves: it wants nothing new.
+	Leaving bool
 	// Signed tells that a target's service produced the answer.
 	Signed  bool
 	Load    placing.Report
@@ -62,6 +64,8 @@
 	Current() *View
 	// KeyUsed notes a request for a key of a pool.
 	KeyUsed(pool string, key int)
+	// TargetLeaves notes that an answer of a target says that it leaves.
+	TargetLeaves(life inventory.Life)
 }
 
 // Placer asks the VM that places all requests for a target.
--- a/pkg/keygrant/keygrant.go
+++ b/pkg/keygrant/keygrant.go
@@ -55,10 +55,15 @@
 	// StampTarget names the only target that may obey a call.
 	StampTarget(h http.Header, target string)
 	HandoverOf(h http.Header) string
+	// Leaving tells whether the answer to a call says that the target leaves.
+	Leaving(status int, h http.Header) bool
 }
 
 // Client sends calls to targets.
 type Client struct {
+	// OnLeaving is called when an answer says that its target leaves; nil ignores that. It is set before the first call.
+	OnLeaving func(Peer)
+
 	dialect  Dialect
 	sessions sessions
 	// releases have connections of their own, since they wait for the work that runs on the keys.
@@ -122,6 +127,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
+	c.noteLeaving(to, response)
 	return s.number, outcome(response)
 }
 
@@ -147,6 +153,7 @@
 	defer func() { _ = response.Body.Close() }()
 	// Reading the rest keeps the connection usable; the answer has no content.
 	_, _ = io.CopyN(io.Discard, response.Body, maxAnswerBytes)
+	c.noteLeaving(from, response)
 	return c.dialect.HandoverOf(response.Header), outcome(response)
 }
 
@@ -162,6 +169,12 @@
 	return r, nil
 }
 
+func (c *Client) noteLeaving(from Peer, response *http.Response) {
+	if c.OnLeaving != nil && c.dialect.Leaving(response.StatusCode, response.Header) {
+		c.OnLeaving(from)
+	}
+}
+
 func outcome(response *http.Response) error {
 	switch response.StatusCode {
 	case http.StatusOK:
--- a/pkg/keygrant/keygrant_test.go
+++ b/pkg/keygrant/keygrant_test.go
@@ -21,6 +21,7 @@
 }
 func (testDialect) StampTarget(h http.Header, target string) { h.Set("T-Target", target) }
 func (testDialect) HandoverOf(h http.Header) string          { return h.Get("T-Handover") }
+func (testDialect) Leaving(_ int, h http.Header) bool        { return h.Get("T-Leaving") != "" }
 
 // Guards against outcomes of calls that are told wrongly: only an answer proves one.
 func TestOutcomes(t *testing.T) {
@@ -52,6 +53,23 @@
 	}
 }
 
+// Guards against the word that a target leaves which is overheard in the answer to a grant or a release, whatever its outcome.
+func TestAnswersTellThatATargetLeaves(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("T-Leaving", "1")
+		w.WriteHeader(http.StatusConflict)
+	}))
+	defer server.Close()
+	client, peer := NewClient(testDialect{}), Peer{ID: "t1", Address: server.Listener.Addr().String()}
+	var heard []Peer
+	client.OnLeaving = func(p Peer) { heard = append(heard, p) }
+	_, granted := client.Grant(t.Context(), peer, Grant{}, 0)
+	_, released := client.Release(t.Context(), peer, Grant{})
+	if len(heard) != 2 || heard[0] != peer || heard[1] != peer {
+		t.Errorf("heard %v, after %v and %v", heard, granted, released)
+	}
+}
+
 // Guards against a grant that is delivered seconds after it was given up: it went to the former owner of keys when a partition
 // between failure domains healed. A reset drops what the kernel still holds.
 func TestGivenUpCallsAreReset(t *testing.T) {
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 )
@@ -27,6 +28,8 @@
 	StoreAge int64 `msgpack:"a"`
 	// Suspects are requests that may crash targets, as far as their records have changed.
 	Suspects []quarantine.Record `msgpack:"q,omitempty"`
+	// Leaving are targets that have said in an answer that they leave.
+	Leaving []inventory.Life `msgpack:"g,omitempty"`
 	// Index and Count number the connected VMs.
 	Index int `msgpack:"i"`
 	Count int `msgpack:"n"`
@@ -51,6 +54,8 @@
 	Leader *coordinator.Notice `msgpack:"o,omitempty"`
 	// Suspects are requests that may crash targets, as far as their records have changed.
 	Suspects []quarantine.Record `msgpack:"q,omitempty"`
+	// Leaving are targets that have said in an answer that they leave.
+	Leaving []inventory.Life `msgpack:"g,omitempty"`
 	// Keys are the keys requested without the coordinator's knowledge since the last report, by pool.
 	Keys map[string][]uint16 `msgpack:"k,omitempty"`
 }
