Keep to the time for which a target turns a VM away

Change: the adapter decodes Retry-After of a target's 503. The VM that was turned away sends that life nothing until the time is over, whoever places its requests: its own balancer knows, and tells a broker that doesn't. The broker keeps the places of all VMs there to the work that the target had when it refused, until the time is over, then lets it grow.

Ruled out: closing the target to all VMs once it has turned three away.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 	$(GO) test ./pkg/wire -run '^$$' -fuzz '^FuzzDecodeMessages$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/settings -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/config -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzReadAnswer$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/questionnaire -run '^$$' -fuzz '^FuzzGenerate$$' -fuzztime $(FUZZTIME)
 
 quickstart: build
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -51,7 +51,9 @@
 	TargetAnswersAgain     = define(849, log.InfoLevel, "target answers after its connections had ended: it hasn't crashed")
 	CrashingRequestRefused = define(850, log.ErrorLevel, "request has crashed several targets and is refused")
 
-	TargetLeaves           = define(851, log.InfoLevel, "target says in an answer that it leaves")
+	TargetLeaves = define(851, log.InfoLevel, "target says in an answer that it leaves")
+
+	TargetClosed = define(852, log.InfoLevel, "target wants nothing from this VM for a time")
 
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error, the process goes on")
 )
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -137,8 +137,15 @@
 			return nil, c.unplaced(placing.Choice{Reason: verdict.Reason, Expected: verdict.Expected})
 		}
 		c.placement = placement
-		if t := c.usable(verdict.Target); t != nil {
-			return t, nil
+		t := c.usable(verdict.Target)
+		if t != nil {
+			closed := c.Balancer.ClosedFor(t.ID, c.Clock.Now())
+			if closed == 0 {
+				return t, nil
+			}
+			// The broker is a new one, and the target has told this VM only.
+			c.settlePlace(0, placing.Abandoned, &placing.Report{ClosedFor: closed})
+			continue
 		}
 		// One of both VMs has older knowledge about the target.
 		c.settlePlace(0, placing.Abandoned, nil)
@@ -331,10 +338,7 @@
 	if r.answer != nil && r.answer.meta.Leaving {
 		c.Knowledge.TargetLeaves(t.Life())
 	}
-	var report *placing.Report
-	if r.answer != nil && r.answer.meta.HasLoad {
-		report = &r.answer.meta.Load
-	}
+	report := c.reportOf(t, r)
 	ending := placing.Failed
 	switch {
 	case r.broken():
@@ -366,6 +370,42 @@
 	c.Metrics.attempt(r.outcome, elapsed)
 }
 
+// reportOf returns what the target has said of itself, nil if nothing.
+func (c *call) reportOf(t *inventory.Target, r result) *placing.Report {
+	if r.answer == nil {
+		return nil
+	}
+	var report placing.Report
+	if r.answer.meta.HasLoad {
+		report = r.answer.meta.Load
+	}
+	report.ClosedFor = closedFor(r.answer.meta)
+	if report.ClosedFor > 0 {
+		c.Metrics.closed(r.answer.meta.ClosedUnclear)
+		c.Log.Emit(event.TargetClosed, "target", t.ID, "for_ms", report.ClosedFor.Milliseconds(), "unclear", r.answer.meta.ClosedUnclear,
+			"request", c.meta.ID)
+	}
+	if report == (placing.Report{}) {
+		return nil
+	}
+	return &report
+}
+
+const (
+	// unclearClosing is how long a target gets nothing that has told a time that can't be read.
+	unclearClosing = time.Second
+	// longestClosing bounds what a target can ask for: one that wants nothing for longer leaves.
+	longestClosing = 5 * time.Minute
+)
+
+// closedFor returns how long the target wants nothing from this VM, 0 if it doesn't say.
+func closedFor(m AnswerMeta) time.Duration {
+	if m.ClosedUnclear {
+		return unclearClosing
+	}
+	return min(max(0, m.ClosedFor), longestClosing)
+}
+
 func (c *call) logAttempt(t *inventory.Target, r result) {
 	cause := ""
 	if r.cause != nil {
--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -49,7 +49,8 @@
 }
 func (testDialect) StampAnswer(h http.Header, id string) { h.Set("T-Id", id) }
 func (testDialect) ReadAnswer(status int, h http.Header) AnswerMeta {
-	return AnswerMeta{ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Leaving: h.Get("T-Leaving") != "", Signed: h.Get("T-Signed") != ""}
+	seconds, err := strconv.ParseFloat(h.Get("T-Closed"), 64)
+	return AnswerMeta{ClosedFor: time.Duration(seconds * float64(time.Second)), ClosedUnclear: h.Get("T-Closed") != "" && err != nil, ID: h.Get("T-Id"), NotRun: h.Get("T-Not-Run") != "", Leaving: h.Get("T-Leaving") != "", Signed: h.Get("T-Signed") != ""}
 }
 
 // nobody places no request, so that the handler places all locally.
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -64,6 +64,11 @@
 	m.scope.Tagged(map[string]string{"repeat": strconv.FormatBool(repeat), "by_broker": strconv.FormatBool(byBroker)}).Counter("placed").Inc(1)
 }
 
+// closed counts the refusals with which targets have turned this VM away for a time.
+func (m *Metrics) closed(unclear bool) {
+	m.scope.Tagged(map[string]string{"unclear": strconv.FormatBool(unclear)}).Counter("target_closings").Inc(1)
+}
+
 func (m *Metrics) left() {
 	m.leftEarly.Inc(1)
 }
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -37,6 +37,10 @@
 	Signed  bool
 	Load    placing.Report
 	HasLoad bool
+	// ClosedFor is how long a target that refused the request wants nothing from this VM, in any unit of time that it can tell;
+	// ClosedUnclear tells that it couldn't be read.
+	ClosedFor     time.Duration
+	ClosedUnclear bool
 }
 
 // Dialect reads and writes the header fields that callers and targets use.
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -93,6 +93,7 @@
 	queues   map[bucketID][]*waiter
 	waiting  map[askID]*waiter
 	permits  map[askID]permit
+	closings closings
 	budget   *Budget
 	suspects *quarantine.Tracker
 	used     func(pool string, key int)
@@ -107,6 +108,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, used: used, loads: map[string]*load{}, cold: map[string]*allowance{},
 		queues: map[bucketID][]*waiter{}, waiting: map[askID]*waiter{}, permits: map[askID]permit{},
+		closings: closings{},
 	}
 }
 
@@ -134,6 +136,7 @@
 	b.loads, b.groups = map[string]*load{}, map[groupID][]*load{}
 	b.suspects.Forget()
 	b.budget.Reset()
+	clear(b.closings)
 }
 
 // Place queues an ask. reply is called once, possibly before Place returns, and must not block.
@@ -160,6 +163,7 @@
 	}
 	w := &waiter{Ask: a, deadline: now.Add(a.Left), objectiveEnd: now.Add(a.Objective), reply: reply, homes: homesKey(a.Homes)}
 	w.suspected = verdict == quarantine.Suspected
+	w.closed = b.closings.concern(machineOf(w.VM), now)
 	b.enqueue(w)
 	m := b.surveyFor(w, now)
 	if now.Add(m.useful()) > w.objectiveEnd {
@@ -182,7 +186,7 @@
 	}
 	b.waiting[askID{a.VM, a.Seq}] = w
 	pass := markets{b: b, now: now}
-	if !w.special() {
+	if !w.special() && !w.closed {
 		pass.known = append(pass.known, knownMarket{w.homes, m})
 	}
 	b.serve(w.bucket, pass)
@@ -214,6 +218,7 @@
 			continue
 		}
 		w.suspected = verdict == quarantine.Suspected
+		w.closed = b.closings.concern(machineOf(w.VM), now)
 		m := pass.of(w)
 		if left := w.deadline.Sub(now); left < m.useful() {
 			b.settle(w, Verdict{Reason: ReasonFull, Expected: m.useful()})
@@ -224,6 +229,11 @@
 			continue
 		}
 		o := b.bestFree(w, m, now)
+		if w.closed && o.load != nil && now < b.closings.until(o.load.target.Life(), machineOf(w.VM)) {
+			// The survey that the waiters share doesn't know what each VM was told. Surveys for each of them cost too much.
+			m = b.surveyFor(w, now)
+			o = b.bestFree(w, m, now)
+		}
 		if o.load == nil || !o.worthIt(w, m, i) {
 			i++
 			continue
@@ -277,7 +287,7 @@
 	if now >= l.coldUntil && b.keyed(l.target.Pool) {
 		limit += extraPlace
 	}
-	return l.busy(now) < limit
+	return l.busy(now) < b.closings.limit(l.target.Life(), limit, now)
 }
 
 func (b *Broker) coldReady(l *load, now clock.Instant) bool {
@@ -360,6 +370,9 @@
 	defer b.mu.Unlock()
 	b.suspects.End(quarantine.Run{VM: vm, Seq: seq}, how.Fate(), now)
 	if l := b.end(askID{vm, seq}); l != nil {
+		if report != nil && report.ClosedFor > 0 {
+			b.closings.add(l.target.Life(), machineOf(vm), now.Add(report.ClosedFor), l.inFlight, now)
+		}
 		l.note(elapsed, how, report, now)
 		b.dispatchTarget(l, now)
 	}
@@ -392,6 +405,7 @@
 			b.end(id)
 		}
 	}
+	b.closings.prune(now)
 	b.dispatchAll(now)
 	b.refuseHopeless(now)
 }
--- a/pkg/placing/market.go
+++ b/pkg/placing/market.go
@@ -39,21 +39,38 @@
 
 // surveyFor returns the state of a waiter's targets.
 func (b *Broker) surveyFor(w *waiter, now clock.Instant) *market {
+	return b.survey(b.candidates(w, now), now, b.viewOf(w, w.closed, now))
+}
+
+// viewOf returns how the targets look to a waiter, with what they have told its VM or without it.
+func (b *Broker) viewOf(w *waiter, closed bool, now clock.Instant) surveyView {
+	view := surveyView{hasPlace: func(l *load) bool { return b.hasPlace(l, now) }}
 	if w.suspected {
 		// A suspect runs alone among suspects, so that a crash shows which one it was.
-		return b.survey(b.candidates(w, now), now, func(l *load) bool { return b.hasPlace(l, now) && !b.suspects.SuspectAt(l.target.Life()) })
+		view.hasPlace = func(l *load) bool { return b.hasPlace(l, now) && !b.suspects.SuspectAt(l.target.Life()) }
+	}
+	view.blockedUntil = func(l *load) clock.Instant { return l.blockedUntil }
+	if closed {
+		vm := machineOf(w.VM)
+		view.blockedUntil = func(l *load) clock.Instant { return max(l.blockedUntil, b.closings.until(l.target.Life(), vm)) }
 	}
-	return b.survey(b.candidates(w, now), now, func(l *load) bool { return b.hasPlace(l, now) })
+	return view
+}
+
+// surveyView is how the targets look to some waiters: whether each has a place, and until when it gets nothing.
+type surveyView struct {
+	hasPlace     func(*load) bool
+	blockedUntil func(*load) clock.Instant
 }
 
-// survey returns the state of the given targets. hasPlace tells whether a target has one.
-func (b *Broker) survey(candidates []*load, now clock.Instant, hasPlace func(*load) bool) *market {
+// survey returns the state of the given targets.
+func (b *Broker) survey(candidates []*load, now clock.Instant, view surveyView) *market {
 	b.surveyed += len(candidates)
 	m := &market{candidates: candidates, service: impossible, fastest: impossible}
 	for _, l := range candidates {
-		place := hasPlace(l)
+		place, until := view.hasPlace(l), view.blockedUntil(l)
 		m.service = min(m.service, l.service)
-		if now >= l.blockedUntil && (now >= l.coldUntil || b.coldReady(l, now)) {
+		if now >= until && (now >= l.coldUntil || b.coldReady(l, now)) {
 			m.offer(l, l.expected(now)+l.penalty(), place)
 		}
 		service := time.Duration(float64(l.service) * l.paceNow(now))
@@ -61,12 +78,12 @@
 			m.rate += b.coldRate(l)
 			if b.coldReady(l, now) && place {
 				m.free++
-				m.place = m.place || now >= l.blockedUntil
+				m.place = m.place || now >= until
 			}
 			m.fastest = min(m.fastest, service)
 			continue
 		}
-		blocked := l.blockedUntil.Sub(now)
+		blocked := until.Sub(now)
 		if blocked > 0 {
 			service += blocked
 		}
@@ -122,7 +139,7 @@
 			return k.market
 		}
 	}
-	m := p.b.surveyFor(w, p.now)
+	m := p.b.survey(p.b.candidates(w, p.now), p.now, p.b.viewOf(w, false, p.now))
 	p.known = append(p.known, knownMarket{w.homes, m})
 	return m
 }
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -55,6 +55,8 @@
 	Running, Waiting, Slots int
 	// Pace is how long work takes on the target's machine at the moment; 1 is usual.
 	Pace float64
+	// ClosedFor is how long the target wants nothing from the VM that it refused. A report that tells nothing else has no slots.
+	ClosedFor time.Duration
 }
 
 // load is what this VM knows about the load of one target.
@@ -74,7 +76,9 @@
 	// measured tells that the service time was measured since Measured was last called.
 	measured     bool
 	blockedUntil clock.Instant
-	broken       int
+	// closedUntil is until when the target wants nothing from this VM, or, at the broker, from any.
+	closedUntil clock.Instant
+	broken      int
 	// failing is the smoothed share of the requests that the target failed.
 	failing  float64
 	lastCold clock.Instant
@@ -222,9 +226,9 @@
 		if l == nil || n.Avoid[t.ID] {
 			continue
 		}
-		if now < l.blockedUntil || !b.mayCold(l, now) {
-			if best.Target == nil && best.Reason == ReasonNone {
-				best.Reason = ReasonBlocked
+		if now < max(l.blockedUntil, l.closedUntil) || !b.mayCold(l, now) {
+			if best.Target == nil && (best.Reason == ReasonNone || best.Reason == ReasonBlocked && l.closedUntil.Sub(now) < best.Expected) {
+				best.Reason, best.Expected = ReasonBlocked, max(0, l.closedUntil.Sub(now))
 			}
 			continue
 		}
@@ -341,6 +345,25 @@
 	}
 	l.inFlight = max(0, l.inFlight-1)
 	l.note(elapsed, how, report, now)
+	l.close(report, now)
+}
+
+// ClosedFor returns how much longer a target wants nothing from this VM.
+func (b *Balancer) ClosedFor(id string, now clock.Instant) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.loads[id]
+	if l == nil {
+		return 0
+	}
+	return max(0, l.closedUntil.Sub(now))
+}
+
+// close notes that the target wants nothing for a while.
+func (l *load) close(report *Report, now clock.Instant) {
+	if report != nil && report.ClosedFor > 0 {
+		l.closedUntil = max(l.closedUntil, now.Add(report.ClosedFor))
+	}
 }
 
 // Seen takes in how a request ended that was placed by the coordinator.
@@ -349,12 +372,13 @@
 	defer b.mu.Unlock()
 	if l := b.loads[id]; l != nil {
 		l.note(elapsed, how, report, now)
+		l.close(report, now)
 	}
 }
 
 // note takes in how a request ended.
 func (l *load) note(elapsed time.Duration, how Ending, report *Report, now clock.Instant) {
-	if report != nil {
+	if report != nil && report.Slots > 0 {
 		l.take(report, now)
 	}
 	switch how {
