Let the soak's targets leave by their answers, shed and crash under requests

The new kinds draw random numbers of their own, so that older seeds repeat their faults. In the calm phase a second target leaves by its answers only.

--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -42,9 +42,12 @@
 	}
 	leaving := r.anyTarget()
 	leaving.Draining.Store(true)
+	targets := r.deployment.Targets()
+	byAnswer := targets[r.more.IntN(len(targets))]
+	byAnswer.Leaving.Store(true)
 	// The target reports it with its next heartbeat.
 	wait(ctx, standin.Heartbeat)
-	r.deployment.Ledger.CloseTargets(time.Now().Add(drainBound), leaving.ID)
+	r.deployment.Ledger.CloseTargets(time.Now().Add(drainBound), leaving.ID, byAnswer.ID)
 	zone := standin.Zones[r.rand.IntN(len(standin.Zones))]
 	ids, err := r.deployment.TakeOut(zone)
 	if err != nil {
@@ -56,6 +59,7 @@
 	wait(ctx, takeOutBound)
 	r.deployment.Ledger.Reopen()
 	leaving.Draining.Store(false)
+	byAnswer.Leaving.Store(false)
 	r.deployment.TakeBack(zone)
 	return nil
 }
--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -17,10 +17,8 @@
 )
 
 const (
-	// crashTime is how long a request that crashes its targets is sent again and again, and crashPause the time between two
-	// sendings to one VM.
-	crashTime  = 15 * time.Second
-	crashPause = 100 * time.Millisecond
+	// crashTime is how long a request that crashes its targets is sent again and again.
+	crashTime = 15 * time.Second
 	// mostCrashes is the number of targets that such a request may crash: three, and those at which a copy of it runs at the time of
 	// the third crash. One copy is sent to each VM at a time.
 	mostCrashes = 3 + crashVMs - 1
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -92,6 +95,50 @@
 	}},
 }
 
+// crashPause is the time between two sendings of a request that crashes its targets.
+const crashPause = 100 * time.Millisecond
+
+// targetFaults are kinds of faults that targets tell of themselves or that requests cause. They are drawn beside the others, from
+// random numbers of their own, so that seeds of before they were added repeat their faults.
+var targetFaults = []fault{
+	{"target leaves by its answers", func(r *run, ctx context.Context, d time.Duration) (func(), error) {
+		at := r.more.IntN(len(r.deployment.Targets()))
+		r.deployment.Targets()[at].Leaving.Store(true)
+		r.group.Go(func() {
+			wait(ctx, d)
+			if err := r.deployment.Replace(at, func() { wait(ctx, d/2) }, 0); err != nil {
+				r.judge.note("a target doesn't start again: %v", err)
+			}
+		})
+		return nil, nil
+	}},
+	{"target sheds", func(r *run, _ context.Context, _ time.Duration) (func(), error) {
+		targets := r.deployment.Targets()
+		t := targets[r.more.IntN(len(targets))]
+		t.Shedding.Store(300 + r.more.Int64N(4700))
+		return func() { t.Shedding.Store(0) }, nil
+	}},
+	{"request crashes targets", func(r *run, ctx context.Context, d time.Duration) (func(), error) {
+		path := []string{standin.PathRead, standin.PathOrder}[r.more.IntN(2)] + standin.PathCrash + fmt.Sprint(r.more.IntN(1000))
+		random := rand.New(rand.NewPCG(r.Seed, uint64(r.more.IntN(1000))))
+		r.group.Go(func() { r.sendCrasher(ctx, path, d, random) })
+		return nil, nil
+	}},
+}
+
+// sendCrasher sends a request that crashes its targets to any VM, again and again.
+func (r *run) sendCrasher(ctx context.Context, path string, lasts time.Duration, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for n, end := 0, time.Now().Add(lasts); time.Now().Before(end) && ctx.Err() == nil; n++ {
+		x := exchange{id: fmt.Sprintf("%s-%05d", path, n), path: path, vm: random.IntN(r.VMs), order: strings.HasPrefix(path, standin.PathOrder)}
+		r.send(ctx, client, &x, 0, patientWait)
+		if ctx.Err() == nil {
+			r.judge.take(x)
+		}
+		wait(ctx, crashPause)
+	}
+}
+
 func (r *run) anyVM() *vm {
 	return r.vms[r.rand.IntN(len(r.vms))]
 }
@@ -116,13 +163,13 @@
 	for time.Now().Before(end) {
 		f := faults[r.rand.IntN(len(faults))]
 		lasts := leastFault + time.Duration(r.rand.Int64N(int64(moreFault)))
-		_, _ = fmt.Fprintf(r.Out, "seed %d: %s for %v\n", r.Seed, f.name, lasts.Round(time.Millisecond))
-		finish, err := f.begin(r, ctx, lasts)
-		if err != nil {
-			return fmt.Errorf("%s: %w", f.name, err)
+		if r.more.IntN(4) == 0 {
+			if err := r.begin(ctx, targetFaults[r.more.IntN(len(targetFaults))], leastFault+time.Duration(r.more.Int64N(int64(moreFault)))); err != nil {
+				return err
+			}
 		}
-		if finish != nil {
-			r.later(lasts, finish)
+		if err := r.begin(ctx, f, lasts); err != nil {
+			return err
 		}
 		if !wait(ctx, time.Duration(r.rand.Int64N(int64(gap)))) {
 			return ctx.Err()
@@ -131,6 +178,19 @@
 	return nil
 }
 
+// begin begins a fault.
+func (r *run) begin(ctx context.Context, f fault, lasts time.Duration) error {
+	_, _ = fmt.Fprintf(r.Out, "seed %d: %s for %v\n", r.Seed, f.name, lasts.Round(time.Millisecond))
+	finish, err := f.begin(r, ctx, lasts)
+	if err != nil {
+		return fmt.Errorf("%s: %w", f.name, err)
+	}
+	if finish != nil {
+		r.later(lasts, finish)
+	}
+	return nil
+}
+
 // later ends a fault after a time, or in heal.
 func (r *run) later(lasts time.Duration, finish func()) {
 	r.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -63,7 +63,9 @@
 // run is a soak in progress.
 type run struct {
 	Options
-	rand       *rand.Rand
+	rand *rand.Rand
+	// more are the random numbers of targetFaults.
+	more       *rand.Rand
 	deployment *standin.Deployment
 	supervisor *child.Supervisor
 	vms        []*vm
@@ -81,7 +83,7 @@
 
 // Run returns the broken promises of one run.
 func Run(ctx context.Context, o Options) ([]string, error) {
-	r := &run{Options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), version: 7, ending: map[int]func(){}}
+	r := &run{Options: o, rand: rand.New(rand.NewPCG(o.Seed, 1)), more: rand.New(rand.NewPCG(o.Seed, 2)), version: 7, ending: map[int]func(){}}
 	var err error
 	if r.deployment, err = standin.Start(o.Targets, r.linkTarget); err != nil {
 		return nil, err
