--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -7,6 +7,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
 )
 
 // dump is the state of a process as operators see it.
@@ -18,12 +19,15 @@
 	DomainsOut    map[string]bool                `json:"domains_out"`
 	Routes        map[string][]coordinator.Route `json:"routes"`
 	RoutesAgeMs   int64                          `json:"routes_age_ms"`
+	// Suspects are requests that may crash targets, or are refused because they do. Their IDs derive from the requests.
+	Suspects []quarantine.Record `json:"suspects"`
 }
 
 // serveDump writes the state as JSON.
 func (p *process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	view := p.control.Current()
-	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.Taken).Milliseconds()}
+	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.Taken).Milliseconds(),
+		Suspects: p.control.suspects.All(p.control.clock.Now())}
 	if s := view.Snapshot; s != nil {
 		d.DomainsOut = s.DomainsOut
 		for _, t := range s.Targets {
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -37,8 +37,8 @@
 	Signed  bool
 	Load    placing.Report
 	HasLoad bool
-	// ClosedFor is how long a target that refused the request wants nothing from this VM, in any unit of time that it can tell;
-	// ClosedUnclear tells that it couldn't be read.
+	// ClosedFor is how long a target that refused the request wants nothing from this VM. ClosedUnclear tells that it said so in a way
+	// that can't be read.
 	ClosedFor     time.Duration
 	ClosedUnclear bool
 }
