Tell other VMs of crashes that were none

A VM takes a crash off a request when the target answers after all, or when another request is found to have caused it. The others merged records as sets and kept it, and a coordinator that they connected to again took it over, so that a harmless request could be refused with fewer than three crashes. Found by reading; TestRecordsSpread has the case and counts 2 crashes instead of 1 without the change of the merge.

--- a/pkg/quarantine/records.go
+++ b/pkg/quarantine/records.go
@@ -27,6 +27,8 @@
 	ID uint64 `msgpack:"i" json:"id"`
 	// Breaks name the target lives that have ended under the request since it last succeeded.
 	Breaks []uint64 `msgpack:"b,omitempty" json:"breaks"`
+	// Withdrawn name lives that were among them by mistake.
+	Withdrawn []uint64 `msgpack:"w,omitempty" json:"withdrawn,omitempty"`
 	// ForMs is how much longer the request is refused, in milliseconds; 0 if it isn't.
 	ForMs int64 `msgpack:"f,omitempty" json:"for_ms"`
 	// Strikes counts how often it was quarantined.
@@ -39,6 +41,8 @@
 type record struct {
 	breaks  []uint64
 	strikes int
+	// withdrawn are the lives that the other VMs don't know to be removed.
+	withdrawn []uint64
 	// until is the end of the quarantine; zero if it was never quarantined.
 	until clock.Instant
 	// expires is when the record is dropped.
@@ -129,7 +133,9 @@
 	list := make([]Record, 0, len(t.changed))
 	for id := range t.changed {
 		if r := t.live(id, now); r != nil {
-			list = append(list, r.shared(id, now))
+			told := r.shared(id, now)
+			told.Withdrawn, r.withdrawn = r.withdrawn, nil
+			list = append(list, told)
 		} else {
 			list = append(list, Record{ID: id, Cleared: true})
 		}
@@ -177,13 +183,16 @@
 		}
 		return
 	}
+	for _, life := range told.Withdrawn[:min(len(told.Withdrawn), mostWithdrawn)] {
+		t.withdraw(told.ID, life, now)
+	}
 	if len(told.Breaks) == 0 && told.Strikes == 0 {
 		return
 	}
 	r := t.record(told.ID, now)
 	before, strikes := len(r.breaks), r.strikes
 	for _, life := range told.Breaks[:min(len(told.Breaks), crashLimit)] {
-		if len(r.breaks) < crashLimit && !slices.Contains(r.breaks, life) {
+		if len(r.breaks) < crashLimit && !slices.Contains(r.breaks, life) && !t.withdrawn.has(told.ID^life, now) {
 			r.breaks = append(r.breaks, life)
 		}
 	}
@@ -204,6 +213,26 @@
 	}
 }
 
+// withdraw removes a life from a record, for good: a VM that hasn't heard may still tell of it.
+func (t *Tracker) withdraw(id, life uint64, now clock.Instant) {
+	t.withdrawn.add(id^life, now.Add(suspicion))
+	r := t.live(id, now)
+	if r == nil || !slices.Contains(r.breaks, life) {
+		return
+	}
+	r.removeBreak(life)
+	if len(r.withdrawn) < mostWithdrawn {
+		r.withdrawn = append(r.withdrawn, life)
+	}
+	t.changed[id] = true
+	if len(r.breaks) == 0 && r.strikes == 0 {
+		t.forget(id)
+	}
+}
+
+// mostWithdrawn bounds the withdrawn lives in one record.
+const mostWithdrawn = 8
+
 // toldSlack is how much longer a quarantine must be than the known one to take its place; messages take a moment.
 const toldSlack = time.Second
 
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -96,8 +96,10 @@
 	// crashes are the lives that have ended, as far as connections show.
 	crashes map[inventory.Life]*crash
 	proven  *recent
-	changed map[uint64]bool
-	events  []Event
+	// withdrawn are IDs combined with lives that were counted by mistake.
+	withdrawn *recent
+	changed   map[uint64]bool
+	events    []Event
 }
 
 // running is a run in flight.
@@ -119,7 +121,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		records: map[uint64]*record{}, runs: map[Run]*running{}, atLife: map[inventory.Life]map[*running]bool{}, crashes: map[inventory.Life]*crash{},
-		proven: newRecent(provenLimit), changed: map[uint64]bool{},
+		proven: newRecent(provenLimit), withdrawn: newRecent(MaxEntries), changed: map[uint64]bool{},
 	}
 }
 
@@ -314,25 +316,12 @@
 		}
 		for _, id := range c.blamed {
 			if !slices.Contains(ids, id) {
-				t.takeBack(id, hashLife(life), now)
+				t.withdraw(id, hashLife(life), now)
 			}
 		}
 	}
 }
 
-// takeBack removes a crash from a request's record.
-func (t *Tracker) takeBack(id, life uint64, now clock.Instant) {
-	record := t.live(id, now)
-	if record == nil {
-		return
-	}
-	record.removeBreak(life)
-	t.changed[id] = true
-	if len(record.breaks) == 0 && record.strikes == 0 {
-		t.forget(id)
-	}
-}
-
 func (t *Tracker) pruneCrashes(now clock.Instant) {
 	for life, c := range t.crashes {
 		if now.Sub(c.at) >= crashMemory {
@@ -353,7 +342,7 @@
 	}
 	delete(t.crashes, r.life)
 	for _, id := range c.blamed {
-		t.takeBack(id, hashLife(r.life), now)
+		t.withdraw(id, hashLife(r.life), now)
 	}
 	t.note(Event{Kind: EventAlive, Life: r.life})
 }
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -155,6 +155,25 @@
 	if v, left := b.Verdict(bad, b.now); v != Quarantined || left > firstQuarantine || left < firstQuarantine-time.Second {
 		t.Fatalf("%v for %v after three crashes elsewhere", v, left)
 	}
+	// A crash that was none is taken back everywhere, also if another VM tells of it once more.
+	e, f, lost := newTrial(), newTrial(), named("lost")
+	e.run(lost, Broken)
+	f.Merge(e.News(e.now), f.now)
+	stale := f.All(f.now)
+	life := inventory.Life{Target: "last"}
+	e.End(e.begin(lost, life), Broken, e.now)
+	f.Merge(e.News(e.now), f.now)
+	e.now = e.now.Add(20 * time.Millisecond)
+	other := e.begin(named("other"), life)
+	e.now = e.now.Add(100 * time.Millisecond)
+	e.End(other, Served, e.now)
+	f.Merge(e.News(e.now), f.now)
+	e.Merge(stale, e.now)
+	for name, x := range map[string]*trial{"that found out": e, "that was told": f} {
+		if n := x.crashCount(lost, x.now); n != 1 {
+			t.Errorf("the VM %s counts %d crashes instead of 1", name, n)
+		}
+	}
 	c, d, good := newTrial(), newTrial(), named("good")
 	c.run(good, Broken)
 	d.Merge(c.News(c.now), d.now)
