--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -124,6 +125,13 @@
 	}
 }
 
+// requests returns the requests that have arrived.
+func (s *scriptedTarget) requests() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.seen)
+}
+
 func (s *scriptedTarget) count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
