Find copies of a suspect and closed targets without a search

Each pass of the broker over its waiters looked at all runs in flight for each suspect, and at all targets that have turned VMs away for each waiter.

TestWaitersCostLittleWhileTargetsShed guards the number of targets that a pass looks at.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -108,7 +108,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, used: used, loads: map[string]*load{}, cold: map[string]*allowance{},
 		queues: map[bucketID][]*waiter{}, waiting: map[askID]*waiter{}, permits: map[askID]permit{},
-		closings: closings{},
+		closings: newClosings(),
 	}
 }
 
@@ -136,7 +136,7 @@
 	b.loads, b.groups = map[string]*load{}, map[groupID][]*load{}
 	b.suspects.Forget()
 	b.budget.Reset()
-	clear(b.closings)
+	b.closings = newClosings()
 }
 
 // Place queues an ask. reply is called once, possibly before Place returns, and must not block.
@@ -163,7 +163,8 @@
 	}
 	w := &waiter{Ask: a, deadline: now.Add(a.Left), objectiveEnd: now.Add(a.Objective), reply: reply, homes: homesKey(a.Homes)}
 	w.suspected = verdict == quarantine.Suspected
-	w.closed = b.closings.concern(machineOf(w.VM), now)
+	w.machine = machineOf(w.VM)
+	w.closed = b.closings.concern(w.machine, now)
 	b.enqueue(w)
 	m := b.surveyFor(w, now)
 	if now.Add(m.useful()) > w.objectiveEnd {
@@ -218,7 +219,7 @@
 			continue
 		}
 		w.suspected = verdict == quarantine.Suspected
-		w.closed = b.closings.concern(machineOf(w.VM), now)
+		w.closed = b.closings.concern(w.machine, now)
 		m := pass.of(w)
 		if left := w.deadline.Sub(now); left < m.useful() {
 			b.settle(w, Verdict{Reason: ReasonFull, Expected: m.useful()})
@@ -229,7 +230,7 @@
 			continue
 		}
 		o := b.bestFree(w, m, now)
-		if w.closed && o.load != nil && now < b.closings.until(o.load.target.Life(), machineOf(w.VM)) {
+		if w.closed && o.load != nil && now < b.closings.until(o.load.target.Life(), w.machine) {
 			// The survey that the waiters share doesn't know what each VM was told. Surveys for each of them cost too much.
 			m = b.surveyFor(w, now)
 			o = b.bestFree(w, m, now)
--- a/pkg/placing/closings_test.go
+++ b/pkg/placing/closings_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 // askFrom is ask for a VM; reply gets the verdict now or later.
@@ -158,3 +159,23 @@
 		t.Errorf("%d requests are served, %d if the target's word is ignored", with.served, without.served)
 	}
 }
+
+// Guards against a broker that looks at all targets for each waiter once some targets have turned VMs away: on a day with hundreds of
+// VMs and targets that took more than its processor.
+func TestWaitersCostLittleWhileTargetsShed(t *testing.T) {
+	const targets, waiters = 200, 200
+	x := newBench(t, targets, 1)
+	for i := range targets {
+		// Each target works on something and has turned a VM away.
+		x.askFrom("busy", Ask{Pool: "plain"}, func(Verdict) {})
+		x.b.closings.add(inventory.Life{Target: fmt.Sprint("t", i), Started: 1}, fmt.Sprint("vm", i), x.now.Add(time.Minute), 1, x.now)
+	}
+	for i := range waiters {
+		x.askFrom(fmt.Sprint("vm", i), Ask{Pool: "plain"}, func(Verdict) {})
+	}
+	before := x.b.surveyed
+	x.b.Tick(x.now)
+	if n := x.b.surveyed - before; n > 10*targets {
+		t.Errorf("a pass over %d waiters looks at %d targets", waiters, n)
+	}
+}
--- a/pkg/placing/market.go
+++ b/pkg/placing/market.go
@@ -51,8 +51,7 @@
 	}
 	view.blockedUntil = func(l *load) clock.Instant { return l.blockedUntil }
 	if closed {
-		vm := machineOf(w.VM)
-		view.blockedUntil = func(l *load) clock.Instant { return max(l.blockedUntil, b.closings.until(l.target.Life(), vm)) }
+		view.blockedUntil = func(l *load) clock.Instant { return max(l.blockedUntil, b.closings.until(l.target.Life(), w.machine)) }
 	}
 	return view
 }
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -25,6 +25,8 @@
 	owner  Owner
 	// suspected tells that the request may have crashed a target.
 	suspected bool
+	// machine is the name of the waiter's VM.
+	machine string
 	// closed tells that some target wants nothing from the waiter's VM.
 	closed bool
 	// homes names the regions that may serve the request.
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -93,6 +93,8 @@
 	known  atomic.Int64
 	runs   map[Run]*running
 	atLife map[inventory.Life]map[*running]bool
+	// copies counts the runs of each ID.
+	copies map[uint64]int
 	// crashes are the lives that have ended, as far as connections show.
 	crashes map[inventory.Life]*crash
 	proven  *recent
@@ -120,7 +122,7 @@
 // NewTracker returns a tracker without records.
 func NewTracker() *Tracker {
 	return &Tracker{
-		records: map[uint64]*record{}, runs: map[Run]*running{}, atLife: map[inventory.Life]map[*running]bool{}, crashes: map[inventory.Life]*crash{},
+		records: map[uint64]*record{}, runs: map[Run]*running{}, atLife: map[inventory.Life]map[*running]bool{}, copies: map[uint64]int{}, crashes: map[inventory.Life]*crash{},
 		proven: newRecent(provenLimit), withdrawn: newRecent(MaxEntries), changed: map[uint64]bool{},
 	}
 }
@@ -175,6 +177,8 @@
 		t.atLife[life] = map[*running]bool{}
 	}
 	t.atLife[life][r] = true
+	t.copies[f.Content]++
+	t.copies[f.ByCaller]++
 }
 
 func (t *Tracker) end(id Run) *running {
@@ -183,6 +187,11 @@
 		return nil
 	}
 	delete(t.runs, id)
+	for _, half := range []uint64{r.fingerprint.Content, r.fingerprint.ByCaller} {
+		if t.copies[half]--; t.copies[half] == 0 {
+			delete(t.copies, half)
+		}
+	}
 	delete(t.atLife[r.life], r)
 	if len(t.atLife[r.life]) == 0 {
 		delete(t.atLife, r.life)
@@ -225,19 +234,14 @@
 	defer t.mu.Unlock()
 	clear(t.runs)
 	clear(t.atLife)
+	clear(t.copies)
 }
 
 // Busy tells whether another copy of a request is in flight.
 func (t *Tracker) Busy(f Fingerprint, now clock.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byContent := t.live(f.Content, now) != nil
-	for _, r := range t.runs {
-		if r.fingerprint.ByCaller == f.ByCaller || byContent && r.fingerprint.Content == f.Content {
-			return true
-		}
-	}
-	return false
+	return t.copies[f.ByCaller] > 0 || t.copies[f.Content] > 0 && t.live(f.Content, now) != nil
 }
 
 // SuspectAt tells whether a request that was sent as a suspect is in flight at a target's life.
