--- a/pkg/quarantine/records.go
+++ b/pkg/quarantine/records.go
@@ -43,7 +43,7 @@
 	strikes int
 	// withdrawn are the lives that the other VMs don't know to be removed.
 	withdrawn []uint64
-	// until is the end of the quarantine; zero if it was never quarantined.
+	// until is the end of the quarantine; zero if the request was never refused.
 	until clock.Instant
 	// expires is when the record is dropped.
 	expires clock.Instant
@@ -116,13 +116,21 @@
 	var victim uint64
 	var least *record
 	for id, r := range t.records {
-		if least == nil || (r.until == 0) != (least.until == 0) && r.until == 0 || (r.until == 0) == (least.until == 0) && r.expires < least.expires {
+		if least == nil || r.lessWorth(least) {
 			victim, least = id, r
 		}
 	}
 	delete(t.records, victim)
 }
 
+// lessWorth orders records for eviction.
+func (r *record) lessWorth(o *record) bool {
+	if refused := r.strikes > 0; refused != (o.strikes > 0) {
+		return !refused
+	}
+	return r.expires < o.expires
+}
+
 // News returns the records that have changed since the last call.
 func (t *Tracker) News(now clock.Instant) []Record {
 	t.mu.Lock()
