Take all of the coordinator's rows once it has caught up with an own read

Cause, traced in the logs: the VM read the store 33 ms after the registrations had lapsed with it, when 6 of 12 targets were registered again. The coordinator kept the lapsed ones, as it should, and was at an older version. The VM ignored its whole table as older, and applied its later changes to the own read; those don't tell of targets that came back as they were, so that the VM never heard of two of them until they changed. Class: changes applied to another base than the one that they refer to.

Change: a VM keeps the rows as relayed beside its own, and takes all of them as soon as their version isn't older.

TestRelayedTableIsTakenWholeOnceItIsNewer fails without the adoption.

--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -183,8 +183,11 @@
 		suspects, leaving = c.suspects.News(now), c.leavers.takeNews()
 	}
 	age := now.Sub(c.freshAt).Milliseconds()
-	plain, packed := c.shrink(deltas)
 	news := len(changed) > 0 || len(deltas) > 0
+	if beat {
+		deltas = c.withVersions(deltas)
+	}
+	plain, packed := c.shrink(deltas)
 	for i, f := range list {
 		if !beat && !f.Fresh && !f.Reassigned && (!news || f.Distributor != "") {
 			continue
@@ -343,6 +346,9 @@
 		return
 	}
 	c.link, c.heardAt = l, c.clock.Now()
+	if c.source.address == "" {
+		c.mirror.ForgetRelayed()
+	}
 	// The coordinator may be a new one, or a new process.
 	suspects, leaving := c.suspects.All(c.heardAt), c.leavers.all(c.registered())
 	if len(suspects) > 0 || len(leaving) > 0 {
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
@@ -70,6 +71,7 @@
 		c.source.stop()
 	}
 	c.source = tableSource{}
+	c.mirror.ForgetRelayed()
 }
 
 func (c *Control) sourceLinked(ctx context.Context, l *replica.Link) {
@@ -78,6 +80,7 @@
 		return
 	}
 	c.source.link, c.source.heardAt = l, c.clock.Now()
+	c.mirror.ForgetRelayed()
 	c.log.Emit(event.DistributorFollowed, "distributor", c.source.address)
 }
 
@@ -111,7 +114,7 @@
 	}
 	changed := false
 	for _, d := range u.Deltas {
-		changed = c.mirror.Apply(d) || changed
+		changed = c.mirror.Relay(d) || changed
 	}
 	if changed {
 		c.rebuild()
@@ -175,6 +178,9 @@
 		c.lastBeat = now
 	}
 	c.greet = false
+	if beat {
+		deltas = c.withVersions(deltas)
+	}
 	plain, packed := c.shrink(deltas)
 	age := now.Sub(max(c.freshAt, c.relayFreshAt)).Milliseconds()
 	for f := range c.subscribers {
@@ -193,6 +199,17 @@
 	}
 }
 
+// withVersions adds the versions of the tables that haven't changed: a VM that has read a newer one itself learns that this one has
+// caught up.
+func (c *Control) withVersions(deltas []replica.Delta) []replica.Delta {
+	for _, table := range []string{c.tables.Operator, c.tables.Targets} {
+		if !slices.ContainsFunc(deltas, func(d replica.Delta) bool { return d.Table == table }) {
+			deltas = append(deltas, replica.Delta{Table: table, Version: c.mirror.Version(table)})
+		}
+	}
+	return deltas
+}
+
 // newLeader returns who leads, as far as is known, and whether the subscribers don't know.
 func (c *Control) newLeader() (*coordinator.Notice, bool) {
 	n, known := c.coordinator.Notice()
--- a/pkg/replica/mirror.go
+++ b/pkg/replica/mirror.go
@@ -2,6 +2,7 @@
 package replica
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
@@ -19,6 +20,9 @@
 type Table struct {
 	Version uint64
 	Rows    map[string]rowstore.Row
+	// relayed are the rows as the VM has them that passes them on; nil until it has sent all. Its changes refer to them, also while
+	// this VM has read a newer version itself.
+	relayed map[string]rowstore.Row
 	// readAt is when the table was last read from the store, here or by the coordinator.
 	readAt clock.Instant
 	// kept tells that rows that are gone were kept after an outage. Later changes don't tell of them again.
@@ -150,11 +154,45 @@
 	if d.Empty() {
 		return false
 	}
-	rows := make(map[string]rowstore.Row, len(t.Rows)+len(d.Rows))
+	t.Rows = d.patch(t.Rows)
+	return true
+}
+
+// ForgetRelayed tells that another VM passes the tables on from now on, which begins with all rows.
+func (m *Mirror) ForgetRelayed() {
+	for _, t := range m.tables {
+		t.relayed = nil
+	}
+}
+
+// Relay takes in a delta of the VM that passes the tables on. It returns whether a row has changed. While this VM knows a newer
+// version, its own rows stay; once the other one has caught up, all of that one's rows are taken. Patching the own rows with its
+// changes would leave out what this VM's read lacked: registrations that had lapsed with the store and came back later.
+func (m *Mirror) Relay(d Delta) bool {
+	t := m.table(d.Table)
+	switch {
+	case d.Full:
+		t.relayed = d.patch(nil)
+	case t.relayed == nil && d.Empty():
+		return false
+	case t.relayed == nil:
+		return m.Apply(d)
+	case !d.Empty():
+		t.relayed = d.patch(t.relayed)
+	}
+	if d.Version < t.Version {
+		return false
+	}
+	changed := !sameVersions(t.Rows, t.relayed)
+	t.Version, t.Rows = d.Version, t.relayed
+	return changed
+}
+
+// patch returns a copy of the rows with the delta's changes.
+func (d *Delta) patch(old map[string]rowstore.Row) map[string]rowstore.Row {
+	rows := make(map[string]rowstore.Row, len(old)+len(d.Rows))
 	if !d.Full {
-		for key, r := range t.Rows {
-			rows[key] = r
-		}
+		maps.Copy(rows, old)
 	}
 	for _, r := range d.Rows {
 		rows[r.Key] = r
@@ -162,8 +200,7 @@
 	for _, key := range d.Gone {
 		delete(rows, key)
 	}
-	t.Rows = rows
-	return true
+	return rows
 }
 
 // Diff returns the rows that differ in meaning between two copies of a table.
--- a/pkg/replica/mirror_test.go
+++ b/pkg/replica/mirror_test.go
@@ -18,6 +18,33 @@
 	return p
 }
 
+// Guards against a VM that misses a target for good: it had read the store right after the registrations lapsed with it, a newer version
+// than that of the coordinator, which still had them all, and the coordinator's later changes don't tell of those that came back
+// as they were.
+func TestRelayedTableIsTakenWholeOnceItIsNewer(t *testing.T) {
+	row := func(key string, version uint64) rowstore.Row {
+		return rowstore.Row{Table: "servers", Key: key, Version: version}
+	}
+	m := NewMirror()
+	m.Replace("servers", rowstore.Page{Version: 20, Rows: []rowstore.Row{row("a", 20)}}, true, 0)
+	if m.Relay(Delta{Table: "servers", Version: 10, Full: true, Rows: []rowstore.Row{row("a", 5), row("b", 6)}}) || len(m.Rows("servers")) != 1 {
+		t.Errorf("an older table is taken: %v", m.Rows("servers"))
+	}
+	if m.Relay(Delta{Table: "servers", Version: 15, Rows: []rowstore.Row{row("c", 15)}}) {
+		t.Error("an older change is taken")
+	}
+	// The coordinator tells that it has caught up, without a change.
+	if !m.Relay(Delta{Table: "servers", Version: 21}) || len(m.Rows("servers")) != 3 {
+		t.Errorf("the VM has %v", m.Rows("servers"))
+	}
+	if m.Relay(Delta{Table: "servers", Version: 22}) || m.Version("servers") != 22 {
+		t.Error("a version alone changes rows, or isn't noted")
+	}
+	if !m.Relay(Delta{Table: "servers", Version: 23, Gone: []string{"c"}}) || len(m.Rows("servers")) != 2 {
+		t.Errorf("after a removal the VM has %v", m.Rows("servers"))
+	}
+}
+
 // Guards against registrations that are dropped because they expired while the store was away.
 func TestRegistrationsSurviveAnOutage(t *testing.T) {
 	m, now := NewMirror(), clock.Instant(time.Second)
