--- a/internal/soak/calm.go
+++ b/internal/soak/calm.go
@@ -44,10 +44,11 @@
 	leaving.Draining.Store(true)
 	targets := r.deployment.Targets()
 	byAnswer := targets[r.more.IntN(len(targets))]
+	r.deployment.Ledger.CloseOnceTold(drainBound, byAnswer.ID)
 	byAnswer.Leaving.Store(true)
 	// The target reports it with its next heartbeat.
 	wait(ctx, standin.Heartbeat)
-	r.deployment.Ledger.CloseTargets(time.Now().Add(drainBound), leaving.ID, byAnswer.ID)
+	r.deployment.Ledger.CloseTargets(time.Now().Add(drainBound), leaving.ID)
 	zone := standin.Zones[r.rand.IntN(len(standin.Zones))]
 	ids, err := r.deployment.TakeOut(zone)
 	if err != nil {
