Read and log the rate limits that targets name

No log line, metric or dump shows that a target names a rate limit in Server-Limit, so the hypotheses of the incident can't be told apart.

Change: the adapter decodes Server-Limit; pkg/ratelimit keeps the newest state of each incarnation; events 853 to 855 tell of limits named, withdrawn and unreadable; the counters requests.target_rate_limits and requests.placed (tag limited) count responses and placements; the state dump lists the limits. Nothing decides by them yet.

Responses may be learned of out of order. A state is known to be newer only if its request was sent after the other's response arrived; otherwise the stricter one holds.

Conclusion: the same traffic as before, now visible.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -16,6 +16,7 @@
 	"github.com/bronzelever/bronzelever/pkg/keyrange"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
@@ -91,6 +92,7 @@
 	balancer       *placing.Balancer
 	suspects       *quarantine.Tracker
 	storedSuspects storedSuspects
+	limits         *ratelimit.Tracker
 	// localBudget limits the retries that this VM places without a broker.
 	localBudget *placing.RetryBudget
 	placer      *placer
@@ -208,6 +210,8 @@
 	// Suspects tracks the requests that may crash targets, both for the broker and for requests that are placed without
 	// it.
 	Suspects *quarantine.Tracker
+	// Limits holds the rate limits of the targets, also for both.
+	Limits *ratelimit.Tracker
 	// BrokerBudget limits the retries that this VM's broker permits, LocalBudget those that the VM places without a
 	// broker.
 	BrokerBudget *placing.RetryBudget
@@ -222,12 +226,15 @@
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NewTracker()
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTracker()
+	}
 	if o.LocalBudget == nil {
 		o.LocalBudget = placing.NewLocalBudget(0, 0, time.Second)
 	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, localBudget: o.LocalBudget, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
+		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loadWindow: newLoadWindow(), reading: map[string]bool{}, readCounts: map[string]int{}, nextRead: map[string]clock.Instant{}, pacers: map[string]*readPacer{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
@@ -348,6 +355,7 @@
 	c.sendReport(now, leading)
 	c.reportLeavingTargets()
 	c.logSuspects()
+	c.logLimits(now)
 	c.syncSuspects(now, leading)
 	if c.stopRequested {
 		c.stepDown(now)
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -8,6 +8,7 @@
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 )
 
 // dump is the state of a process as shown to operators.
@@ -22,13 +23,15 @@
 	// Suspects are the requests that may crash targets, or are refused because they do. Their IDs are derived from the
 	// requests.
 	Suspects []quarantine.Record `json:"suspects"`
+	// RateLimits are the rate limits that targets have named or withdrawn.
+	RateLimits []ratelimit.Record `json:"rate_limits"`
 }
 
 // serveDump writes the state as JSON.
 func (p *process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	view := p.control.Current()
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
-		Suspects: p.control.suspects.Records(p.control.clock.Now())}
+		Suspects: p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now())}
 	if s := view.Snapshot; s != nil {
 		d.DomainsOut = s.DomainsOut
 		for _, t := range s.Targets {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bronzelever/bronzelever/pkg/metric"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
@@ -115,13 +116,13 @@
 }
 
 func newProcess(o Options, registry *metric.Registry) *process {
-	suspects := quarantine.NewTracker()
+	suspects, limits := quarantine.NewTracker(), ratelimit.NewTracker()
 	localBudget := placing.NewLocalBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	p := &process{Options: o, stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
-		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects,
+		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
@@ -129,7 +130,7 @@
 	})
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
-		Budget: localBudget, Suspects: suspects,
+		Budget: localBudget, Suspects: suspects, Limits: limits,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		MaxBufferedBodyBytes:     int64(float64(o.Settings.MemoryBytes) * requestBodyMemoryShare),
 		MaxBufferedResponseBytes: int64(float64(o.Settings.MemoryBytes) * responseMemoryShare),
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -55,5 +55,9 @@
 
 	TargetBackoffRequested = define(852, log.InfoLevel, "target asked this VM to send nothing for a time")
 
+	TargetLimitNamed     = define(853, log.InfoLevel, "target named a rate limit")
+	TargetLimitWithdrawn = define(854, log.InfoLevel, "target withdrew its rate limit")
+	TargetLimitInvalid   = define(855, log.WarnLevel, "rate limit of a target can't be parsed; an earlier one remains")
+
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -8,11 +8,13 @@
 	"strconv"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 )
 
 const (
@@ -32,7 +34,8 @@
 		if err != nil {
 			return err
 		}
-		c.Metrics.recordPlacement(retry && c.attempts > 0, c.placement != nil)
+		_, limited := c.Limits.Rate(target.Incarnation())
+		c.Metrics.recordPlacement(retry && c.attempts > 0, c.placement != nil, limited)
 		result := c.send(ctx, target)
 		if result.outcome == answered && !c.shouldRetry(result.response) {
 			defer c.sender.discard(result.response)
@@ -322,7 +325,7 @@
 		usedConns: c.usedConns,
 	}
 	c.lastTarget = t.ID
-	sentAt := time.Now()
+	sentAt, sentInstant := time.Now(), c.Clock.Now()
 	mayHaveRunBefore := c.mayHaveRun
 	// If sending panics, the response must not claim that the request was not executed.
 	c.mayHaveRun = true
@@ -332,10 +335,28 @@
 		c.attempts++
 	}
 	c.mayHaveRun = mayHaveRunBefore || r.outcome == unknown || r.outcome == expired || r.outcome == answered
+	c.recordRateLimit(t, r, sentInstant)
 	c.finishAttempt(t, r, time.Since(sentAt))
 	return r
 }
 
+// recordRateLimit records what a response says about the target's rate limit. A response that refuses the request as misdirected
+// may come from another target.
+func (c *call) recordRateLimit(t *inventory.Target, r result, sent clock.Instant) {
+	if r.outcome != answered && r.outcome != notRun || r.response.status == http.StatusMisdirectedRequest {
+		return
+	}
+	notice := r.response.meta.RateLimit
+	c.Limits.Observe(t.Incarnation(), notice, sent, c.Clock.Now())
+	if notice.Kind == ratelimit.Absent {
+		return
+	}
+	c.Metrics.recordRateLimit(notice.Kind == ratelimit.Unreadable)
+	if notice.Kind == ratelimit.Unreadable {
+		c.Log.Emit(event.TargetLimitInvalid, "target", t.ID, "request", c.meta.ID)
+	}
+}
+
 // finishAttempt reports the end of an attempt to the balancer, the broker and the metrics.
 func (c *call) finishAttempt(t *inventory.Target, r result, elapsed time.Duration) {
 	if r.response != nil && r.response.meta.Leaving {
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -16,6 +16,7 @@
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -40,9 +41,11 @@
 	Budget   *placing.RetryBudget
 	// Suspects tracks the requests that may crash targets. If nil, an empty tracker is used.
 	Suspects *quarantine.Tracker
-	Clock    clock.Clock
-	Log      *event.Logger
-	Metrics  *Metrics
+	// Limits holds the rate limits of the targets. If nil, an empty tracker is used.
+	Limits  *ratelimit.Tracker
+	Clock   clock.Clock
+	Log     *event.Logger
+	Metrics *Metrics
 	// RegionOf maps failure domains to regions.
 	RegionOf map[string]string
 	// MaxBufferedBodyBytes bounds the total size of the request bodies that are buffered at the same time.
@@ -76,6 +79,9 @@
 	if o.Suspects == nil {
 		o.Suspects = quarantine.NewTracker()
 	}
+	if o.Limits == nil {
+		o.Limits = ratelimit.NewTracker()
+	}
 	h := &Handler{
 		Options: o, sender: sender{dialect: o.Dialect, pools: newConnPools(), recoverPanic: o.Log.RecoverPanic},
 		poolSelector: poolSelector{routes: map[string]*weightedRoundRobin{}}, ages: ageEstimator{maxTimeout: map[string]time.Duration{}},
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -59,10 +59,17 @@
 	m.attemptLatency.RecordDuration(elapsed)
 }
 
-// recordPlacement counts an attempt for which a target was chosen, by whether it is a retry and by who chose the target. Only a
-// request that was sent to a target before counts as a retry.
-func (m *Metrics) recordPlacement(retry, byBroker bool) {
-	m.scope.Tagged(map[string]string{"repeat": strconv.FormatBool(retry), "by_broker": strconv.FormatBool(byBroker)}).Counter("placed").Inc(1)
+// recordPlacement counts an attempt for which a target was chosen, by whether it is a retry, by who chose the target and by whether
+// the target has named a rate limit. Only a request that was sent to a target before counts as a retry.
+func (m *Metrics) recordPlacement(retry, byBroker, limited bool) {
+	m.scope.Tagged(map[string]string{
+		"repeat": strconv.FormatBool(retry), "by_broker": strconv.FormatBool(byBroker), "limited": strconv.FormatBool(limited),
+	}).Counter("placed").Inc(1)
+}
+
+// recordRateLimit counts a response in which a target named a rate limit.
+func (m *Metrics) recordRateLimit(unreadable bool) {
+	m.scope.Tagged(map[string]string{"unclear": strconv.FormatBool(unreadable)}).Counter("target_rate_limits").Inc(1)
 }
 
 // recordBackoff counts a refusal with which a target asked this VM to back off.
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 )
 
 // NoKey is the value of RequestMeta.Key for a request without a key.
@@ -41,6 +42,8 @@
 	// target asked for one in a form that can't be parsed.
 	RetryAfter        time.Duration
 	RetryAfterInvalid bool
+	// RateLimit is how many requests per second the target takes from all VMs together.
+	RateLimit ratelimit.Notice
 }
 
 // Dialect reads and writes the header fields that callers and targets use.
