Divide the rate of cold targets among VMs, too

Each new broker began with a request for each cold target, and VMs without a broker sent one each 1.1 s if they were among three senders, which each VM worked out from its own number and count of VMs. VMs that heard different numbers chose different senders, beside the broker's own rate.

Change: the broker sends the shares of the VMs that are connected to it, a VM without a broker its own share in turns, as with rate limits. A new broker starts without saved requests. VMs use the pool's rate instead of a fixed interval. Update.Index remains for VMs of earlier versions.

Ruled out: slots, which have no rule of their own; VMs without a broker go by the load that targets report.

--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -178,7 +178,6 @@
 		followers = slices.Collect(maps.Keys(c.followers))
 		replica.SortFollowers(followers)
 		c.sortedFollowers = followers
-		c.balancer.SetVMIndex(0, len(followers)+1)
 		c.localBudget.SetVMCount(len(followers) + 1)
 		c.assignDistributors(followers, now)
 	}
@@ -415,7 +414,6 @@
 	}
 	c.minElectionDelay = time.Duration(u.MinElectionDelayMs) * time.Millisecond
 	c.coordinator.NoteVersion(u.LeaseVersion, now)
-	c.balancer.SetVMIndex(u.Index, u.Count)
 	c.vmCount = u.Count
 	c.fleetPeak.add(u.Count, now)
 	c.localBudget.SetVMCount(u.Count)
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -96,9 +96,11 @@
 	ownerOf     func(pool string, key int) Owner
 	loads       map[string]*load
 	coldBuckets map[string]*tokenBucket
-	limits      limitReader
-	// limitShare is the part of the rate limits that this broker may use.
-	limitShare float64
+	// since is when this broker began to place requests.
+	since  clock.Instant
+	limits limitReader
+	// share is the part of the rates of targets that this broker may use.
+	share float64
 	// limitRefusals holds when a queue last refused a request because of rate limits.
 	limitRefusals map[queueID]clock.Instant
 	queues        map[queueID][]*waiter
@@ -119,7 +121,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
-		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, limitShare: 1, limitRefusals: map[queueID]clock.Instant{},
+		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{},
 	}
 }
 
@@ -128,6 +130,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.snapshot, b.ownerOf, b.targetSets = s, ownerOf, map[targetSetID][]*load{}
+	if b.snapshot == nil {
+		b.since = now
+	}
 	updateLoads(b.loads, s, now)
 	b.limits.version = 0
 	for _, w := range b.waiting {
@@ -145,6 +150,7 @@
 	}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
+	b.snapshot, b.coldBuckets = nil, map[string]*tokenBucket{}
 	b.loads, b.targetSets = map[string]*load{}, map[targetSetID][]*load{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
@@ -331,7 +337,8 @@
 func (b *Broker) coldBucket(l *load, now clock.Instant) *tokenBucket {
 	t := b.coldBuckets[l.target.ID]
 	if t == nil {
-		t = &tokenBucket{tokens: coldBurst, at: now}
+		// The predecessor of a new broker may have sent a request just now.
+		t = &tokenBucket{tokens: min(coldBurst, b.coldRate(l)*now.Sub(b.since).Seconds()), at: now}
 		b.coldBuckets[l.target.ID] = t
 	}
 	t.tokens = min(coldBurst, t.tokens+b.coldRate(l)*now.Sub(t.at).Seconds())
--- a/pkg/placing/fleet_test.go
+++ b/pkg/placing/fleet_test.go
@@ -21,6 +21,9 @@
 	fleetLearnTime = 2 * time.Second
 	fleetTestTime  = 40 * time.Second
 	fleetTick      = 5 * time.Millisecond
+	// In each second, a cold target may get coldTolerance times its rate, and coldExtra more.
+	coldTolerance = 1.5
+	coldExtra     = 5
 )
 
 // fleetSim simulates VMs and brokers that place requests at one target. Brokers are replaced, VMs are cut off from theirs or restart, and
@@ -109,7 +112,6 @@
 	vm.limits.Merge(b.limits.Records(f.now), f.now)
 	b.connected++
 	b.SetConnectedVMs(b.connected, len(f.vms))
-	vm.balancer.SetVMIndex(b.connected, len(f.vms))
 	vm.balancer.SetBrokerConnected(true)
 }
 
@@ -210,8 +212,10 @@
 		for range requestsPerTick {
 			f.place(f.vms[f.random.IntN(len(f.vms))])
 		}
+		if f.now.Sub(start)%(300*time.Millisecond) == 0 {
+			f.sendHeartbeats()
+		}
 		if f.now.Sub(start)%(50*time.Millisecond) == 0 {
-			f.shareLimits()
 			for _, b := range f.brokers {
 				b.Tick(f.now)
 			}
@@ -219,12 +223,12 @@
 	}
 }
 
-// shareLimits sends the changed limits of the brokers to the VMs that are connected to them.
-func (f *fleetSim) shareLimits() {
+// sendHeartbeats sends the changed limits of the brokers to the VMs that are connected to them.
+func (f *fleetSim) sendHeartbeats() {
 	for _, b := range f.brokers {
 		changes := b.limits.Changes(f.now)
 		for _, vm := range f.vms {
-			if vm.broker == b && len(changes) > 0 {
+			if vm.broker == b {
 				vm.limits.Merge(changes, f.now)
 			}
 		}
@@ -272,3 +276,18 @@
 		}
 	}
 }
+
+// Guards against a cold target that gets a multiple of its rate while brokers are replaced and VMs place requests themselves.
+func TestColdRateHoldsOverTakeovers(t *testing.T) {
+	for _, vms := range []int{12, 295} {
+		for _, interval := range []time.Duration{300 * time.Millisecond, time.Second} {
+			f := newFleetSim(t, vms, ratelimit.Notice{}, time.Hour, 2)
+			f.play(5, interval)
+			most := f.mostIn(time.Second)
+			t.Logf("%d VMs, faults each %v: up to %d requests to a cold target in a second, %d in all", vms, interval, most, len(f.arrivals))
+			if allowed := 2.5*coldTolerance + coldExtra; float64(most) > allowed {
+				t.Errorf("%d VMs, faults each %v: %d requests to a cold target in a second, %.1f are allowed", vms, interval, most, allowed)
+			}
+		}
+	}
+}
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 // forecastWithMargin is the forecast for a request at its position in the queue, with a safety margin.
@@ -19,12 +20,23 @@
 // infinite stands for a time that never comes; it is longer than any deadline.
 const infinite = time.Hour
 
+// coldRate returns the requests per second that this broker may send to a cold target.
 func (b *Broker) coldRate(l *load) float64 {
-	p := b.snapshot.Configuration.Pools[l.target.Pool]
-	if p == nil || p.ColdRate <= 0 {
-		return 1
+	return coldRate(b.snapshot.Configuration, l) * b.share
+}
+
+// defaultColdRate is the rate of cold targets, in requests per second, if their pool doesn't specify one.
+const defaultColdRate = 1
+
+// coldRate returns the requests per second that a cold target takes from all VMs together.
+func coldRate(c *inventory.Configuration, l *load) float64 {
+	if c == nil {
+		return defaultColdRate
+	}
+	if p := c.Pools[l.target.Pool]; p != nil && p.ColdRate > 0 {
+		return p.ColdRate
 	}
-	return p.ColdRate
+	return defaultColdRate
 }
 
 // refuseUnservable refuses waiting requests that can no longer be answered by their deadline, so that their callers learn it
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -51,11 +51,6 @@
 	failurePenalty = 2 * time.Second
 	// targetQueueLength is the number of requests that a target queues beyond its slots.
 	targetQueueLength = 8
-	// coldRequestInterval is the minimum time between two requests of one VM to a cold target.
-	coldRequestInterval = 1100 * time.Millisecond
-	// coldSenders is the number of VMs that may send to the same cold target. Their combined rate stays below what a cold target
-	// can serve.
-	coldSenders = 3
 )
 
 // Report is the load that a target reports with an answer. VMs send it to the coordinator in msgpack under its field names.
@@ -92,10 +87,10 @@
 	backoffUntil       clock.Instant
 	connectionFailures int
 	// failureRate is the moving average of the share of requests that the target failed.
-	failureRate     float64
-	lastColdRequest clock.Instant
-	sentCold        bool
-	limit           rateLimit
+	failureRate float64
+	limit       rateLimit
+	// cold is when Balancer last sent a request while the target was cold.
+	cold lastTurn
 }
 
 // estimateOtherRequests estimates how many requests of other VMs are still at the target.
@@ -185,13 +180,11 @@
 	region   string
 	regionOf map[string]string
 
-	mu    sync.Mutex
-	loads map[string]*load
-	// index is the position of this VM among count VMs, which determines the cold targets that it may send to. count is 0 while
-	// unknown.
-	index, count int
-	limits       limitReader
-	// vm is the name of this VM, and fleetSize the number of VMs by which the rate limits are divided.
+	mu            sync.Mutex
+	loads         map[string]*load
+	configuration *inventory.Configuration
+	limits        limitReader
+	// vm is the name of this VM, and fleetSize the number of VMs by which the rates of targets are divided, 0 while it is unknown.
 	vm              string
 	fleetSize       int
 	brokerConnected bool
@@ -202,19 +195,12 @@
 	return &Balancer{domain: domain, region: region, regionOf: regionOf, loads: map[string]*load{}, limits: limitReader{tracker: ratelimit.NewTracker()}}
 }
 
-// SetVMIndex sets the position of this VM among all VMs, and their number.
-func (b *Balancer) SetVMIndex(index, count int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.index, b.count = index, count
-}
-
 // Update replaces the registered targets. What was learned about previous incarnations of a target is dropped.
 func (b *Balancer) Update(s *inventory.Snapshot, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	updateLoads(b.loads, s, now)
-	b.limits.version = 0
+	b.configuration, b.limits.version = s.Configuration, 0
 }
 
 func updateLoads(loads map[string]*load, s *inventory.Snapshot, now clock.Instant) {
@@ -249,7 +235,7 @@
 		if l == nil || n.Avoid[t.ID] {
 			continue
 		}
-		if now < max(l.notBefore, l.backoffUntil) || !b.allowsCold(l, now) {
+		if now < max(l.notBefore, l.backoffUntil) || b.coldWait(l, now) > 0 {
 			if best.Target == nil && (best.Reason == ReasonNoTarget || best.Reason == ReasonTargetsBlocked && l.backoffUntil.Sub(now) < best.Expected) {
 				best.Reason, best.Expected = ReasonTargetsBlocked, max(0, l.backoffUntil.Sub(now))
 			}
@@ -281,10 +267,10 @@
 func (b *Balancer) startRequest(l *load, now clock.Instant) {
 	l.inFlight++
 	if now < l.coldUntil {
-		l.lastColdRequest, l.sentCold = now, true
+		l.cold = lastTurn{at: now, used: true}
 	}
 	if l.limit.limited {
-		l.limit.lastSent, l.limit.sent = now, true
+		l.limit.turn = lastTurn{at: now, used: true}
 	}
 }
 
@@ -295,17 +281,16 @@
 	}
 }
 
-// allowsCold reports whether a target may get a request as far as its warm-up is concerned. Only a few VMs send to each cold
-// target, at a limited rate each, so that their combined rate stays below what it can serve without coordination between VMs.
-func (b *Balancer) allowsCold(l *load, now clock.Instant) bool {
+// coldWait returns how long this VM must send nothing to a target because the target is cold. Until the number of VMs is known, cold
+// targets get nothing.
+func (b *Balancer) coldWait(l *load, now clock.Instant) time.Duration {
 	if now >= l.coldUntil {
-		return true
+		return 0
 	}
-	if b.count == 0 {
-		return false
+	if b.fleetSize == 0 {
+		return l.coldUntil.Sub(now)
 	}
-	position := (b.index + int(fnv1a(l.target.ID)%uint32(b.count))) % b.count
-	return position < coldSenders && (!l.sentCold || now.Sub(l.lastColdRequest) >= coldRequestInterval)
+	return min(l.coldUntil.Sub(now), b.turnWait(l, coldRate(b.configuration, l), l.cold, now))
 }
 
 // fnv1a returns the 32-bit FNV-1a hash of a string.
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -75,8 +75,8 @@
 		hasSlot, until := view.isFree(l), view.notBefore(l)
 		limit := &l.limit
 		if limit.limited {
-			limit.refill(b.limitShare, now)
-			ps.limitWait = min(ps.limitWait, limit.nextIn(b.limitShare))
+			limit.refill(b.share, now)
+			ps.limitWait = min(ps.limitWait, limit.nextIn(b.share))
 		}
 		ps.limited = ps.limited && limit.binds(l.target.Slots-l.busy(now))
 		hasSlot = hasSlot && !limit.spent()
@@ -86,7 +86,7 @@
 		}
 		service := time.Duration(float64(l.serviceTime) * l.currentSlowdown(now))
 		if now < l.coldUntil {
-			ps.throughput += limit.capRate(b.coldRate(l), b.limitShare)
+			ps.throughput += limit.capRate(b.coldRate(l), b.share)
 			if b.coldTokenAvailable(l, now) && hasSlot {
 				ps.freeSlots++
 				ps.available = ps.available || now >= until
@@ -98,7 +98,7 @@
 		if blocked > 0 {
 			service += blocked
 		}
-		ps.throughput += limit.capRate(float64(l.target.Slots)/service.Seconds(), b.limitShare)
+		ps.throughput += limit.capRate(float64(l.target.Slots)/service.Seconds(), b.share)
 		ps.freeSlots += limit.capSlots(max(0, l.target.Slots-l.busy(now)))
 		ps.available = ps.available || blocked <= 0 && hasSlot
 		ps.fastest = min(ps.fastest, service)
--- a/pkg/placing/ratelimit.go
+++ b/pkg/placing/ratelimit.go
@@ -9,10 +9,10 @@
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 )
 
-// A target may name a rate limit for the requests of all VMs together. The load pattern is a steady demand above that limit, spread
-// over all VMs, while brokers come and go. Each limit is divided by the number of VMs: the broker may use the shares of the VMs that
-// are connected to it, and each VM without a broker its own share. So the sum stays within the limit whichever VMs can reach each
-// other, also while two VMs act as broker, and nobody has to know what another one has sent before.
+// A target may name a rate limit for the requests of all VMs together, and a cold target takes a low rate. The load pattern is a steady
+// demand above that rate, spread over all VMs, while brokers come and go. Each rate is divided by the number of VMs: the broker may use
+// the shares of the VMs that are connected to it, and each VM without a broker its own share. So the sum stays within the rate whichever
+// VMs can reach each other, also while two VMs act as broker, and nobody has to know what another one has sent before.
 
 const (
 	// limitBurstTime is the time for which the broker accumulates the unused part of a limit. A new broker starts without any, as its
@@ -42,9 +42,8 @@
 	// tokens may be used by the broker at once, as of at.
 	tokens float64
 	at     clock.Instant
-	// lastSent is when Balancer last sent a request under the limit, if sent is set.
-	lastSent clock.Instant
-	sent     bool
+	// turn is when Balancer last sent a request under the limit.
+	turn lastTurn
 }
 
 // limitReader copies the rate limits of a tracker to the loads of targets, since looking them up for each candidate of each request
@@ -134,11 +133,12 @@
 	}
 }
 
-// SetConnectedVMs sets how many of all VMs, with this one, are connected to this broker. It may use their shares of the rate limits.
+// SetConnectedVMs sets how many of all VMs, with this one, are connected to this broker. It may use their shares of the rates that targets
+// take.
 func (b *Broker) SetConnectedVMs(connected, total int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limitShare = float64(connected) / float64(max(connected, total, 1))
+	b.share = float64(connected) / float64(max(connected, total, 1))
 }
 
 // recordRateLimit records what the response to a request of another VM says about the target's rate limit.
@@ -161,34 +161,45 @@
 	b.limits, b.vm = limitReader{tracker: limits}, vm
 }
 
-// SetFleetSize sets the number of VMs by which the rate limits are divided.
+// SetFleetSize sets the number of VMs by which the rates of targets are divided, 0 if it is unknown.
 func (b *Balancer) SetFleetSize(vms int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fleetSize = vms
 }
 
-// SetBrokerConnected sets whether this VM is connected to a broker, which then uses this VM's share of the rate limits.
+// SetBrokerConnected sets whether this VM is connected to a broker, which then uses this VM's share of the rates.
 func (b *Balancer) SetBrokerConnected(connected bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.brokerConnected = connected
 }
 
-// limitWait returns how long this VM must send nothing to a target because of the target's rate limit. This VM's turns come at regular
-// intervals and last for localTurnTime.
+// limitWait returns how long this VM must send nothing to a target because of the target's rate limit.
 func (b *Balancer) limitWait(l *load, now clock.Instant) time.Duration {
 	if !l.limit.limited {
 		return 0
 	}
+	return b.turnWait(l, l.limit.rate, l.limit.turn, now)
+}
+
+// lastTurn is when a VM last used one of its turns at a target.
+type lastTurn struct {
+	at   clock.Instant
+	used bool
+}
+
+// turnWait returns the time until this VM's next turn at a target that takes the given rate from all VMs together, 0 if the VM may send to
+// it now. The turns come at regular intervals and last for localTurnTime.
+func (b *Balancer) turnWait(l *load, rate float64, last lastTurn, now clock.Instant) time.Duration {
 	if b.brokerConnected {
 		return brokerReturnTime
 	}
-	interval := max(time.Nanosecond, secondsToDuration(float64(max(b.fleetSize, 1))/(l.limit.rate*localLimitShare)))
+	interval := max(time.Nanosecond, secondsToDuration(float64(max(b.fleetSize, 1))/(rate*localLimitShare)))
 	phase := time.Duration(float64(interval) * float64(fnv1a(b.vm+" "+l.target.ID)) / (1 << 32))
 	sinceTurn := (time.Duration(now) + interval - phase) % interval
-	// The limit may have changed since the last request, so that this turn began before the last one had ended.
-	used := l.limit.sent && now.Sub(l.limit.lastSent) < max(sinceTurn, interval-localTurnTime)
+	// The rate may have changed since the last request, so that this turn began before the last one had ended.
+	used := last.used && now.Sub(last.at) < max(sinceTurn, interval-localTurnTime)
 	if sinceTurn < localTurnTime && !used {
 		return 0
 	}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -34,8 +34,8 @@
 	Leaving []inventory.Incarnation `msgpack:"g,omitempty"`
 	// Limits are the changed rate limits of targets.
 	Limits []ratelimit.Record `msgpack:"m,omitempty"`
-	// Index is the number of the receiver among the connected VMs, starting at 1. Count is the number of VMs including the
-	// coordinator.
+	// Index is the number of the receiver among the connected VMs, starting at 1; only earlier versions use it. Count is the number of
+	// VMs including the coordinator.
 	Index int `msgpack:"i"`
 	Count int `msgpack:"n"`
 }
