Reuse a peer connection whose request was sent before its answer ended

Cause: the answer's end may arrive before the goroutine that sends the request body has noticed that its last write returned. The exchange then counted as incomplete and closed the connection.

Change: if the body was read to its end, the exchange waits for that write, at most 50 ms. An answer that comes before the whole body was read still closes the connection.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -28,6 +29,9 @@
 	sweepInterval = 5 * time.Second
 	// dialTimeout limits a connection attempt. Within a data centre an attempt takes about 1 ms.
 	dialTimeout = time.Second
+	// uploadSettleTime is how long a connection waits for the end of a request body's last write after the answer has ended. The server
+	// may answer before the write returns.
+	uploadSettleTime = 50 * time.Millisecond
 	// maxClosingRetries limits the retries of a call if the server keeps closing connections.
 	maxClosingRetries = 3
 )
@@ -299,6 +303,8 @@
 	stop   func() bool
 	// uploaded receives a value when the upload ends: true if the whole request body was sent.
 	uploaded chan bool
+	// bodyRead is set once the request body has been read to its end.
+	bodyRead atomic.Bool
 
 	// mu guards the fields below. Close may be called while another goroutine reads.
 	mu       sync.Mutex
@@ -353,12 +359,27 @@
 		return nil
 	}
 	go func() {
-		complete, err := x.conn.sendBody(body, head.ContentLength)
+		complete, err := x.conn.sendBody(&endNotifier{body, &x.bodyRead}, head.ContentLength)
 		x.uploaded <- complete && err == nil
 	}()
 	return nil
 }
 
+// endNotifier is a reader that reports its end.
+type endNotifier struct {
+	io.Reader
+	ended *atomic.Bool
+}
+
+// Read implements io.Reader.
+func (r *endNotifier) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil {
+		r.ended.Store(true)
+	}
+	return n, err
+}
+
 // smallBody returns the content of a body that is already in memory and fits in one chunk. It reports false for any other
 // body, which it leaves unread.
 func smallBody(body io.Reader, length int64) ([]byte, bool) {
@@ -461,12 +482,7 @@
 	if complete {
 		x.done = io.EOF
 	}
-	uploaded := false
-	select {
-	case uploaded = <-x.uploaded:
-	default:
-	}
-	if x.stop() && complete && uploaded {
+	if x.stop() && complete && x.uploadComplete() {
 		x.client.putConn(x.addr, x.conn)
 	} else {
 		_ = x.conn.Close()
@@ -477,6 +493,24 @@
 	}
 }
 
+// uploadComplete reports whether the whole request body was sent. It waits for the last write if the body has been read to its end.
+func (x *clientExchange) uploadComplete() bool {
+	select {
+	case uploaded := <-x.uploaded:
+		return uploaded
+	default:
+	}
+	if !x.bodyRead.Load() {
+		return false
+	}
+	select {
+	case uploaded := <-x.uploaded:
+		return uploaded
+	case <-time.After(uploadSettleTime):
+		return false
+	}
+}
+
 // abort ends an exchange that has no response.
 func (x *clientExchange) abort() {
 	x.mu.Lock()
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -188,6 +188,46 @@
 	}
 }
 
+// slowConn returns from Write some time after the data was sent.
+type slowConn struct {
+	net.Conn
+	delay time.Duration
+}
+
+func (c slowConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	time.Sleep(c.delay)
+	return n, err
+}
+
+// Guards against closing a connection whose request was sent whole because the answer ended before the sender noticed.
+func TestConnectionIsReusedAfterQuickAnswer(t *testing.T) {
+	l := serve(t, newServer(echo))
+	ctx, c := testContext(t), newClient(t)
+	send := func() {
+		t.Helper()
+		response, err := c.Handler(l.Addr().String()).Handle(ctx, &wire.Request{ID: "a", ContentLength: -1}, &pattern{n: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, n, err := checksum(response.Body); n != 1 || err != nil {
+			t.Errorf("%d bytes, %v", n, err)
+		}
+		_ = response.Body.Close()
+	}
+	send()
+	for _, conns := range c.idle {
+		for _, i := range conns {
+			i.conn.Conn = slowConn{i.conn.Conn, uploadSettleTime / 5}
+		}
+	}
+	send()
+	send()
+	if n := l.accepted.Load(); n != 1 {
+		t.Errorf("%d connections for sequential exchanges", n)
+	}
+}
+
 // Guards against losing a small in-memory body, which is sent in one write with the head.
 func TestExchangeSmallBody(t *testing.T) {
 	l := serve(t, newServer(echo))
