Read the requests of a test fixture under its lock

Cause: the tests of pkg/filter/dispatch read the fixture's map without its lock.

Change: they read a copy that is made under the lock.

--- a/pkg/filter/dispatch/dispatch_test.go
+++ b/pkg/filter/dispatch/dispatch_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,17 @@
 	return h.g.answer(ctx, h.name, request, body)
 }
 
+// requests returns a copy of the requests that each gateway has received. Attempts may still be running.
+func (g *gateways) requests() map[string][]*wire.Request {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	copied := map[string][]*wire.Request{}
+	for name, requests := range g.received {
+		copied[name] = slices.Clone(requests)
+	}
+	return copied
+}
+
 func (g *gateways) count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,14 +185,14 @@
 			}
 		}
 		var chosen string
-		for gateway, requests := range north.gateways.received {
+		for gateway, requests := range north.gateways.requests() {
 			chosen = gateway
 			r := requests[0]
 			if r.SliceEpoch != 5 || r.GroupEpoch != 7 || !r.Keyed || r.KeyHash != topology.KeyHash("keyed", "", fmt.Sprint(i)) {
 				t.Errorf("request %+v", r)
 			}
 		}
-		if len(south.gateways.received[chosen]) != 1 {
+		if len(south.gateways.requests()[chosen]) != 1 {
 			t.Fatalf("key %d: the routers of two regions chose different gateways", i)
 		}
 		cells[chosen]++
@@ -193,8 +205,8 @@
 		f := newFixture("north")
 		x := f.exchange(t, "GET", "/keyed/x", "keyed", "")
 		x.Key, x.HomeRegions, x.Tenant, x.TenantHasHomeRegions = fmt.Sprint(i), []string{"north"}, "northern", true
-		if _, err := f.run(t, x); err != nil || len(f.gateways.received["keyed/north-a/0"]) != 1 {
-			t.Fatalf("bound key left its region: %v", f.gateways.received)
+		if _, err := f.run(t, x); err != nil || len(f.gateways.requests()["keyed/north-a/0"]) != 1 {
+			t.Fatalf("bound key left its region: %v", f.gateways.requests())
 		}
 	}
 }
@@ -218,7 +230,7 @@
 			if _, err := f.run(t, x); err != nil {
 				t.Fatal(err)
 			}
-			for _, requests := range f.gateways.received {
+			for _, requests := range f.gateways.requests() {
 				chosen = append(chosen, requests[0].Group)
 			}
 		}
@@ -456,7 +468,7 @@
 			t.Fatal(err)
 		}
 	}
-	if n := len(f.gateways.received["plain/south-a/0"]); n != 50 {
+	if n := len(f.gateways.requests()["plain/south-a/0"]); n != 50 {
 		t.Errorf("%d of 50 requests stayed in their region", n)
 	}
 	f = newFixture("south")
@@ -467,7 +479,7 @@
 			t.Fatal(err)
 		}
 	}
-	if len(f.gateways.received["plain/south-a/0"]) != 0 {
+	if len(f.gateways.requests()["plain/south-a/0"]) != 0 {
 		t.Error("a bound request left its home region")
 	}
 }
@@ -481,7 +493,7 @@
 			t.Fatal(err)
 		}
 	}
-	if n := len(f.gateways.received["plain/north-a/0"]); n != 0 {
+	if n := len(f.gateways.requests()["plain/north-a/0"]); n != 0 {
 		t.Errorf("%d requests went to the domain out of service", n)
 	}
 }
@@ -502,7 +514,7 @@
 		}
 	}
 	// The loaded group is chosen only if both random choices are the loaded group, which happens for a quarter of the requests.
-	if n := len(f.gateways.received["plain/north-a/0"]); n > 80 {
+	if n := len(f.gateways.requests()["plain/north-a/0"]); n > 80 {
 		t.Errorf("%d of 200 requests went to the loaded group", n)
 	}
 }
@@ -529,13 +541,13 @@
 	}
 	<-cancelled
 	ids := map[string]bool{}
-	for _, requests := range f.gateways.received {
+	for _, requests := range f.gateways.requests() {
 		for _, r := range requests {
 			ids[r.ID] = true
 		}
 	}
-	if len(f.gateways.received) != 2 || len(ids) != 2 {
-		t.Errorf("attempts %v", f.gateways.received)
+	if len(f.gateways.requests()) != 2 || len(ids) != 2 {
+		t.Errorf("attempts %v", f.gateways.requests())
 	}
 }
 
@@ -584,7 +596,7 @@
 	if _, err := f.run(t, x); err != nil {
 		t.Fatal(err)
 	}
-	for _, requests := range f.gateways.received {
+	for _, requests := range f.gateways.requests() {
 		got := map[string]string{}
 		for _, h := range requests[0].Headers {
 			got[h.Name] = h.Value
