Don't release a target group while an order is being claimed

Cause: a group counted as empty once no target worked for it. An order between its claim and the claim's settlement wasn't counted. Either the holder was closed before the order claimed its key, and the order was told that earlier claims are being fetched; or the claim was exported to the next holder before the refused order had freed it, and the order's next attempt was told that an earlier one may have run.

Change: orders count from before their claim until it is settled, and a group that is being given up refuses further ones as not run.

TestGroupIsNotReleasedDuringClaim plays both forms.

--- a/pkg/gateway/claims.go
+++ b/pkg/gateway/claims.go
@@ -97,6 +97,10 @@
 		return nil, refuse(http.StatusServiceUnavailable, problem.CodeStaleOwnership,
 			"the router does not know yet that the pool has orders", time.Second)
 	}
+	if !g.beginClaim() {
+		return nil, refuse(http.StatusServiceUnavailable, problem.CodeStaleOwnership, "the group is being given up", 0)
+	}
+	defer g.endClaim()
 	key := claim.Key(request.Tenant, request.IdempotencyKey)
 	decision := g.claims.Claim(ctx, key, request.Fingerprint)
 	if decision.Verdict != claim.Run {
--- a/pkg/gateway/group.go
+++ b/pkg/gateway/group.go
@@ -49,6 +49,9 @@
 	rates      rateMeter
 	// claims is nil if the pool has no orders.
 	claims *claim.Holder
+	// claiming counts the orders between their claim and its settlement. A successor that got their claims earlier would take them for
+	// orders that may have run.
+	claiming int
 }
 
 func newGroup(gw *Gateway, id topology.GroupID, epoch topology.Epoch, pool config.Pool) *group {
@@ -354,6 +357,24 @@
 	return n
 }
 
+// beginClaim keeps the group from being released until endClaim. It returns false if the group is being given up.
+func (g *group) beginClaim() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state != wire.HoldActive {
+		return false
+	}
+	g.claiming++
+	return true
+}
+
+func (g *group) endClaim() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.claiming--
+	g.settle()
+}
+
 // giveUp stops new work. Waiting requests are refused, those in flight end.
 func (g *group) giveUp() {
 	g.mu.Lock()
--- a/pkg/gateway/orders_test.go
+++ b/pkg/gateway/orders_test.go
@@ -202,3 +202,24 @@
 	}
 	return n
 }
+
+// Guards against a group that is released while an order is between its claim and the end of its execution: the next holder would get
+// the claim and answer that the order may have run, although it was refused.
+func TestGroupIsNotReleasedDuringClaim(t *testing.T) {
+	f := newFixture(t, defaultPool(1))
+	f.apply()
+	f.warm()
+	g := (*f.gateway.groups.Load())[testGroup]
+	if !g.beginClaim() {
+		t.Fatal("an active group refuses an order")
+	}
+	g.giveUp()
+	if g.isReleased() {
+		t.Error("the group is released during a claim")
+	}
+	if _, _, err := f.do(within(t, time.Second), newOrder("order", 1), "body"); outcomeOf(err) != problem.NotRun || f.runs("order") > 0 {
+		t.Errorf("an order to a group that is being given up gets %v and ran %d times", err, f.runs("order"))
+	}
+	g.endClaim()
+	eventually(t, "the group is released", g.isReleased)
+}
--- a/pkg/gateway/slices.go
+++ b/pkg/gateway/slices.go
@@ -262,7 +262,7 @@
 
 // settleGroup completes the release of a group.
 func (g *group) settleGroup() {
-	if g.state != wire.HoldDraining || g.inFlight() > 0 {
+	if g.state != wire.HoldDraining || g.inFlight() > 0 || g.claiming > 0 {
 		return
 	}
 	now := g.clock.Now()
