--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -136,6 +136,7 @@
 	targets := r.deployment.Targets()
 	t := targets[r.limitFaultRand.IntN(len(targets))]
 	first, second := rateLimits[r.limitFaultRand.IntN(len(rateLimits))], rateLimits[r.limitFaultRand.IntN(len(rateLimits))]
+	_, _ = fmt.Fprintf(r.Out, "seed %d: target %s names rate limit %q, then %q\n", r.Seed, t.ID, first, second)
 	t.SetRateLimit(first)
 	r.group.Go(func() {
 		wait(ctx, d/2)
