Give the only kind of request of a pool no factor

Cause: the factor of a priority was divided by an average of averages, which lags behind. In a pool with one kind of request it varied by some percent, and so did the forecasts.

Change: both averages are of the same samples, so that the factor is exactly 1.

--- a/pkg/placing/work.go
+++ b/pkg/placing/work.go
@@ -24,7 +24,7 @@
 // workFactors holds how much longer or shorter than the mean of their pool requests take.
 type workFactors struct {
 	byID map[workID]float64
-	// mean is the mean of the factors of a pool's answered requests, by which each is divided.
+	// mean is the same average for all requests of a pool, by which each is divided. So the only kind of a pool has the factor 1.
 	mean map[string]float64
 }
 
@@ -46,11 +46,13 @@
 
 // record adds the service time of an answered request relative to the mean service time of its target.
 func (f *workFactors) record(id workID, relative float64) {
-	next := averageOrOne(f.byID[id])
-	next += workFactorWeight * (min(max(relative, minWorkSample), maxWorkSample) - next)
-	f.byID[id] = next
-	mean := averageOrOne(f.mean[id.pool])
-	f.mean[id.pool] = mean + workFactorWeight*(next-mean)
+	sample := min(max(relative, minWorkSample), maxWorkSample)
+	f.byID[id] = average(f.byID[id], sample)
+	f.mean[id.pool] = average(f.mean[id.pool], sample)
+}
+
+func average(old, sample float64) float64 {
+	return (1-workFactorWeight)*averageOrOne(old) + workFactorWeight*sample
 }
 
 // minUsefulTime is the minimum time before its deadline at which a waiting request is worth sending.
