Revert the forecasts by priority

What was found: fast requests that the operator sends to new routes (priority 0) make the mean of a pool about a tenth too short for the others, and the limits for waiting suit that. Correct forecasts refuse more.

Not tried: factors below 1 only, which leave the other sites as they are.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -82,7 +82,6 @@
 type permit struct {
 	target      string
 	incarnation inventory.Incarnation
-	work        workID
 	start, end  clock.Instant
 }
 
@@ -111,7 +110,6 @@
 	budget        *RetryBudget
 	suspects      *quarantine.Tracker
 	onKeyUsed     func(pool string, key int)
-	workFactors   workFactors
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -123,7 +121,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
-		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, workFactors: newWorkFactors(),
+		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{},
 	}
 }
 
@@ -182,7 +180,6 @@
 		return
 	}
 	w := &waiter{PlacementRequest: a, deadline: now.Add(a.TimeLeft), order: now.Add(a.TimeLeft), objectiveEnd: now.Add(a.Objective), reply: reply, regionsKey: joinRegions(a.AllowedRegions)}
-	w.workFactor = b.workFactors.of(w.workID())
 	w.suspected = verdict == quarantine.Suspected
 	w.vmID = vmIDOf(w.VM)
 	w.backedOff = b.backoffs.affects(w.vmID, now)
@@ -192,7 +189,7 @@
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.dequeue(w)
 		b.noteLimitRefusal(w.queue, reason, now)
-		reply(ps.refusal(w, latency, reason))
+		reply(ps.refusal(latency, reason))
 		return
 	}
 	b.waiting[requestID{a.VM, a.Seq}] = w
@@ -210,7 +207,7 @@
 		b.requeue(w)
 		return b.forecastWithMargin(w, ps)
 	}
-	if now.Add(b.minUsefulTime(w, ps)) > w.objectiveEnd {
+	if now.Add(ps.minUsefulTime()) > w.objectiveEnd {
 		w.late = true
 		b.requeue(w)
 	}
@@ -262,8 +259,8 @@
 		w.suspected = verdict == quarantine.Suspected
 		w.backedOff = b.backoffs.affects(w.vmID, now)
 		ps := cache.get(w)
-		if left := w.deadline.Sub(now); left < b.minUsefulTime(w, ps) {
-			b.resolve(w, Decision{Reason: ReasonOverload, Expected: b.minUsefulTime(w, ps)})
+		if left := w.deadline.Sub(now); left < ps.minUsefulTime() {
+			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime()})
 			continue
 		}
 		if !ps.available || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
@@ -357,7 +354,7 @@
 		l.limit.tokens--
 	}
 	l.inFlight++
-	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), work: w.workID(), start: now, end: w.deadline.Add(permitGrace)}
+	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: l.expectedLatency(now)})
 }
@@ -416,12 +413,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.suspects.End(quarantine.RunID{VM: vm, Seq: seq}, result.QuarantineOutcome(), now)
-	p, ok := b.permits[requestID{vm, seq}]
-	if ok {
+	if p, ok := b.permits[requestID{vm, seq}]; ok {
 		b.recordRateLimit(p, result, report, now)
 	}
 	if l := b.releasePermit(requestID{vm, seq}); l != nil {
-		elapsed = b.recordWork(p.work, l, elapsed, result, now)
 		if report != nil && report.ClosedFor > 0 {
 			b.backoffs.add(l.target.Incarnation(), vmIDOf(vm), now.Add(report.ClosedFor), l.inFlight, now)
 		}
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -50,13 +50,13 @@
 		position := 0
 		for _, w := range slices.Clone(queue) {
 			ps := cache.get(w)
-			if !w.late && !w.firstCome && now.Add(b.minUsefulTime(w, ps)) > w.objectiveEnd {
+			if !w.late && !w.firstCome && now.Add(ps.minUsefulTime()) > w.objectiveEnd {
 				w.late = true
 				b.requeue(w)
 			}
 			latency, reason := ps.forecast(w, position)
 			if latency > w.deadline.Sub(now) {
-				b.resolve(w, ps.refusal(w, latency, reason))
+				b.resolve(w, ps.refusal(latency, reason))
 				continue
 			}
 			position++
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -106,7 +106,7 @@
 	return ps
 }
 
-// minUsefulTime is the minimum time before the deadline at which a request with the mean service time is worth sending.
+// minUsefulTime is the minimum time before the deadline at which a request is worth sending.
 func (ps *poolState) minUsefulTime() time.Duration {
 	if ps.minServiceTime == infinite {
 		return time.Duration(minServiceShare * float64(initialServiceTime))
@@ -226,20 +226,20 @@
 		return infinite, ReasonNoTarget
 	}
 	if ahead < ps.freeSlots || ps.throughput <= 0 {
-		return ps.serviceTime(w), ReasonOverload
+		return ps.fastest, ReasonOverload
 	}
 	if ps.limited {
-		return ps.serviceTime(w) + ps.limitWait + secondsToDuration(float64(ahead-ps.freeSlots)/ps.throughput), ReasonTargetLimit
+		return ps.fastest + ps.limitWait + secondsToDuration(float64(ahead-ps.freeSlots)/ps.throughput), ReasonTargetLimit
 	}
 	wait := float64(ahead+1-ps.freeSlots) / ps.throughput
-	return ps.serviceTime(w) + time.Duration(math.Min(wait, infinite.Seconds())*float64(time.Second)), ReasonOverload
+	return ps.fastest + time.Duration(math.Min(wait, infinite.Seconds())*float64(time.Second)), ReasonOverload
 }
 
 // refusal returns the decision for a request that is forecast to be answered too late.
-func (ps *poolState) refusal(w *waiter, latency time.Duration, reason Reason) Decision {
+func (ps *poolState) refusal(latency time.Duration, reason Reason) Decision {
 	if reason == ReasonTargetLimit {
 		// The caller needs to know when there is room for its request, not when it would be answered.
-		latency -= ps.serviceTime(w)
+		latency -= ps.fastest
 	}
 	return Decision{Reason: reason, Expected: latency}
 }
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -20,8 +20,6 @@
 	objectiveEnd clock.Instant
 	// late means that the objective can no longer be met.
 	late bool
-	// workFactor is the expected service time relative to the mean of the pool.
-	workFactor float64
 	// order is the deadline, or the time of arrival if firstCome is set: requests that wait because of a rate limit are served in the
 	// order of their arrival. How many of them are served is certain, so that none has to be refused after it has waited.
 	order     clock.Instant
@@ -39,10 +37,6 @@
 	regionsKey string
 }
 
-func (w *waiter) workID() workID {
-	return workID{w.Pool, w.Priority}
-}
-
 // before orders waiting requests: by priority, then those that can still meet their objective, then by deadline. Under overload,
 // serving late requests first would make all others late in turn.
 func (w *waiter) before(other *waiter) bool {
