--- a/review/_standin/machines.go
+++ b/review/_standin/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,19 +17,15 @@
 
 // machine is a machine of the system with one process.
 type machine struct {
-	name, zone, ip  string
-	front, ready    string
-	settings, dir   string
-	mu              sync.Mutex
-	cmd             *exec.Cmd
-	done            chan struct{}
-	starts          int
-	outOfRotation   atomic.Bool
-	missed          int
-	log             *os.File
-	ended           func(m *machine, err error)
-	restartOnExit   bool
-	internalAddress string
+	name, zone, ip string
+	front, ready   string
+	settings, dir  string
+	mu             sync.Mutex
+	cmd            *exec.Cmd
+	done           chan struct{}
+	outOfRotation  atomic.Bool
+	missed         int
+	log            *os.File
 }
 
 var zones = []string{"itajai-a", "caxias-a", "itajai-b", "caxias-b"}
@@ -40,20 +37,16 @@
 	return "serra-gaucha"
 }
 
-// freePorts returns n free ports of an address in a row.
+// Ports of machines are taken from below the range from which the kernel takes ports for connections.
+const firstPort, lastPort = 12000, 32000
+
+// freePorts returns the first of n free ports of an address in a row.
 func freePorts(ip string, n int) int {
 	for try := 0; try < 200; try++ {
-		l, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			continue
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		_ = l.Close()
-		ok := first+n < 65000
+		first, ok := firstPort+rand.IntN(lastPort-firstPort-n), true
 		for p := first; ok && p < first+n; p++ {
-			if l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p)); err != nil {
-				ok = false
-			} else {
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, p))
+			if ok = err == nil; ok {
 				_ = l.Close()
 			}
 		}
@@ -71,7 +64,6 @@
 	m := &machine{
 		name: fmt.Sprintf("front-%s-%d", zones[i%len(zones)], i/len(zones)+1), zone: zones[i%len(zones)], ip: ip, dir: dir,
 		front: fmt.Sprintf("%s:%d", ip, port), ready: fmt.Sprintf("%s:%d", ip, port+1),
-		internalAddress: fmt.Sprintf("%s:%d", ip, port+4),
 	}
 	lines := []string{
 		"node=" + m.name, "role=entry", "machine_class=front", "serves=front", "ip=" + ip, "zone=" + m.zone, "region=" + regionOf(m.zone),
@@ -111,14 +103,11 @@
 		return err
 	}
 	m.cmd, m.done = cmd, make(chan struct{})
-	m.starts++
 	done := m.done
 	go func() {
-		err := cmd.Wait()
+		// How the process has ended doesn't matter to the cases.
+		_ = cmd.Wait()
 		close(done)
-		if m.ended != nil {
-			m.ended(m, err)
-		}
 	}()
 	return nil
 }
@@ -144,6 +133,19 @@
 	}
 }
 
+// stop ends the process with SIGTERM, and with SIGKILL after the grace period.
+func (m *machine) stop(grace time.Duration) {
+	m.signal(syscall.SIGTERM)
+	m.mu.Lock()
+	done := m.done
+	m.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(grace):
+		m.kill()
+	}
+}
+
 // watchReady polls the machine's readiness once a second, as the platform does.
 func (m *machine) watchReady(stop <-chan struct{}) {
 	client := &http.Client{Timeout: 900 * time.Millisecond}
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -19,7 +19,7 @@
 	exitNotRun = 2
 )
 
-var cases = map[string]func(*play) int{"table": playTable}
+var cases = map[string]func(*play) int{"table": playTable, "drain": playDrain}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
@@ -50,7 +50,7 @@
 	defer p.close()
 	defer func() {
 		if v := recover(); v != nil {
-			p.note("the case could not run: %v", v)
+			p.say("the case could not run: %v", v)
 			code = exitNotRun
 		}
 	}()
@@ -125,7 +125,6 @@
 func (p *play) close() {
 	close(p.stop)
 	for _, m := range p.machines {
-		m.ended = nil
 		m.kill()
 	}
 	for _, s := range p.servers {
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -33,7 +33,7 @@
 	seen   []grant
 	// waiting counts the requests in the queue and running those at work.
 	waiting, running int
-	// onRun, if set, is called when a request begins to run; onEnd when it has ended, with what became of it.
+	// onArrive, onRun and onEnd, if set, are called when a request arrives, begins to run and has ended; how says what became of it.
 	onArrive, onRun func(s *server, r *http.Request)
 	onEnd           func(s *server, r *http.Request, how string)
 }
--- a/review/_standin/table.go
+++ b/review/_standin/table.go
@@ -109,7 +109,19 @@
 		}
 	}()
 	p.sleepUntil(faultAt)
-	if p.trouble {
+	switch {
+	case p.trouble && os.Getenv("FAULT") == "term":
+		name := p.leader()
+		for _, m := range p.machines {
+			if m.name == name {
+				p.say("the process that wrote to the store last, %s, gets SIGTERM and starts again", name)
+				m.stop(6 * time.Second)
+				if err := m.start(); err != nil {
+					panic(err)
+				}
+			}
+		}
+	case p.trouble:
 		p.say("final fault: all processes of the system are killed; they start again after %v", downTime)
 		for _, m := range p.machines {
 			m.signal(9)
