--- a/review/_standin/drain.go
+++ b/review/_standin/drain.go
@@ -29,13 +29,16 @@
 
 // order is an order of a client with what became of it.
 type order struct {
-	id, machine      string
-	sent             time.Duration
-	arrivals         []string
-	late             bool
-	status           int
-	end, runs        string
-	server, lateness string
+	id, machine string
+	sent        time.Duration
+	// arrivals holds the upstreams that the order reached, runs those that began to run it, end how the run ended.
+	arrivals  []string
+	runs, end string
+	// late is set if it reached an upstream later than drainS after the upstream's leaving was acknowledged; lateness says when.
+	late     bool
+	lateness string
+	// status is the status of the client's answer, 0 if there was none.
+	status int
 }
 
 func playDrain(p *play) int {
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -1,5 +1,6 @@
 // Command standin plays the platform, the upstreams and the clients of a small deployment around real processes of the system, for the cases
-// of the review. Its first argument names the case; the second is the folder for record.txt.
+// of the review. Its first argument names the case; the second is the folder for record.txt. With TROUBLE=0 in the environment it leaves out the
+// disruption, with KEEP set it keeps the folder with the logs of the processes.
 package main
 
 import (
@@ -76,7 +77,6 @@
 
 	mu     sync.Mutex
 	record *os.File
-	closed bool
 }
 
 // note writes a line with the time since the start to the record.
