--- a/review/_standin/table.go
+++ b/review/_standin/table.go
@@ -30,7 +30,7 @@
 
 	trafficAt  = 8 * time.Second
 	faultAt    = 64 * time.Second
-	downTime   = time.Second
+	downTime   = 900 * time.Millisecond
 	recoveryS  = 15 * time.Second
 	judgedTime = 12 * time.Second
 )
