Add a review case: a planned stop cuts answers to clients that have sent further requests

Seen: of the answers in progress at a SIGTERM, those on connections on which the client has sent another request are cut by a reset when they are larger than what the link takes at once.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,7 +20,7 @@
 	exitNotRun = 2
 )
 
-var cases = map[string]func(*play) int{"table": playTable, "drain": playDrain}
+var cases = map[string]func(*play) int{"table": playTable, "drain": playDrain, "pipeline": playPipeline}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -20,13 +21,15 @@
 	slots             int
 	work              time.Duration
 	store             *store
-	address           string
-	born              int64
-	listener          net.Listener
-	http              *http.Server
-	slot              chan struct{}
-	stopBeats         chan struct{}
-	once              sync.Once
+	// answerBytes is the size of an answer's body, if it isn't just the text of serveRequest.
+	answerBytes int
+	address     string
+	born        int64
+	listener    net.Listener
+	http        *http.Server
+	slot        chan struct{}
+	stopBeats   chan struct{}
+	once        sync.Once
 
 	mu     sync.Mutex
 	grants []grant
@@ -259,7 +262,10 @@
 	case <-time.After(s.work):
 		s.setLoad(w)
 		w.Header().Set("Server-Signature", s.id)
-		_, _ = fmt.Fprintf(w, "%s %s %d", id, s.id, len(body))
+		text := fmt.Sprintf("%s %s %d", id, s.id, len(body))
+		text += strings.Repeat(".", max(0, s.answerBytes-len(text)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		_, _ = io.WriteString(w, text)
 	case <-expired:
 		how = "deadline"
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/review/_standin/table.go
+++ b/review/_standin/table.go
@@ -35,6 +35,9 @@
 	judgedTime = 12 * time.Second
 )
 
+// tableSpeeds are the speeds of the upstreams of stato-nastri, which differ there. SPEEDS=1 plays them.
+var tableSpeeds = []float64{0.5, 1, 1, 1.5}
+
 // sent is a request of a client with what became of it.
 type sent struct {
 	at     time.Duration
@@ -55,7 +58,10 @@
 		}}}},
 	})
 	var runs [130]atomic.Int64
-	for _, u := range p.addServers("casco", tableServers, tableSlots, tableWork, true) {
+	for i, u := range p.addServers("casco", tableServers, tableSlots, tableWork, true) {
+		if os.Getenv("SPEEDS") == "1" {
+			u.work = time.Duration(float64(tableWork) / tableSpeeds[i%len(tableSpeeds)])
+		}
 		u.onRun = func(*server, *http.Request) { runs[min(int(p.since().Seconds()), len(runs)-1)].Add(1) }
 	}
 	time.Sleep(time.Second)
