Add a review case: an entry of another writer with an upstream's address makes two upstreams hold the same keys

Seen: while servers/... holds an entry of a service that no configuration names (or without version) with the address of an upstream, the keys of that upstream are granted to others without a release when they are moved; both hold them for up to 3.1 s. How: review/5/run.sh, four processes of blentry, 20 upstreams of which three leave; stand-in upstreams now answer a release only when the work on its keys has ended. The claim of the first case now says, from a simulation of the planner and one run, that calm traffic alone fills the stored table.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -1,6 +1,7 @@
 // Command standin plays the platform, the upstreams and the clients of a small deployment around real processes of the system, for the cases
 // of the review. Its first argument names the case; the second is the folder for record.txt. With TROUBLE=0 in the environment it leaves out the
-// disruption, with KEEP set it keeps the folder with the logs of the processes.
+// disruption, with KEEP set it keeps the folder with the logs of the processes. The argument "calm" alone plays the planner of key ranges under calm
+// traffic instead.
 package main
 
 import (
@@ -20,9 +21,13 @@
 	exitNotRun = 2
 )
 
-var cases = map[string]func(*play) int{"table": playTable, "drain": playDrain, "pipeline": playPipeline}
+var cases = map[string]func(*play) int{"table": playTable, "drain": playDrain, "pipeline": playPipeline, "foreign": playForeign}
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "calm" {
+		simulateCalm()
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
 		os.Exit(exitNotRun)
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,20 +23,23 @@
 	work              time.Duration
 	store             *store
 	// answerBytes is the size of an answer's body, if it isn't just the text of serveRequest.
-	answerBytes int
-	address     string
-	born        int64
-	listener    net.Listener
-	http        *http.Server
-	slot        chan struct{}
-	stopBeats   chan struct{}
-	once        sync.Once
+	answerBytes    int
+	address        string
+	born           int64
+	listener       net.Listener
+	http           *http.Server
+	slot           chan struct{}
+	stopBeats      chan struct{}
+	beatNow        chan struct{}
+	draining, down atomic.Bool
+	once           sync.Once
 
 	mu     sync.Mutex
 	grants []grant
 	seen   []grant
-	// waiting counts the requests in the queue and running those at work.
+	// waiting counts the requests in the queue and running those at work. working holds the number of requests at work on each key.
 	waiting, running int
+	working          map[int]int
 	// onArrive, onRun and onEnd, if set, are called when a request arrives, begins to run and has ended; how says what became of it.
 	onArrive, onRun func(s *server, r *http.Request)
 	onEnd           func(s *server, r *http.Request, how string)
@@ -59,6 +63,7 @@
 	}
 	s.listener, s.address, s.born = l, l.Addr().String(), time.Now().UnixMilli()
 	s.slot, s.stopBeats = make(chan struct{}, s.slots), make(chan struct{})
+	s.beatNow = make(chan struct{}, 1)
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	go s.beat()
@@ -75,16 +80,33 @@
 		s.store.set("servers", s.id, map[string]any{
 			"address": s.address, "born": s.born,
 			"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "slots": s.slots},
-			"status": map[string]any{"state": "ready", "seq": seq, "warmup_left_s": 0},
+			"status": map[string]any{"state": s.state(), "seq": seq, "warmup_left_s": 0},
 		})
 		select {
 		case <-s.stopBeats:
 			return
+		case <-s.beatNow:
 		case <-time.After(heartbeat):
 		}
 	}
 }
 
+func (s *server) state() string {
+	if s.draining.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain reports that the server is going to leave.
+func (s *server) drain() {
+	s.draining.Store(true)
+	s.beatNow <- struct{}{}
+}
+
+// isUp reports whether the server hasn't exited.
+func (s *server) isUp() bool { return !s.down.Load() }
+
 // unregister removes the server's entry, as servers do that leave without reporting draining. It returns once the store has acknowledged it.
 func (s *server) unregister() {
 	s.once.Do(func() { close(s.stopBeats) })
@@ -94,6 +116,7 @@
 
 // exit ends the server. Requests at work are lost with it.
 func (s *server) exit() {
+	s.down.Store(true)
 	s.once.Do(func() { close(s.stopBeats) })
 	_ = s.http.Close()
 }
@@ -146,9 +169,50 @@
 	s.mu.Lock()
 	s.grants = cut(s.grants, g.From, g.To)
 	s.mu.Unlock()
+	for s.worksOn(g.From, g.To) {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
 	w.Header().Set("Handover", fmt.Sprintf("%s-%d", s.id, g.Fence))
 }
 
+// worksOn reports whether a request for one of the keys from..to is at work.
+func (s *server) worksOn(from, to int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.working {
+		if from <= key && key <= to {
+			return true
+		}
+	}
+	return false
+}
+
+// beginWork marks a key as being worked on if the server holds it.
+func (s *server) beginWork(key int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.holdsLocked(key) {
+		return false
+	}
+	if s.working == nil {
+		s.working = map[int]int{}
+	}
+	s.working[key]++
+	return true
+}
+
+func (s *server) endWork(key int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.working[key]--; s.working[key] == 0 {
+		delete(s.working, key)
+	}
+}
+
 // cut removes the keys from..to from the grants.
 func cut(list []grant, from, to int) []grant {
 	var kept []grant
@@ -174,6 +238,10 @@
 func (s *server) holds(key int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.holdsLocked(key)
+}
+
+func (s *server) holdsLocked(key int) bool {
 	now := time.Now()
 	for _, g := range s.grants {
 		if g.From <= key && key <= g.To {
@@ -231,11 +299,10 @@
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	expired := time.After(deadline)
-	if s.sharded {
-		if key, err := strconv.Atoi(r.Header.Get("Shard-Key")); err != nil || !s.holds(key) {
-			s.refuse(w, http.StatusMisdirectedRequest)
-			return
-		}
+	key, err := strconv.Atoi(r.Header.Get("Shard-Key"))
+	if s.sharded && (err != nil || !s.holds(key)) {
+		s.refuse(w, http.StatusMisdirectedRequest)
+		return
 	}
 	if s.add(1, 0) > queueLength {
 		s.add(-1, 0)
@@ -254,6 +321,13 @@
 		return
 	}
 	defer func() { s.add(0, -1); <-s.slot }()
+	if s.sharded {
+		if !s.beginWork(key) {
+			s.refuse(w, http.StatusMisdirectedRequest)
+			return
+		}
+		defer s.endWork(key)
+	}
 	if s.onRun != nil {
 		s.onRun(s, r)
 	}
