--- a/review/_standin/pipeline.go
+++ b/review/_standin/pipeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -77,6 +78,9 @@
 		"hosts": []any{map[string]any{"host": "shop.example", "paths": []any{map[string]any{
 			"name": "r-fetch", "prefix": "/fetch/", "kind": "idempotent", "timeout_s": pipelineTimeout.Seconds(), "target_latency_s": 0.8, "priority": 2,
 			"service": "vault", "max_attempts": 2, "allowed_regions": []string{},
+		}, map[string]any{
+			"name": "r-orders", "prefix": "/orders/", "kind": "non_idempotent", "timeout_s": pipelineTimeout.Seconds(), "target_latency_s": 0.8, "priority": 1,
+			"service": "vault", "max_attempts": 2, "allowed_regions": []string{},
 		}}}},
 	})
 	x := &pipelinePlay{play: p, slow: os.Getenv("SLOW") != "0"}
@@ -164,7 +168,7 @@
 			f := &fetch{id: fmt.Sprintf("%016x", x.number.Add(1)), machine: m.name, sent: x.since(), behind: i, end: "no end seen", answer: "none"}
 			x.fetches.Store(f.id, f)
 			batch = append(batch, f)
-			if _, err := fmt.Fprintf(conn, "GET /fetch/%s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\n\r\n", f.id, f.id, pipelineDeadline.Milliseconds()); err != nil {
+			if _, err := io.WriteString(conn, x.requestText(f)); err != nil {
 				break
 			}
 			time.Sleep(time.Duration(20+rand.IntN(60)) * time.Millisecond)
@@ -181,6 +185,15 @@
 	}
 }
 
+// requestText returns a request as it is sent. With FIRST=order, the first one of a connection's requests is an order.
+func (x *pipelinePlay) requestText(f *fetch) string {
+	method, path, body := http.MethodGet, "/fetch/", ""
+	if f.behind == 0 && os.Getenv("FIRST") == "order" {
+		method, path, body = http.MethodPost, "/orders/", "Content-Length: 5\r\n\r\norder"
+	}
+	return fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nRequest-Deadline: %d\r\n%s", method, path, f.id, f.id, pipelineDeadline.Milliseconds(), cmp.Or(body, "\r\n"))
+}
+
 // readAnswer reads the answer to a request. It returns false if the connection can't be used any more.
 func (x *pipelinePlay) readAnswer(conn net.Conn, reader *bufio.Reader, f *fetch) bool {
 	defer func() { f.ended = x.since() }()
