Take registrations of unconfigured pools for no evidence about addresses

What callers saw: while an entry of another writer bore the address of a key owner, the owner's keys were granted to others before it had released them when it left.

Cause: the coordinator takes a target that started later at the address of a former owner as proof that the former one is gone. The same list kept the release from being sent at all (addressTaken), so that the keys moved without a handover.

Without a configuration nothing proves an owner gone. Events 832 and 833 name ignored registrations and the target that was taken as proof.

Ruled out: late grants and held-up calls (none in the case); a target that restarts under its ID (its row has one writer).

TestLaterTarget... now configures the pool of the later target, as the platform reuses addresses among configured services only.

--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -196,22 +196,27 @@
 }
 
 // Guards against keys that wait for the grants of a target although a later target at its address proves that it is gone. An
-// earlier target at the address proves nothing, because its registration may outlast it.
+// earlier target at the address proves nothing, because its registration may outlast it. Nor does a registration of a pool that
+// isn't configured: another writer's registration with the address of an owner made two targets hold the same keys for 3 s.
 func TestLaterTargetAtSameAddressFreesKeys(t *testing.T) {
+	configured := inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "p", Keyed: true}, {Name: "q"}}, nil)
 	for _, tc := range []struct {
 		name    string
+		cfg     *inventory.Configuration
+		pool    string
 		address string
 		started int64
 		free    bool
 	}{
-		{"later target at the address", "a", 10_000, true},
-		{"earlier target at the address", "a", 1_000, false},
-		{"target that started at about the same time", "a", 5_500, false},
-		{"later target at another address", "b", 10_000, false},
+		{"later target at the address", configured, "q", "a", 10_000, true},
+		{"earlier target at the address", configured, "q", "a", 1_000, false},
+		{"target that started at about the same time", configured, "q", "a", 5_500, false},
+		{"later target at another address", configured, "q", "b", 10_000, false},
+		{"later registration of an unknown pool", configured, "foreign", "a", 10_000, false},
+		{"later registration while no configuration is known", nil, "foreign", "a", 10_000, false},
 	} {
-		cfg := inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "p", Keyed: true}}, nil)
 		coordinator := New(Identity{VM: "n0"})
-		coordinator.view.Snapshot = inventory.NewSnapshot(cfg, []*inventory.Target{{ID: "t9", Pool: "q", Address: tc.address, Started: tc.started}}, nil)
+		coordinator.view.Snapshot = inventory.NewSnapshot(tc.cfg, []*inventory.Target{{ID: "t9", Pool: tc.pool, Address: tc.address, Started: tc.started}}, nil)
 		coordinator.addresses[incarnation{"t0", 5_000}] = "a"
 		now := clock.Instant(10 * time.Second)
 		coordinator.priorGrantsEnd = now.Add(time.Second)
@@ -223,6 +228,32 @@
 	}
 }
 
+// Guards against keys that aren't released by a leaving owner because a registration of another writer bears the owner's address:
+// the release must be sent, and the next owner must wait for it.
+func TestForeignRegistrationDoesNotPreventRelease(t *testing.T) {
+	cfg := inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "p", Keyed: true}}, nil)
+	coordinator := New(Identity{VM: "n0"})
+	coordinator.view.Snapshot = inventory.NewSnapshot(cfg, []*inventory.Target{
+		{ID: "t0", Pool: "p", Address: "a", Started: 5_000, Draining: true},
+		{ID: "t9", Pool: "foreign", Address: "a", Started: 10_000},
+	}, nil)
+	coordinator.recordAddresses()
+	now := clock.Instant(10 * time.Second)
+	s := keyrange.Slice{From: 0, To: 9, Fence: 2, Owner: "t1", Previous: "t0", PreviousStarted: 5_000, PreviousFence: 1}
+	p := &poolState{name: "p", table: &keyrange.Table{Slices: []keyrange.Slice{s}}, grants: map[int64]*grantState{2: {previousEnd: now.Add(time.Second)}}}
+	coordinator.callsByOwner = map[incarnation][]*grantCall{}
+	coordinator.advanceSlice(p, &p.table.Slices[0], now)
+	var releases int
+	for _, e := range coordinator.effects {
+		if r, ok := e.(SendRelease); ok && r.From == (keygrant.Endpoint{ID: "t0", Address: "a"}) {
+			releases++
+		}
+	}
+	if g := p.grants[2]; releases != 1 || g.offered {
+		t.Errorf("%d releases sent, keys offered to the next owner: %v", releases, g.offered)
+	}
+}
+
 // Guards against a coordinator that is cut off from the store and does not learn of its successor, in which case the VMs that
 // are cut off with it don't either. It also guards against a takeover based on a notice, without a read of the store.
 func TestFormerCoordinatorLearnsOfSuccessor(t *testing.T) {
--- a/pkg/coordinator/pools.go
+++ b/pkg/coordinator/pools.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/keygrant"
 	"github.com/bronzelever/bronzelever/pkg/keyrange"
@@ -248,6 +249,7 @@
 			c.sendRelease(p, s, g, now)
 			return
 		}
+		c.logReplacedOwner(p, s)
 		if p.replacing[s.Fence] {
 			return
 		}
@@ -294,7 +296,7 @@
 // previousOwnerGone reports whether the previous owner can no longer hold the keys.
 func (c *Coordinator) previousOwnerGone(p *poolState, s *keyrange.Slice, g *grantState, now clock.Instant) bool {
 	previous := previousIncarnation(s)
-	if c.restartedAtNewAddress(previous) || c.addressReassigned(previous) {
+	if c.replacementOf(previous) != nil {
 		return true
 	}
 	if now < c.priorGrantsEnd && !g.previousConfirmed || !g.released && now < g.previousEnd {
@@ -310,31 +312,58 @@
 	return true
 }
 
-// restartedAtNewAddress reports whether a target has restarted at another address, in which case it holds none of the keys of its
-// former incarnation. At the same address, it may have received a grant that was meant for the former incarnation.
-func (c *Coordinator) restartedAtNewAddress(former incarnation) bool {
+// replacementOf returns a registered target that proves that a former incarnation is gone, or nil if there is none. Without a
+// configuration, it isn't known which registrations are those of targets.
+func (c *Coordinator) replacementOf(former incarnation) *inventory.Target {
+	if c.view.Snapshot.Configuration == nil {
+		return nil
+	}
+	if t := c.restartedAtNewAddress(former); t != nil {
+		return t
+	}
+	return c.successorAtAddress(former)
+}
+
+// restartedAtNewAddress returns a target's current incarnation if it started at another address than a former one, in which case it holds
+// none of the keys of the former one. At the same address, it may have received a grant that was meant for the former incarnation.
+func (c *Coordinator) restartedAtNewAddress(former incarnation) *inventory.Target {
 	t, address := c.view.Snapshot.Targets[former.id], c.addresses[former]
-	return t != nil && t.Started > former.started && address != "" && t.Address != address
+	if t != nil && t.Started > former.started && address != "" && t.Address != address {
+		return t
+	}
+	return nil
 }
 
 // minStartGap is the minimum difference between the start times of two targets for the order of their starts to be certain. An
 // address is reused after two seconds at the earliest; the other second is left for differences between the clocks.
 const minStartGap = time.Second
 
-// addressReassigned reports whether a target that started later has the address of a former one. An address is reused only after
-// its target is gone, so there is no need to wait for the grants of the former target to expire.
-func (c *Coordinator) addressReassigned(former incarnation) bool {
+// successorAtAddress returns a target that started later than a former one and has its address. An address is reused only after
+// its target is gone, so there is no need to wait for the grants of the former target to expire. The snapshot has no targets that
+// the configuration doesn't name; their registrations may bear any address.
+func (c *Coordinator) successorAtAddress(former incarnation) *inventory.Target {
 	address := c.addresses[former]
 	if address == "" {
-		return false
+		return nil
 	}
 	for _, t := range c.targetsAt(address) {
 		c.comparisons++
 		if t.ID != former.id && t.Started-former.started >= minStartGap.Milliseconds() {
-			return true
+			return t
 		}
 	}
-	return false
+	return nil
+}
+
+// logReplacedOwner logs which target shows that the previous owner of a slice is gone, if that is why the slice is granted without a
+// release.
+func (c *Coordinator) logReplacedOwner(p *poolState, s *keyrange.Slice) {
+	if s.Previous == "" || p.replacing[s.Fence] {
+		return
+	}
+	if t := c.replacementOf(previousIncarnation(s)); t != nil {
+		c.log(event.OwnerReplaced, "pool", p.name, "from", s.From, "to", s.To, "previous", s.Previous, "replacement", t.ID, "address", t.Address, "started", t.Started)
+	}
 }
 
 // sendRelease asks the previous owner of a slice to release its keys.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -109,6 +109,8 @@
 	snapshot         *inventory.Snapshot
 	targets          map[string]decodedTarget
 	firstSeenLeaving map[string]clock.Instant
+	// ignoredTargets are the IDs of the registrations whose pool the configuration doesn't name.
+	ignoredTargets map[string]bool
 	// leavingTargets are the targets that have reported in an answer that they are leaving. snapshotDirty requests a
 	// new snapshot even if no row has changed.
 	leavingTargets   leavingTargets
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -214,6 +214,7 @@
 	targets = c.leavingTargets.markDraining(targets)
 	c.snapshot = inventory.NewSnapshot(c.config, targets, out)
 	c.snapshot.DrainingSince = c.leavingSince(targets)
+	c.logIgnoredTargets(targets)
 	if old != nil && !equalSets(old.DomainsOut, out) {
 		c.log.Emit(event.DomainsOutChanged, "out", setMembers(out))
 	}
@@ -225,6 +226,24 @@
 	c.onSnapshot(c.snapshot)
 }
 
+// logIgnoredTargets logs the registrations that are ignored because the configuration doesn't name their pool, each once.
+func (c *Control) logIgnoredTargets(targets []*inventory.Target) {
+	if c.config == nil {
+		return
+	}
+	ignored := map[string]bool{}
+	for _, t := range targets {
+		if c.config.HasPool(t.Pool) {
+			continue
+		}
+		ignored[t.ID] = true
+		if !c.ignoredTargets[t.ID] {
+			c.log.Emit(event.RegistrationIgnored, "target", t.ID, "pool", t.Pool, "address", t.Address, "config_version", c.config.Version)
+		}
+	}
+	c.ignoredTargets = ignored
+}
+
 // leavingSince returns when each leaving target was first seen to leave.
 func (c *Control) leavingSince(targets []*inventory.Target) map[string]clock.Instant {
 	now := c.clock.Now()
@@ -323,7 +342,7 @@
 		c.log.Emit(event.TargetUnregistered, "target", old.ID, "pool", old.Pool, "domain", old.Domain)
 	case old == nil:
 		c.log.Emit(event.TargetRegistered, "target", current.ID, "pool", current.Pool, "domain", current.Domain,
-			"cold_ms", current.WarmupLeft.Milliseconds())
+			"cold_ms", current.WarmupLeft.Milliseconds(), "started", current.Started)
 	case !old.EquivalentTo(current):
 		c.log.Emit(event.TargetChanged, "target", current.ID, "pool", current.Pool, "draining", current.Draining,
 			"cold_ms", current.WarmupLeft.Milliseconds(), "started", current.Started)
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -15,6 +15,7 @@
 	TargetRegistered     = define(808, log.InfoLevel, "target registered")
 	TargetChanged        = define(809, log.InfoLevel, "target registration changed")
 	TargetUnregistered   = define(810, log.InfoLevel, "target is no longer registered")
+	RegistrationIgnored  = define(832, log.WarnLevel, "registration names a pool that isn't configured; it is ignored")
 	DomainsOutChanged    = define(811, log.InfoLevel, "failure domains out of service changed")
 	CoordinatorLost      = define(814, log.WarnLevel, "connection to the coordinator lost")
 	CoordinatorRegained  = define(815, log.InfoLevel, "connected to the coordinator")
@@ -38,6 +39,7 @@
 	SliceFenced        = define(827, log.WarnLevel, "target has seen a higher fence; key range gets a new one")
 	TargetLost         = define(828, log.WarnLevel, "target no longer responds to grants")
 	KeysReleased       = define(829, log.InfoLevel, "previous owner released its key range")
+	OwnerReplaced      = define(833, log.InfoLevel, "another target shows that the previous owner is gone; its key range is granted without a release")
 
 	RequestAnswered    = define(840, log.DebugLevel, "request answered")
 	RequestRefused     = define(841, log.InfoLevel, "request refused without having run")
--- a/pkg/inventory/configuration.go
+++ b/pkg/inventory/configuration.go
@@ -102,6 +102,11 @@
 	return nil
 }
 
+// HasPool reports whether the configuration names a pool.
+func (c *Configuration) HasPool(name string) bool {
+	return c.Pools[name] != nil
+}
+
 // RouteCount returns the number of routes.
 func (c *Configuration) RouteCount() int {
 	n := 0
--- a/pkg/inventory/snapshot.go
+++ b/pkg/inventory/snapshot.go
@@ -66,10 +66,15 @@
 	return !t.Draining || now.Sub(s.DrainingSince[t.ID]) < ownerDrainGrace
 }
 
-// NewSnapshot returns a snapshot with the targets grouped by pool.
+// NewSnapshot returns a snapshot with the targets grouped by pool. Targets of a pool that the configuration doesn't name are
+// omitted: their registrations may come from another writer, so they must not be taken as evidence of anything, such as who has
+// an address now. While there is no configuration, all targets are listed.
 func NewSnapshot(c *Configuration, targets []*Target, domainsOut map[string]bool) *Snapshot {
 	s := &Snapshot{Configuration: c, Targets: map[string]*Target{}, Pools: map[string][]*Target{}, DomainsOut: domainsOut}
 	for _, t := range targets {
+		if c != nil && !c.HasPool(t.Pool) {
+			continue
+		}
 		s.Targets[t.ID] = t
 		s.Pools[t.Pool] = append(s.Pools[t.Pool], t)
 	}
--- a/pkg/inventory/snapshot_test.go
+++ b/pkg/inventory/snapshot_test.go
@@ -20,3 +20,15 @@
 		t.Error("an owner in a failure domain out of service gets requests")
 	}
 }
+
+// Guards against using a registration of another writer: one whose pool the configuration doesn't name.
+func TestTargetsOfUnknownPoolsAreOmitted(t *testing.T) {
+	c := NewConfiguration(1, Limits{}, []*Pool{{Name: "p"}}, nil)
+	s := NewSnapshot(c, []*Target{{ID: "a", Pool: "p"}, {ID: "b", Pool: "q"}}, nil)
+	if s.Targets["a"] == nil || s.Targets["b"] != nil || len(s.Pools["q"]) != 0 {
+		t.Errorf("targets %v, pools %v", s.Targets, s.Pools)
+	}
+	if s := NewSnapshot(nil, []*Target{{ID: "b", Pool: "q"}}, nil); s.Targets["b"] == nil {
+		t.Error("a target is omitted although no configuration is known")
+	}
+}
