Don't take a partition between a VM and the store for an outage

What callers saw: while the coordinator was partitioned from the store for 1.9 s, targets left whose entries were removed meanwhile.

Cause: the mirror took a gap of more than 1.5 s in this VM's own reads for an outage of the store, in which registrations of live targets expire, and kept missing rows for another 2.2 s. The coordinator relays its rows, kept ones included, under the newest version of the store, so they replaced what the other VMs had read themselves. Two causes, then: the gap is measured per VM, and knowledge of a removal is lost to a later version.

Change: replica.availability records when the store answered this VM or any other one; only a gap that all of them share is an outage. VMs report the span of their own reads to the coordinator, which ends the grace if a report closes the gap. A mirror remembers removals by the version of the row: a relayed or kept copy of that version is dropped, a registration that is written again has a higher version and is used. VMs report the removals that they have read to the coordinator, so that its broker stops using the target while it is still cut off. Relayed freshness counts as evidence in the same way as own reads, gaps included; before, it hid an outage from a VM that then read the store itself.

The same cause on related paths: a distributor that was cut off, a coordinator that was cut off from all VMs and comes back, and a VM that is turned away by a store that serves the others all kept or brought back removed rows; they use the same mirror.

Tests, failing before: TestPartitionFromStoreIsNoOutage, TestLateReportEndsGrace, TestRelayedTableDoesNotRestoreRemovedRows. TestRelayedReadsPreventOutage now notes relayed reads every 300 ms, as the VMs do: a single one 29 s after the last read is no longer enough, since nothing shows that the store was available in between.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -158,21 +158,21 @@
 	avoidedDistributor string
 	avoidUntil         clock.Instant
 	// forwardedRoutes are the routes that the subscribers have, as of forwardedAt.
-	forwardedRoutes   map[string][]coordinator.Route
-	forwardedAt       time.Time
-	publishedRows     map[string]map[string]rowstore.Row
-	publishedVersions map[string]uint64
-	packedTables      []byte
-	packedVersions    [2]uint64
-	lastHeartbeat     clock.Instant
-	publishedAt       clock.Instant
-	publishedRevision uint64
-	startedAt         clock.Instant
-	lastRoutes        map[string][]coordinator.Route
-	link              *replica.Link
-	followedAddress   string
-	cancelFollow      context.CancelFunc
-	nextDial          clock.Instant
+	forwardedRoutes    map[string][]coordinator.Route
+	forwardedAt        time.Time
+	publishedRows      map[string]map[string]rowstore.Row
+	publishedRevisions map[string]uint64
+	packedTables       []byte
+	packedRevisions    [2]uint64
+	lastHeartbeat      clock.Instant
+	publishedAt        clock.Instant
+	publishedRevision  uint64
+	startedAt          clock.Instant
+	lastRoutes         map[string][]coordinator.Route
+	link               *replica.Link
+	followedAddress    string
+	cancelFollow       context.CancelFunc
+	nextDial           clock.Instant
 	// failedDials counts the attempts to connect to the coordinator since its last update.
 	failedDials        int
 	coordinatorHeardAt clock.Instant
@@ -181,12 +181,14 @@
 	// controlReadAt is when the control table was last read from the store.
 	controlReadAt time.Time
 	nextReport    clock.Instant
-	wasLeading    bool
-	stopped       chan struct{}
-	stopDeadline  clock.Instant
-	stopRequested bool
-	selfTestTime  time.Duration
-	nextSelfTest  clock.Instant
+	// reportedStoreSeen is the end of the newest period of own reads of the store that was reported to the coordinator.
+	reportedStoreSeen clock.Instant
+	wasLeading        bool
+	stopped           chan struct{}
+	stopDeadline      clock.Instant
+	stopRequested     bool
+	selfTestTime      time.Duration
+	nextSelfTest      clock.Instant
 	// slowSince is when the decisions became slow for the other VMs, zero while they aren't.
 	slowSince clock.Instant
 	// minElectionDelay is the base election delay of the strongest VM, zero if it isn't known.
--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -103,9 +103,7 @@
 // applyTables applies relayed tables and routes. An error means that they can't be decoded.
 func (c *Control) applyTables(u replica.Update, now clock.Instant) error {
 	c.relayedFreshAt = max(c.relayedFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
-	for _, table := range []string{c.tables.Operator, c.tables.Targets} {
-		c.mirror.NoteRelayedRead(table, c.relayedFreshAt)
-	}
+	c.mirror.NoteAvailable(replica.Span{From: c.relayedFreshAt, To: c.relayedFreshAt})
 	if len(u.Packed) > 0 {
 		deltas, err := replica.Unpack(u.Packed)
 		if err != nil {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -30,6 +30,7 @@
 				c.loadWindow.add(r.Keys, c.clock.Now())
 				c.suspects.Merge(r.Suspects, c.clock.Now())
 				c.addLeavingTargets(r.Leaving)
+				c.handleStoreReport(r)
 				if r.Unreachable != "" {
 					c.distribution.Unreachable(f, r.Unreachable, c.clock.Now())
 					c.publishPending = true
@@ -245,14 +246,14 @@
 func (c *Control) tableDeltas() []replica.Delta {
 	if c.publishedRows == nil {
 		c.publishedRows = map[string]map[string]rowstore.Row{}
-		c.publishedVersions = map[string]uint64{}
+		c.publishedRevisions = map[string]uint64{}
 	}
 	var deltas []replica.Delta
 	for _, table := range []string{c.tables.Operator, c.tables.Targets} {
-		if c.publishedVersions[table] == c.mirror.Version(table) && c.publishedRows[table] != nil {
+		if c.publishedRevisions[table] == c.mirror.Revision(table) && c.publishedRows[table] != nil {
 			continue
 		}
-		c.publishedVersions[table] = c.mirror.Version(table)
+		c.publishedRevisions[table] = c.mirror.Revision(table)
 		rows := c.mirror.Rows(table)
 		d := replica.Diff(table, c.mirror.Version(table), c.publishedRows[table], rows, c.equivalentRows)
 		if d.Empty() {
@@ -290,9 +291,8 @@
 // packFullTables returns the whole tables, packed. The result is cached until a table changes, because many VMs connect
 // at once.
 func (c *Control) packFullTables() []byte {
-	// Both tables may be at the same version of the store, so their maximum doesn't show which of them have been read.
-	versions := [2]uint64{c.mirror.Version(c.tables.Operator), c.mirror.Version(c.tables.Targets)}
-	if c.packedTables != nil && c.packedVersions == versions {
+	revisions := [2]uint64{c.mirror.Revision(c.tables.Operator), c.mirror.Revision(c.tables.Targets)}
+	if c.packedTables != nil && c.packedRevisions == revisions {
 		return c.packedTables
 	}
 	var deltas []replica.Delta
@@ -304,7 +304,7 @@
 		c.log.Emit(event.ProcessFailed, "error", err.Error())
 		return nil
 	}
-	c.packedTables, c.packedVersions = packed, versions
+	c.packedTables, c.packedRevisions = packed, revisions
 	return packed
 }
 
@@ -451,10 +451,34 @@
 	keys := c.requestedKeys.take()
 	if leading {
 		c.loadWindow.add(keys, now)
+		c.mirror.TakeRemovals(c.tables.Targets)
 		return
 	}
 	if c.link != nil {
-		c.link.SendReport(replica.Report{Keys: keys, DelayMs: c.placer.delay().Milliseconds(), Suspects: c.suspects.Changes(now)})
+		r := replica.Report{Keys: keys, DelayMs: c.placer.delay().Milliseconds(), Suspects: c.suspects.Changes(now)}
+		c.addStoreReport(&r, now)
+		c.link.SendReport(r)
+	}
+}
+
+// addStoreReport adds to a report what this VM's own reads of the store have shown since the last one.
+func (c *Control) addStoreReport(r *replica.Report, now clock.Instant) {
+	r.Removed = c.mirror.TakeRemovals(c.tables.Targets)
+	if span, ok := c.mirror.OwnReads(); ok && span.To > c.reportedStoreSeen {
+		age := span.Age(now)
+		r.StoreSeen, c.reportedStoreSeen = &age, span.To
+	}
+}
+
+// handleStoreReport applies what another VM has read from the store. A coordinator that is partitioned from the store thus learns that
+// the store is available, and which targets have left.
+func (c *Control) handleStoreReport(r replica.Report) {
+	if r.StoreSeen != nil {
+		c.mirror.NoteAvailable(r.StoreSeen.Before(c.clock.Now()))
+	}
+	if len(r.Removed) > 0 && c.mirror.ApplyRemovals(c.tables.Targets, r.Removed) {
+		c.log.Emit(event.RemovalsReported, "removed", len(r.Removed))
+		c.rebuildSnapshot()
 	}
 }
 
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -15,6 +15,7 @@
 	TargetRegistered     = define(808, log.InfoLevel, "target registered")
 	TargetChanged        = define(809, log.InfoLevel, "target registration changed")
 	TargetUnregistered   = define(810, log.InfoLevel, "target is no longer registered")
+	RemovalsReported     = define(834, log.InfoLevel, "another VM has seen registrations removed from the store")
 	RegistrationIgnored  = define(832, log.WarnLevel, "registration names a pool that isn't configured; it is ignored")
 	DomainsOutChanged    = define(811, log.InfoLevel, "failure domains out of service changed")
 	CoordinatorLost      = define(814, log.WarnLevel, "connection to the coordinator lost")
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
@@ -40,6 +43,23 @@
 	Count int `msgpack:"n"`
 }
 
+// SpanAge is a Span as sent to another VM: how long ago it began and ended, in milliseconds.
+type SpanAge struct {
+	FromMs int64 `msgpack:"f"`
+	ToMs   int64 `msgpack:"t"`
+}
+
+// Age returns the span as seen at the given time.
+func (s Span) Age(now clock.Instant) SpanAge {
+	return SpanAge{FromMs: now.Sub(s.From).Milliseconds(), ToMs: now.Sub(s.To).Milliseconds()}
+}
+
+// Before returns the span that had the given age at the given time.
+func (a SpanAge) Before(now clock.Instant) Span {
+	to := now.Add(-time.Duration(max(0, a.ToMs)) * time.Millisecond)
+	return Span{From: min(to, now.Add(-time.Duration(a.FromMs)*time.Millisecond)), To: to}
+}
+
 // Report is a message from a VM to the coordinator or a distributor. The first one opens the connection.
 type Report struct {
 	VM     string `msgpack:"vm,omitempty"`
@@ -64,6 +84,11 @@
 	Leaving []inventory.Incarnation `msgpack:"g,omitempty"`
 	// Limits are the changed rate limits of targets.
 	Limits []ratelimit.Record `msgpack:"m,omitempty"`
+	// StoreSeen is the newest period in which the VM has read the store itself, nil if it hasn't since the last report. It tells the
+	// coordinator that a gap in its own reads was no outage of the store.
+	StoreSeen *SpanAge `msgpack:"s,omitempty"`
+	// Removed are the registrations that the VM has seen removed from the store meanwhile.
+	Removed []Removal `msgpack:"x,omitempty"`
 	// Keys are the keys, by pool, that were requested without the coordinator's knowledge since the last report.
 	Keys map[string][]uint16 `msgpack:"k,omitempty"`
 }
--- a/pkg/replica/mirror.go
+++ b/pkg/replica/mirror.go
@@ -14,29 +14,41 @@
 // targets register again within two seconds of the store's recovery.
 const missingRowGrace = 2200 * time.Millisecond
 
-// outageThreshold is the time without a read of the store after which registrations may have expired only because the store was
-// unavailable.
-const outageThreshold = 1500 * time.Millisecond
+// maxRemovals bounds the removals that are remembered for each table, at about 80 bytes each, and those that are reported at once.
+const maxRemovals = 1024
+
+// Removal states that the row with a key has been removed from a table: any version of it up to the given one is obsolete. A row that is
+// written again has a higher version.
+type Removal struct {
+	Key     string `msgpack:"k"`
+	Version uint64 `msgpack:"r"`
+}
 
 // Table is the copy of one table.
 type Table struct {
 	Version uint64
 	Rows    map[string]rowstore.Row
+	// revision counts the changes of Version and Rows.
+	revision uint64
 	// relayedRows are the rows of the VM that relays the table, or nil until it has sent the whole table. Relayed changes apply
 	// to these rows, even while this VM has read a newer version itself.
 	relayedRows map[string]rowstore.Row
-	// readAt is when the table was last read from the store, by this VM or by the coordinator.
-	readAt clock.Instant
 	// keptMissing is set if rows that are missing from the store were kept after an outage. Later changes don't report these
 	// rows as removed again.
 	keptMissing bool
-	// graceUntil is when the grace period after an outage ends, during which missing rows are kept.
-	graceUntil clock.Instant
+	// removed holds the versions of the Removals by key, and removedKeys the keys in the order in which they were added.
+	removed     map[string]uint64
+	removedKeys []string
+	// unreported are the removals seen in this VM's own reads that TakeRemovals hasn't returned.
+	unreported []Removal
 }
 
 // Mirror is the copy of several tables. It isn't safe for concurrent use.
 type Mirror struct {
 	tables map[string]*Table
+	// store is when the store answered, as far as this VM knows; ownReads is the same for this VM's own reads of tables whose rows expire.
+	store    availability
+	ownReads availability
 }
 
 // NewMirror returns an empty mirror.
@@ -54,26 +66,38 @@
 	return m.table(table).Version
 }
 
+// Revision returns a number that changes whenever the rows or the version of a table change.
+func (m *Mirror) Revision(table string) uint64 {
+	return m.table(table).revision
+}
+
 func (m *Mirror) table(name string) *Table {
 	t := m.tables[name]
 	if t == nil {
-		t = &Table{Rows: map[string]rowstore.Row{}}
+		t = &Table{Rows: map[string]rowstore.Row{}, removed: map[string]uint64{}}
 		m.tables[name] = t
 	}
 	return t
 }
 
-// NoteRelayedRead records that the coordinator read a table at the given time, so that the time until then doesn't count as an
-// outage.
-func (m *Mirror) NoteRelayedRead(name string, at clock.Instant) {
-	t := m.table(name)
-	t.readAt = max(t.readAt, at)
+// NoteAvailable records a span in which the store answered this VM or another one. A gap that it closes doesn't count as an outage.
+func (m *Mirror) NoteAvailable(s Span) {
+	m.store.note(s)
+}
+
+// OwnReads returns the newest span in which this VM has read tables whose rows expire, and false if it hasn't read any.
+func (m *Mirror) OwnReads() (Span, bool) {
+	return m.ownReads.last()
+}
+
+// inGrace reports whether registrations that expired during an outage of the store may still come back.
+func (m *Mirror) inGrace(now clock.Instant) bool {
+	return m.store.afterOutage(now, missingRowGrace)
 }
 
 // NeedsFullRead reports whether the whole table must be read to find out which rows are missing.
 func (m *Mirror) NeedsFullRead(name string, now clock.Instant) bool {
-	t := m.table(name)
-	return t.keptMissing && now >= t.graceUntil
+	return m.table(name).keptMissing && !m.inGrace(now)
 }
 
 // Replace replaces a table by one read from the store. It reports whether a row has changed. expires means that the rows expire
@@ -83,45 +107,137 @@
 	if snapshot.Version < t.Version {
 		return false
 	}
-	t.noteRead(expires, now)
+	m.noteRead(expires, now)
 	rows := make(map[string]rowstore.Row, len(snapshot.Rows))
 	for _, r := range snapshot.Rows {
 		rows[r.Key] = r
 	}
 	t.keptMissing = false
-	if now < t.graceUntil {
-		for key, r := range t.Rows {
-			if _, ok := rows[key]; !ok {
-				rows[key], t.keptMissing = r, true
-			}
+	keep := expires && m.inGrace(now)
+	for key, r := range t.Rows {
+		if _, ok := rows[key]; ok {
+			continue
+		}
+		if keep && !t.isRemoved(r) {
+			rows[key], t.keptMissing = r, true
+			continue
 		}
+		m.noteOwnRemoval(t, Removal{key, snapshot.Version}, expires, now)
 	}
-	changed := !sameVersions(t.Rows, rows)
-	t.Version, t.Rows = snapshot.Version, rows
-	return changed
+	// Another VM may already have seen a later removal.
+	return t.set(snapshot.Version, t.withoutRemoved(rows))
 }
 
-// noteRead records a read of the store and starts the grace period if it is the first one after an outage.
-func (t *Table) noteRead(expires bool, now clock.Instant) {
-	if expires && t.readAt != 0 && now.Sub(t.readAt) > outageThreshold {
-		t.graceUntil = now.Add(missingRowGrace)
+// noteRead records that this VM has read the store.
+func (m *Mirror) noteRead(expires bool, now clock.Instant) {
+	if expires {
+		m.store.note(Span{now, now})
+		m.ownReads.note(Span{now, now})
 	}
-	t.readAt = now
 }
 
 // ApplyChanges applies changes read from the store. It reports whether a row has changed. Rows that are removed right after an
 // outage are kept until the whole table is read.
 func (m *Mirror) ApplyChanges(name string, changes rowstore.Changes, expires bool, now clock.Instant) bool {
 	t := m.table(name)
-	t.noteRead(expires, now)
-	removed := changes.Removed
-	if now < t.graceUntil {
-		t.keptMissing = t.keptMissing || len(removed) > 0
-		removed = nil
+	m.noteRead(expires, now)
+	if changes.Version < t.Version {
+		return false
+	}
+	keep := expires && m.inGrace(now)
+	var removed []string
+	for _, key := range changes.Removed {
+		r, ok := t.Rows[key]
+		if keep && (!ok || !t.isRemoved(r)) {
+			t.keptMissing = true
+			continue
+		}
+		removed = append(removed, key)
+		if ok {
+			m.noteOwnRemoval(t, Removal{key, r.Version}, expires, now)
+		}
 	}
 	return m.Apply(Delta{Table: name, Version: changes.Version, Rows: changes.Rows, Removed: removed})
 }
 
+// ApplyRemovals removes rows that other VMs have seen removed from the store while it was available. It reports whether there were any.
+func (m *Mirror) ApplyRemovals(name string, removals []Removal) bool {
+	t := m.table(name)
+	for _, r := range removals {
+		t.noteRemoval(r)
+	}
+	return t.set(t.Version, t.withoutRemoved(t.Rows))
+}
+
+// TakeRemovals returns the removals that this VM has seen in its own reads while the store was available, each once.
+func (m *Mirror) TakeRemovals(name string) []Removal {
+	t := m.table(name)
+	removals := t.unreported
+	t.unreported = nil
+	return removals
+}
+
+// set replaces the rows and the version. It reports whether a row has changed.
+func (t *Table) set(version uint64, rows map[string]rowstore.Row) bool {
+	changed := !sameVersions(t.Rows, rows)
+	if changed || version != t.Version {
+		t.revision++
+	}
+	t.Version, t.Rows = version, rows
+	return changed
+}
+
+// isRemoved reports whether a row is known to have been removed.
+func (t *Table) isRemoved(r rowstore.Row) bool {
+	version, ok := t.removed[r.Key]
+	return ok && r.Version <= version
+}
+
+// noteOwnRemoval records a removal that this VM has read from the store. It is reported to other VMs only if the row can't have expired in
+// an outage that this VM doesn't know of, because it has just started.
+func (m *Mirror) noteOwnRemoval(t *Table, r Removal, expires bool, now clock.Instant) {
+	newest, _ := m.store.last()
+	if !t.noteRemoval(r) || !expires || now < newest.From.Add(missingRowGrace) {
+		return
+	}
+	t.unreported = append(t.unreported, r)
+	t.unreported = t.unreported[max(0, len(t.unreported)-maxRemovals):]
+}
+
+// noteRemoval records a removal. It returns false if it is known.
+func (t *Table) noteRemoval(r Removal) bool {
+	known, ok := t.removed[r.Key]
+	if ok && known >= r.Version {
+		return false
+	}
+	t.removed[r.Key] = r.Version
+	if ok {
+		return true
+	}
+	t.removedKeys = append(t.removedKeys, r.Key)
+	if len(t.removedKeys) > maxRemovals {
+		delete(t.removed, t.removedKeys[0])
+		t.removedKeys = t.removedKeys[1:]
+	}
+	return true
+}
+
+// withoutRemoved returns the rows without those that are known to have been removed. It returns the same map if there are none.
+func (t *Table) withoutRemoved(rows map[string]rowstore.Row) map[string]rowstore.Row {
+	copied := false
+	for key := range t.removed {
+		r, ok := rows[key]
+		if !ok || !t.isRemoved(r) {
+			continue
+		}
+		if !copied {
+			rows, copied = maps.Clone(rows), true
+		}
+		delete(rows, key)
+	}
+	return rows
+}
+
 func sameVersions(a, b map[string]rowstore.Row) bool {
 	if len(a) != len(b) {
 		return false
@@ -154,14 +270,25 @@
 	if d.Version < t.Version {
 		return false
 	}
-	t.Version = d.Version
 	if d.Empty() {
+		t.set(d.Version, t.Rows)
 		return false
 	}
-	t.Rows = d.applyTo(t.Rows)
+	t.noteDropped(t.Rows, d.Removed)
+	t.set(d.Version, t.withoutRemoved(d.applyTo(t.Rows)))
 	return true
 }
 
+// noteDropped records the removal of rows by the VM that relays the table. Without it, another relaying VM that has missed the removal
+// would bring the rows back.
+func (t *Table) noteDropped(rows map[string]rowstore.Row, removed []string) {
+	for _, key := range removed {
+		if r, ok := rows[key]; ok {
+			t.noteRemoval(Removal{key, r.Version})
+		}
+	}
+}
+
 // ResetRelayed discards the rows received from the VM that relayed the tables so far. The next one begins with the whole
 // tables.
 func (m *Mirror) ResetRelayed() {
@@ -171,9 +298,10 @@
 }
 
 // ApplyRelayed applies a delta received from the VM that relays the tables. It reports whether a row has changed. While this
-// VM's own copy is newer, its rows are kept; once the relaying VM has caught up, its rows replace them all. Applying its
-// changes to this VM's own rows instead would lose rows that were missing in this VM's read, such as registrations that expired
-// during an outage of the store and came back later.
+// VM's own copy is newer, its rows are kept; once the relaying VM has caught up, its rows replace them all, except for those that this
+// VM knows to have been removed: the relaying VM keeps missing rows for a while if it takes a partition between itself and the store for
+// an outage. Applying its changes to this VM's own rows instead would lose rows that were missing in this VM's read, such as
+// registrations that expired during an outage of the store and came back later.
 func (m *Mirror) ApplyRelayed(d Delta) bool {
 	t := m.table(d.Table)
 	switch {
@@ -184,14 +312,14 @@
 	case t.relayedRows == nil:
 		return m.Apply(d)
 	case !d.Empty():
+		t.noteDropped(t.relayedRows, d.Removed)
 		t.relayedRows = d.applyTo(t.relayedRows)
 	}
 	if d.Version < t.Version {
 		return false
 	}
-	changed := !sameVersions(t.Rows, t.relayedRows)
-	t.Version, t.Rows = d.Version, t.relayedRows
-	return changed
+	t.relayedRows = t.withoutRemoved(t.relayedRows)
+	return t.set(d.Version, t.relayedRows)
 }
 
 // applyTo returns a copy of the rows with the delta applied.
--- a/pkg/replica/mirror_test.go
+++ b/pkg/replica/mirror_test.go
@@ -175,7 +175,7 @@
 		if !m.NeedsFullRead("t", graceEnd) {
 			t.Errorf("%s: no full read is requested after the grace period", name)
 		}
-		m.NoteRelayedRead("t", graceEnd.Add(-outageThreshold/2))
+		m.NoteAvailable(Span{graceEnd.Add(-outageThreshold / 2), graceEnd.Add(-outageThreshold / 2)})
 		m.Replace("t", rowstore.TableSnapshot{Version: 6, Rows: rows[1:]}, true, graceEnd)
 		if m.NeedsFullRead("t", graceEnd) || len(m.Rows("t")) != 1 {
 			t.Errorf("%s: %d rows after the full read, want 1", name, len(m.Rows("t")))
@@ -189,8 +189,121 @@
 	now := clock.Instant(time.Minute)
 	m := NewMirror()
 	m.Replace("t", rowstore.TableSnapshot{Version: 4, Rows: []rowstore.Row{{Key: "a", Version: 1}}}, true, now.Add(-time.Minute/2))
-	m.NoteRelayedRead("t", now.Add(-outageThreshold/2))
+	for at := now.Add(-time.Minute / 2); at < now.Add(-outageThreshold/2); at = at.Add(300 * time.Millisecond) {
+		m.NoteAvailable(Span{at, at})
+	}
 	if m.ApplyChanges("t", rowstore.Changes{Version: 5, Removed: []string{"a"}}, true, now); len(m.Rows("t")) != 0 {
 		t.Error("removal was delayed as after an outage")
 	}
 }
+
+// TestPartitionFromStoreIsNoOutage checks that a coordinator that is partitioned from the store doesn't keep targets that have left
+// meanwhile. It took the gap in its own reads for an outage, kept their registrations for 2.2 s and brought them back on all VMs: requests
+// reached targets later than 2 s after their removal.
+func TestPartitionFromStoreIsNoOutage(t *testing.T) {
+	start := clock.Instant(time.Minute)
+	healed := start.Add(1900 * time.Millisecond)
+	before := rowstore.TableSnapshot{Version: 4, Rows: []rowstore.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}}
+	after := rowstore.TableSnapshot{Version: 9, Rows: before.Rows[:1]}
+	for _, tc := range []struct {
+		name   string
+		report func(m *Mirror)
+		rows   int
+	}{
+		{"no other VM reads the store", func(*Mirror) {}, 2},
+		{"another VM reads the store all the time", func(m *Mirror) {
+			m.NoteAvailable(Span{start.Add(1100 * time.Millisecond), start.Add(1500 * time.Millisecond)})
+		}, 1},
+		{"another VM reads the store at the end", func(m *Mirror) { m.NoteAvailable(Span{healed, healed}) }, 2},
+		{"another VM has seen the removal", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 7}}) }, 1},
+		{"another VM has seen the removal of an earlier row", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 1}}) }, 2},
+	} {
+		m := NewMirror()
+		m.Replace("t", before, true, start)
+		tc.report(m)
+		m.Replace("t", after, true, healed)
+		if len(m.Rows("t")) != tc.rows {
+			t.Errorf("%s: %d rows after the partition, want %d", tc.name, len(m.Rows("t")), tc.rows)
+		}
+	}
+}
+
+// TestLateReportEndsGrace checks that missing registrations are no longer kept once a report shows that there was no outage.
+func TestLateReportEndsGrace(t *testing.T) {
+	start := clock.Instant(time.Minute)
+	healed := start.Add(3 * time.Second)
+	m := NewMirror()
+	m.Replace("t", newSnapshot(1, "a", "b"), true, start)
+	m.Replace("t", newSnapshot(2, "a"), true, healed)
+	if m.NeedsFullRead("t", healed) {
+		t.Fatal("a full read is requested right after what looks like an outage")
+	}
+	m.NoteAvailable(Span{start.Add(time.Second), healed.Add(-time.Second)})
+	if !m.NeedsFullRead("t", healed) {
+		t.Error("no full read is requested although the store was available")
+	}
+	if m.Replace("t", newSnapshot(2, "a"), true, healed); len(m.Rows("t")) != 1 {
+		t.Errorf("rows %v", m.Rows("t"))
+	}
+}
+
+// TestRelayedTableDoesNotRestoreRemovedRows checks that a VM which has seen that a target is gone doesn't take it back from a coordinator
+// that has missed it. Once the target is registered again, it is used.
+func TestRelayedTableDoesNotRestoreRemovedRows(t *testing.T) {
+	row := func(key string, version uint64) rowstore.Row {
+		return rowstore.Row{Table: "t", Key: key, Version: version}
+	}
+	both := []rowstore.Row{row("a", 1), row("b", 2)}
+	now := clock.Instant(time.Minute)
+	for name, remove := range map[string]func(m *Mirror){
+		"own read":    func(m *Mirror) { m.Replace("t", rowstore.TableSnapshot{Version: 7, Rows: both[:1]}, true, now) },
+		"own changes": func(m *Mirror) { m.ApplyChanges("t", rowstore.Changes{Version: 7, Removed: []string{"b"}}, true, now) },
+		"relayed":     func(m *Mirror) { m.ApplyRelayed(Delta{Table: "t", Version: 7, Removed: []string{"b"}}) },
+	} {
+		m := NewMirror()
+		m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: both})
+		remove(m)
+		m.ApplyRelayed(Delta{Table: "t", Version: 8})
+		if _, ok := m.Rows("t")["b"]; ok {
+			t.Errorf("%s: a heartbeat restores the removed row", name)
+		}
+		m.ResetRelayed()
+		m.ApplyRelayed(Delta{Table: "t", Version: 9, Full: true, Rows: both})
+		if _, ok := m.Rows("t")["b"]; ok || len(m.Rows("t")) != 1 {
+			t.Errorf("%s: a whole table restores the removed row: %v", name, m.Rows("t"))
+		}
+		m.ApplyRelayed(Delta{Table: "t", Version: 12, Rows: []rowstore.Row{row("b", 11)}})
+		if len(m.Rows("t")) != 2 {
+			t.Errorf("%s: the row that was written again is missing: %v", name, m.Rows("t"))
+		}
+	}
+}
+
+// TestNewProcessReportsNoRemovals checks that a process which has just started, and so can't know of an outage, doesn't make other VMs
+// drop registrations that expired during it.
+func TestNewProcessReportsNoRemovals(t *testing.T) {
+	m, now := NewMirror(), clock.Instant(time.Minute)
+	m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: newSnapshot(4, "a", "b", "c").Rows})
+	m.Replace("t", newSnapshot(5, "a", "b"), true, now)
+	if r := m.TakeRemovals("t"); len(r) != 0 {
+		t.Errorf("a new process reports %v", r)
+	}
+	for at := now; at < now.Add(missingRowGrace); at = at.Add(outageThreshold) {
+		m.NoteAvailable(Span{at, at})
+	}
+	m.Replace("t", newSnapshot(6, "a"), true, now.Add(missingRowGrace))
+	if r := m.TakeRemovals("t"); !reflect.DeepEqual(r, []Removal{{"b", 6}}) {
+		t.Errorf("reported removals are %v", r)
+	}
+}
+
+// TestRemovalsAreBounded checks that targets which come and go for years don't fill the memory.
+func TestRemovalsAreBounded(t *testing.T) {
+	m := NewMirror()
+	for i := range 3 * maxRemovals {
+		m.ApplyRemovals("t", []Removal{{fmt.Sprint(i), 1}})
+	}
+	if table := m.table("t"); len(table.removed) != maxRemovals || len(table.removedKeys) != maxRemovals {
+		t.Errorf("%d removals of %d keys are remembered", len(table.removed), len(table.removedKeys))
+	}
+}
