Don't let a second copy of an answer end a later release or request

Found while looking for it: calls to targets carry no request ID, so the answer to a release can't be told from a copy of an earlier one. On a kept connection the copy would say that keys are free on which the target is still working, and the next owner would be granted them (OWNER). Each release now has a connection of its own; the transport of net/http gave back idle ones for up to 5 s. Grants keep their connection, to which their fence is bound; a copy of an answer there makes the coordinator believe a grant too early or refuse it, but frees no keys.

A request without an ID accepted any answer without one on a kept connection; it now does so on a new connection only. Requests with an ID were safe: answers with another ID, or with none on a kept connection, are skipped or count as unknown outcome.

Test, failing before ('second release: "first", <nil>'): TestRepeatedAnswerDoesNotEndLaterRelease.

--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -149,15 +149,15 @@
 }
 
 // readMatching returns the response to the request. It skips responses to other requests, since a target may have responded
-// twice to an earlier one. A response without an ID may also be such a duplicate, unless the connection has carried no other
-// request.
+// twice to an earlier one. A response without an ID, or with any if the request has none, may also be such a duplicate, unless the
+// connection has carried no other request.
 func (s *sender) readMatching(c *targetconn.Conn, r *upstreamRequest) (*targetResponse, error) {
 	for range maxSkippedResponses + 1 {
 		resp, err := s.readResponse(c, r)
 		if err != nil {
 			return nil, err
 		}
-		if resp.meta.ID == r.id || resp.meta.ID == "" && c.FirstExchange() {
+		if resp.meta.ID == r.id && r.id != "" || (resp.meta.ID == "" || r.id == "") && c.FirstExchange() {
 			return resp, nil
 		}
 		partial := resp.rest != nil
--- a/pkg/keygrant/keygrant.go
+++ b/pkg/keygrant/keygrant.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -79,14 +78,15 @@
 
 	dialect  Dialect
 	sessions sessions
-	// releaseClient uses connections of its own, because a release waits for the requests that are running on the keys.
+	// releaseClient uses a connection of its own for each release, because a release waits for the requests that are running on the
+	// keys, and because a second copy of an earlier answer would say that keys are free on which the target is still working.
 	releaseClient *http.Client
 }
 
 // NewClient returns a client that uses the given dialect.
 func NewClient(dialect Dialect) *Client {
 	return &Client{dialect: dialect, releaseClient: &http.Client{Transport: &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}
 }
@@ -166,8 +166,6 @@
 		return "", fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	// The content is ignored, but the connection can be reused only after the body has been read.
-	_, _ = io.CopyN(io.Discard, response.Body, maxResponseBodyBytes)
 	c.notify(from, response, started)
 	return c.dialect.HandoverToken(response.Header), responseError(response)
 }
--- a/pkg/keygrant/keygrant_test.go
+++ b/pkg/keygrant/keygrant_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -273,3 +274,47 @@
 		t.Errorf("the target could send %d bytes", n)
 	}
 }
+
+// Guards against a release that seems to have succeeded because the target has written its answer to an earlier release twice: the keys
+// would be granted to another target while this one is still working on them.
+func TestRepeatedAnswerDoesNotEndLaterRelease(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	answer := "HTTP/1.1 200 OK\r\nT-Handover: first\r\nContent-Length: 0\r\n\r\n"
+	var connections atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			first := connections.Add(1) == 1
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if !first {
+						// The work on the keys of the second release ends with the target.
+						return
+					}
+					_, _ = c.Write([]byte(answer))
+				}
+			}()
+		}
+	}()
+	client, to := NewClient(testDialect{}), Endpoint{ID: "t1", Address: l.Addr().String()}
+	if token, err := client.Release(t.Context(), to, Grant{}); token != "first" || err != nil {
+		t.Fatalf("first release: %q, %v", token, err)
+	}
+	if token, err := client.Release(t.Context(), to, Grant{}); !errors.Is(err, ErrOutcomeUnknown) {
+		t.Errorf("second release: %q, %v", token, err)
+	}
+}
