Leave odd registrations among those of the targets in the soak

Another writer may leave entries that name no target: of a service that isn't configured, without a field, with an unknown state, a field of another type, a number or a port out of range, nested too deeply, or no JSON. The fault has a random source of its own, so that recorded seeds still inject what they did.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -147,6 +147,15 @@
 	return nil, nil
 }}
 
+// registrationFault makes another writer leave an odd registration with the address of a target. It has a random source of its own, like
+// targetFaults.
+var registrationFault = fault{"registration of another writer", func(r *run, _ context.Context, _ time.Duration) (func(), error) {
+	targets := r.deployment.Targets()
+	t, kind := targets[r.registrationFaultRand.IntN(len(targets))], r.registrationFaultRand.IntN(standin.ForeignRegistrations())
+	_, _ = fmt.Fprintf(r.Out, "seed %d: registration of kind %d with the address of target %s\n", r.Seed, kind, t.ID)
+	return r.deployment.PutForeignRegistration(t, kind), nil
+}}
+
 // sendCrashingRequest repeatedly sends a request that crashes its targets, each time to a random VM.
 func (r *run) sendCrashingRequest(ctx context.Context, path string, duration time.Duration, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -194,6 +203,11 @@
 				return err
 			}
 		}
+		if r.registrationFaultRand.IntN(4) == 0 {
+			if err := r.begin(ctx, registrationFault, minFaultTime+time.Duration(r.registrationFaultRand.Int64N(int64(faultTimeSpread)))); err != nil {
+				return err
+			}
+		}
 		if err := r.begin(ctx, f, duration); err != nil {
 			return err
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -68,10 +68,12 @@
 	targetFaultRand *rand.Rand
 	// limitFaultRand is the random source of limitFault.
 	limitFaultRand *rand.Rand
-	deployment     *standin.Deployment
-	supervisor     *child.Supervisor
-	vms            []*vm
-	checker        *callerChecker
+	// registrationFaultRand is the random source of registrationFault.
+	registrationFaultRand *rand.Rand
+	deployment            *standin.Deployment
+	supervisor            *child.Supervisor
+	vms                   []*vm
+	checker               *callerChecker
 
 	mu sync.Mutex
 	// targetLinks lead to the targets.
@@ -85,7 +87,7 @@
 
 // Run runs one soak test and returns the violations that it found.
 func Run(ctx context.Context, o Options) ([]string, error) {
-	r := &run{Options: o, faultRand: rand.New(rand.NewPCG(o.Seed, 1)), targetFaultRand: rand.New(rand.NewPCG(o.Seed, 2)), limitFaultRand: rand.New(rand.NewPCG(o.Seed, 3)), version: 7, faultEnds: map[int]func(){}}
+	r := &run{Options: o, faultRand: rand.New(rand.NewPCG(o.Seed, 1)), targetFaultRand: rand.New(rand.NewPCG(o.Seed, 2)), limitFaultRand: rand.New(rand.NewPCG(o.Seed, 3)), registrationFaultRand: rand.New(rand.NewPCG(o.Seed, 4)), version: 7, faultEnds: map[int]func(){}}
 	var err error
 	if r.deployment, err = standin.Start(o.Targets, r.linkTarget); err != nil {
 		return nil, err
