--- a/docs/promises_test.go
+++ b/docs/promises_test.go
@@ -10,7 +10,7 @@
 )
 
 var (
-	packageName = regexp.MustCompile("`((?:pkg|internal)/[a-z/]+)`")
+	packageName = regexp.MustCompile("`((?:pkg|internal)/[a-z/]+|platform(?:/[a-z]+)?)`")
 	testName    = regexp.MustCompile(`\bTest[A-Z]\w*`)
 )
 
