--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -109,14 +109,15 @@
 }
 
 // senders numbers the calls of sendRepeatedly. The address of the HTTP client isn't unique: once a client was collected, a later one had its
-// address, and requests had the IDs of orders that had run.
+// address, and requests had the IDs of orders that had run. All IDs have the same length, on which the body depends, and so the fingerprint of
+// a request that is sent again.
 var senders atomic.Int64
 
 // sendRepeatedly sends requests to a VM one after another until the context ends.
 func (r *run) sendRepeatedly(ctx context.Context, vm int, pause time.Duration, c *outcomeCounts, path func(n int) (path string, key int), order bool) {
 	client, sender := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, senders.Add(1)
 	for n := 0; ctx.Err() == nil; n++ {
-		x := exchange{id: fmt.Sprintf("%d-%05d", sender, n), vm: vm, order: order}
+		x := exchange{id: fmt.Sprintf("%06d-%05d", sender, n), vm: vm, order: order}
 		var key int
 		x.path, key = path(n)
 		r.send(ctx, client, &x, key, clientTimeout)
