Add organisations to the inventory and to place requests

Cause: credentials, quotas and fair shares need to know which organisation sent a request, on the VM that received it and at the broker.

Change: inventory.Organisation, Configuration.Organisations and Route.Public; placing.PlacementRequest.Organisation and its field in replica.PlaceRequest. PlaceRequest is encoded as an array, whose length earlier versions check. The organisation therefore follows the array as a second value of the frame, which earlier versions don't read, and only if there is one: without organisations the bytes are those of earlier versions.

Ruled out: an appended array element (earlier versions refuse the array); a map with field names, which earlier versions do read, because it adds about 80 bytes to each request between regions; a new frame type, which a broker of an earlier version would ignore, so that the request would wait in vain.

--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -182,9 +182,12 @@
 
 func (c *call) placementRequest(retry bool) placing.PlacementRequest {
 	a := placing.PlacementRequest{
-		Pool: c.pool.Name, Key: c.meta.Key, Priority: c.route.Priority, TimeLeft: time.Until(c.deadline), BodyBytes: c.body.size(),
+		Pool: c.pool.Name, Key: c.meta.Key, Priority: inventory.RequestPriority(c.organisation, c.route), TimeLeft: time.Until(c.deadline), BodyBytes: c.body.size(),
 		AllowedRegions: c.route.HomeRegions, Retry: retry, Objective: c.objective(), Fingerprint: c.fingerprint,
 	}
+	if c.organisation != nil {
+		a.Organisation = c.organisation.Name
+	}
 	for id := range c.avoid {
 		a.Avoid = append(a.Avoid, id)
 	}
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -112,8 +112,10 @@
 	r     *http.Request
 	meta  RequestMeta
 	route *inventory.Route
-	pool  *inventory.Pool
-	body  *requestBody
+	// organisation is the one that sent the request. It is nil on public routes and if none are configured.
+	organisation *inventory.Organisation
+	pool         *inventory.Pool
+	body         *requestBody
 	// fingerprint identifies the request regardless of its ID.
 	fingerprint quarantine.Fingerprint
 	start       time.Time
--- a/pkg/inventory/configuration.go
+++ b/pkg/inventory/configuration.go
@@ -28,6 +28,8 @@
 	PoolWeights []PoolWeight
 	// HomeRegions are the only regions that may serve the route; empty permits all.
 	HomeRegions []string
+	// Public routes need no credential.
+	Public bool
 }
 
 // PoolWeight assigns a pool a share of the requests of a route, in proportion to its weight.
@@ -65,6 +67,8 @@
 	Version uint64
 	Limits  Limits
 	Pools   map[string]*Pool
+	// Organisations holds the organisations by name. It is nil or empty if there are none; then no request needs a credential.
+	Organisations map[string]*Organisation
 	// routes maps lower-case host names to their routes, those with longer prefixes first.
 	routes map[string][]*Route
 }
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -44,7 +44,9 @@
 	Pool string
 	// Key is the request's key; it is used in keyed pools only.
 	Key int
-	// Priority is the rank of the route; 0 is the highest.
+	// Organisation is the name of the organisation that sent the request, or empty if there is none.
+	Organisation string
+	// Priority is the rank of the request, as returned by inventory.RequestPriority; 0 is the highest.
 	Priority int
 	// Objective is the remaining time within which an answer meets the latency objective.
 	Objective time.Duration
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -93,7 +93,7 @@
 	Keys map[string][]uint16 `msgpack:"k,omitempty"`
 }
 
-// PlaceRequest asks the coordinator for a target for a request.
+// PlaceRequest asks the coordinator for a target for a request. Its encoding is described in place_request.go.
 type PlaceRequest struct {
 	//lint:ignore U1000 msgpack reads the tag: the fields are sent without their names.
 	_msgpack struct{} `msgpack:",as_array"`
@@ -110,6 +110,8 @@
 	Repeat      bool
 	// Content and Caller are the fingerprint of the request.
 	Content, Caller uint64
+	// Organisation is the name of the organisation that sent the request, or empty if there is none. It is sent after the array.
+	Organisation string `msgpack:"-"`
 }
 
 // PlaceResponse is the response to a PlaceRequest. Target is empty if no target is available.
