Check callers' credentials and name their organisation to targets

Cause: with organisations in the configuration, requests of routes that aren't public need a credential, targets must learn the organisation and nothing else, and no plaintext credential may enter the state of a VM.

Configuration.Authenticate finds the organisation of a credential. pkg/ingress checks the credential before the body is read (401, event 856), replaces it by the name of the organisation, binds a request to the regions that the route and the organisation allow, and uses the organisation in the fingerprint of crashing requests. bounds.strict_revoke and bounds.revoke_s refuse requests that need a credential while the VM's information about the configuration is too old. The age travels in replica.Update, only with strict_revoke.

Ruled out: hashing in the decoder, which runs after the row has been relayed; a salt per credential, which needs one hash per credential and request; an empty list for regions without overlap, which would permit all regions.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -146,6 +146,9 @@
 	// coordinatorFreshAt is the same for the tables that the coordinator has.
 	coordinatorFreshAt clock.Instant
 	storeDown          bool
+	// configurationSeen is when the newest information about the configuration that this VM has was current, as a clock.Instant.
+	// Only the control goroutine writes it.
+	configurationSeen atomic.Int64
 
 	followers map[*replica.Follower]bool
 	// sortedFollowers are the followers ordered by name as of the last heartbeat, nil after one has left.
--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -118,6 +118,7 @@
 	if changed {
 		c.rebuildSnapshot()
 	}
+	c.noteRelayedConfiguration(u, now)
 	if u.Routes != nil || u.AllRoutes {
 		c.applyRoutes(u)
 		c.refreshView()
@@ -184,7 +185,7 @@
 	plain, packed := c.packLargeDeltas(deltas)
 	age := now.Sub(max(c.readFreshAt, c.relayedFreshAt)).Milliseconds()
 	for f := range c.subscribers {
-		u := replica.Update{StoreAge: age, Deltas: plain, Packed: packed, Routes: changed}
+		u := replica.Update{StoreAge: age, ConfigurationAgeMs: c.relayedConfigurationAge(), Deltas: plain, Packed: packed, Routes: changed}
 		if notify {
 			u.Leader = leader
 		}
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
@@ -13,9 +15,13 @@
 
 // dump is the state of a process as shown to operators.
 type dump struct {
-	VM            string                         `json:"vm"`
-	Ready         bool                           `json:"ready"`
-	Configuration uint64                         `json:"configuration_version"`
+	VM            string `json:"vm"`
+	Ready         bool   `json:"ready"`
+	Configuration uint64 `json:"configuration_version"`
+	// ConfigurationAgeMs is the time since the VM's newest information about the configuration.
+	ConfigurationAgeMs int64 `json:"configuration_age_ms"`
+	// Organisations are the organisations of the configuration, without their credentials.
+	Organisations []*inventory.Organisation      `json:"organisations,omitempty"`
 	Targets       []*inventory.Target            `json:"targets"`
 	DomainsOut    map[string]bool                `json:"domains_out"`
 	Routes        map[string][]coordinator.Route `json:"routes"`
@@ -31,7 +37,8 @@
 func (p *process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	view := p.control.Current()
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
-		Suspects: p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now())}
+		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
+		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now())}
 	if s := view.Snapshot; s != nil {
 		d.DomainsOut = s.DomainsOut
 		for _, t := range s.Targets {
@@ -39,6 +46,9 @@
 		}
 		if s.Configuration != nil {
 			d.Configuration = s.Configuration.Version
+			for _, name := range slices.Sorted(maps.Keys(s.Configuration.Organisations)) {
+				d.Organisations = append(d.Organisations, s.Configuration.Organisations[name])
+			}
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -133,6 +133,8 @@
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
 		Budget: localBudget, Suspects: suspects, Limits: limits,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
+		ConfigurationAge:         p.control.ConfigurationAge,
+		MaxConfigurationAge:      o.Settings.maxConfigurationAge(),
 		MaxBufferedBodyBytes:     int64(float64(o.Settings.MemoryBytes) * requestBodyMemoryShare),
 		MaxBufferedResponseBytes: int64(float64(o.Settings.MemoryBytes) * responseMemoryShare),
 	})
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -203,6 +203,7 @@
 		u := replica.Update{
 			MinElectionDelayMs: c.minElectionDelay.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(followers) + 1,
 			Distributor: f.Distributor, Suspects: suspects, Leaving: leaving, Limits: limits, StoreAge: age,
+			ConfigurationAgeMs: c.relayedConfigurationAge(),
 		}
 		if !f.SuspectsSent {
 			u.Limits = c.limits.Records(now)
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -35,4 +35,8 @@
 	// MaxConfigApplyTime is the longest time until a change that the store has acknowledged must be in force on every
 	// VM.
 	MaxConfigApplyTime time.Duration
+	// StrictRevoke makes this VM refuse requests that need a credential while its newest information about the configuration
+	// is older than RevokeTime.
+	StrictRevoke bool
+	RevokeTime   time.Duration
 }
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -188,6 +188,9 @@
 	if c.mirror.Replace(table, page, table == c.tables.Targets, now) {
 		c.rebuildSnapshot()
 	}
+	if table == c.tables.Operator {
+		c.noteConfigurationSeen(started)
+	}
 }
 
 func (c *Control) recordStoreResult(err error) {
@@ -281,6 +284,7 @@
 	}
 	c.config = next
 	c.log.Emit(event.ConfigurationInForce, "version", next.Version, "routes", next.RouteCount(), "pools", len(next.Pools),
+		"organisations", len(next.Organisations),
 		"store_version", version)
 }
 
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -48,6 +48,8 @@
 	AttemptFailed      = define(843, log.InfoLevel, "attempt at a target failed")
 	CallerDisconnected = define(844, log.InfoLevel, "caller disconnected")
 
+	CredentialRejected = define(856, log.InfoLevel, "request refused: it has no valid credential")
+
 	TargetLimitExceeded    = define(845, log.WarnLevel, "target broke a bound of what is read from it")
 	MessageRejected        = define(847, log.WarnLevel, "failed to handle a message of another VM; connection closed")
 	TargetConnectionsLost  = define(848, log.WarnLevel, "connections to the target closed before a response")
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -170,7 +170,7 @@
 	s := c.State.Current().Snapshot
 	t := s.Targets[id]
 	switch {
-	case t == nil || !c.route.AllowsRegion(c.RegionOf[t.Domain]):
+	case t == nil || !c.allowsRegion(c.RegionOf[t.Domain]):
 		return nil
 	case c.pool.Keyed && !s.ServesKeys(t, c.Clock.Now()):
 		return nil
@@ -183,10 +183,8 @@
 func (c *call) placementRequest(retry bool) placing.PlacementRequest {
 	a := placing.PlacementRequest{
 		Pool: c.pool.Name, Key: c.meta.Key, Priority: inventory.RequestPriority(c.organisation, c.route), TimeLeft: time.Until(c.deadline), BodyBytes: c.body.size(),
-		AllowedRegions: c.route.HomeRegions, Retry: retry, Objective: c.objective(), Fingerprint: c.fingerprint,
-	}
-	if c.organisation != nil {
-		a.Organisation = c.organisation.Name
+		AllowedRegions: c.allowedRegions, Retry: retry, Objective: c.objective(), Fingerprint: c.fingerprint,
+		Organisation: c.organisationName(),
 	}
 	for id := range c.avoid {
 		a.Avoid = append(a.Avoid, id)
@@ -288,7 +286,7 @@
 	}
 	var list []*inventory.Target
 	for _, t := range view.Snapshot.Pools[c.pool.Name] {
-		if view.Snapshot.Available(t) && c.route.AllowsRegion(c.RegionOf[t.Domain]) {
+		if view.Snapshot.Available(t) && c.allowsRegion(c.RegionOf[t.Domain]) {
 			list = append(list, t)
 		}
 	}
@@ -311,7 +309,7 @@
 	if t == nil || !view.Snapshot.ServesKeys(t, c.Clock.Now()) {
 		return nil, unknownOwnerWait, nil
 	}
-	if !c.route.AllowsRegion(c.RegionOf[t.Domain]) {
+	if !c.allowsRegion(c.RegionOf[t.Domain]) {
 		return nil, 0, &statusError{http.StatusServiceUnavailable, "owner-outside-home", c.retryAfter(0)}
 	}
 	return []*inventory.Target{t}, 0, nil
@@ -326,6 +324,7 @@
 func (c *call) send(ctx context.Context, t *inventory.Target) result {
 	header := make(http.Header, len(c.r.Header)+2)
 	copyHeaders(header, c.r.Header)
+	c.setOrganisation(header)
 	request := &upstreamRequest{
 		method: c.r.Method, uri: c.uri(), host: c.r.Host, header: header, id: c.meta.ID, body: c.body, idempotent: c.route.Idempotent,
 		usedConns: c.usedConns,
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -46,6 +46,10 @@
 	Clock   clock.Clock
 	Log     *event.Logger
 	Metrics *Metrics
+	// ConfigurationAge returns the time since the newest information about the configuration. Above MaxConfigurationAge, requests
+	// that need a credential are refused; zero sets no limit.
+	ConfigurationAge    func() time.Duration
+	MaxConfigurationAge time.Duration
 	// RegionOf maps failure domains to regions.
 	RegionOf map[string]string
 	// MaxBufferedBodyBytes bounds the total size of the request bodies that are buffered at the same time.
@@ -114,8 +118,12 @@
 	route *inventory.Route
 	// organisation is the one that sent the request. It is nil on public routes and if none are configured.
 	organisation *inventory.Organisation
-	pool         *inventory.Pool
-	body         *requestBody
+	// identified is set if organisations are configured.
+	identified bool
+	// allowedRegions are the only regions that may serve the request; empty permits all.
+	allowedRegions []string
+	pool           *inventory.Pool
+	body           *requestBody
 	// fingerprint identifies the request regardless of its ID.
 	fingerprint quarantine.Fingerprint
 	start       time.Time
@@ -231,6 +239,9 @@
 	if c.route == nil {
 		return &statusError{http.StatusNotFound, "no-route", 0}
 	}
+	if err := c.authenticate(cfg); err != nil {
+		return err
+	}
 	timeout := c.meta.RemainingTimeout
 	c.sinceFirstTry = c.ages.age(c.route.Name, timeout)
 	if timeout <= 0 {
@@ -250,12 +261,12 @@
 	if c.pool.Keyed && c.meta.Key == NoKey {
 		return &statusError{http.StatusBadRequest, "key-missing", 0}
 	}
-	return nil
+	return c.resolveRegions()
 }
 
 // quarantineRequest returns the properties from which the request's fingerprint is computed.
 func (c *call) quarantineRequest() quarantine.Request {
-	caller := c.meta.Caller
+	caller := c.caller()
 	if caller == "" {
 		if host, _, err := net.SplitHostPort(c.r.RemoteAddr); err == nil {
 			caller = host
@@ -387,10 +398,16 @@
 	if e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout {
 		kind = event.RequestFailed
 	}
+	if e.status == http.StatusUnauthorized {
+		kind = event.CredentialRejected
+	}
 	fields := []any{"request", c.meta.ID, "status", e.status, "reason", e.reason, "attempts", c.attempts,
 		"ms", time.Since(c.start).Milliseconds()}
 	if c.route != nil {
-		fields = append(fields, "route", c.route.Name, "left_ms", time.Until(c.deadline).Milliseconds())
+		fields = append(fields, "route", c.route.Name)
+	}
+	if !c.deadline.IsZero() {
+		fields = append(fields, "left_ms", time.Until(c.deadline).Milliseconds())
 	}
 	if c.meta.Key != NoKey {
 		fields = append(fields, "key", c.meta.Key)
--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -49,6 +49,14 @@
 	h.Set("T-Target", target)
 	h.Set("T-Left", strconv.FormatInt(left.Milliseconds(), 10))
 }
+func (testDialect) Credentials(h http.Header) []string { return h.Values("T-Credential") }
+func (testDialect) SetOrganisation(h http.Header, name string) {
+	h.Del("T-Credential")
+	h.Del("T-Organisation")
+	if name != "" {
+		h.Set("T-Organisation", name)
+	}
+}
 func (testDialect) SetResponseID(h http.Header, id string) { h.Set("T-Id", id) }
 func (testDialect) ReadResponse(status int, h http.Header) ResponseMeta {
 	seconds, err := strconv.ParseFloat(h.Get("T-Closed"), 64)
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -51,6 +51,11 @@
 	ReadRequest(h http.Header) (RequestMeta, error)
 	RequestID(h http.Header) string
 	SetRequestHeaders(h http.Header, target string, left time.Duration)
+	// Credentials returns the values of all credential fields of a caller's request.
+	Credentials(h http.Header) []string
+	// SetOrganisation removes all credential and organisation fields from the header of a request to a target, and sets the
+	// organisation that sent the request unless it is empty. It is called only if organisations are configured.
+	SetOrganisation(h http.Header, name string)
 	SetResponseID(h http.Header, id string)
 	ReadResponse(status int, h http.Header) ResponseMeta
 }
--- a/pkg/inventory/configuration.go
+++ b/pkg/inventory/configuration.go
@@ -69,6 +69,9 @@
 	Pools   map[string]*Pool
 	// Organisations holds the organisations by name. It is nil or empty if there are none; then no request needs a credential.
 	Organisations map[string]*Organisation
+	// credentials holds the digests of all credentials under the salt.
+	credentials map[digestPrefix][]credentialHolder
+	salt        []byte
 	// routes maps lower-case host names to their routes, those with longer prefixes first.
 	routes map[string][]*Route
 }
--- a/pkg/inventory/organisation.go
+++ b/pkg/inventory/organisation.go
@@ -12,6 +12,8 @@
 	Rate, Burst float64
 	// HomeRegions are the only regions that may serve the organisation; empty permits all.
 	HomeRegions []string
+	// Credentials is the number of credentials that the organisation has.
+	Credentials int
 }
 
 // AllowsRegion reports whether a region may serve the organisation.
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -31,6 +31,9 @@
 	LeaseVersion uint64 `msgpack:"l"`
 	// StoreAge is the time since the coordinator's last read of the store, in milliseconds.
 	StoreAge int64 `msgpack:"a"`
+	// ConfigurationAgeMs is the time since the sender's newest information about the configuration, in milliseconds, at least 1. It is 0
+	// if the sender doesn't state it; StoreAge then applies.
+	ConfigurationAgeMs int64 `msgpack:"c,omitempty"`
 	// Suspects are the changed records of requests that may crash targets.
 	Suspects []quarantine.Record `msgpack:"q,omitempty"`
 	// Leaving are the targets that have announced in a response that they are shutting down.
