--- a/pkg/entry/revoke.go
+++ b/pkg/entry/configuration_age.go
@@ -26,19 +26,11 @@
 	c.noteConfigurationSeen(now.Add(-time.Duration(age) * time.Millisecond))
 }
 
-// relayedConfigurationAge returns what this VM states in its updates as the age of its configuration. Without StrictRevoke nobody needs
-// it, and 0 takes no space.
+// relayedConfigurationAge returns what this VM states in its updates as the age of its configuration. Without MaxConfigurationAge
+// nobody needs it, and 0 takes no space.
 func (c *Control) relayedConfigurationAge() int64 {
-	if !c.settings.StrictRevoke {
+	if c.settings.MaxConfigurationAge == 0 {
 		return 0
 	}
 	return max(1, c.ConfigurationAge().Milliseconds())
 }
-
-// maxConfigurationAge returns the age of the configuration above which requests that need a credential are refused, 0 if there is none.
-func (s Settings) maxConfigurationAge() time.Duration {
-	if !s.StrictRevoke {
-		return 0
-	}
-	return s.RevokeTime
-}
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -286,7 +286,10 @@
 
 // Run works until the context is done, then closes the relay listener.
 func (c *Control) Run(ctx context.Context, relay net.Listener) {
-	c.ctx, c.startedAt = ctx, c.clock.Now()
+	if c.ctx == nil {
+		c.ctx = ctx
+	}
+	c.startedAt = c.clock.Now()
 	c.nextRead[coordinator.Table] = c.startedAt.Add(firstReadDelay(c.baseElectionDelay()))
 	go c.serveRelay(relay)
 	defer func() { _ = relay.Close() }()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -98,6 +98,8 @@
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var wg sync.WaitGroup
+	// Stop, on this goroutine, must not read the context while Run sets it.
+	p.control.ctx = runCtx
 	wg.Go(func() { p.control.Run(runCtx, listeners.relay) })
 	p.serveInternal(listeners, registry)
 	failed := make(chan error, 1)
@@ -134,7 +136,7 @@
 		Budget: localBudget, Suspects: suspects, Limits: limits,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		ConfigurationAge:         p.control.ConfigurationAge,
-		MaxConfigurationAge:      o.Settings.maxConfigurationAge(),
+		MaxConfigurationAge:      o.Settings.MaxConfigurationAge,
 		MaxBufferedBodyBytes:     int64(float64(o.Settings.MemoryBytes) * requestBodyMemoryShare),
 		MaxBufferedResponseBytes: int64(float64(o.Settings.MemoryBytes) * responseMemoryShare),
 	})
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -35,8 +35,7 @@
 	// MaxConfigApplyTime is the longest time until a change that the store has acknowledged must be in force on every
 	// VM.
 	MaxConfigApplyTime time.Duration
-	// StrictRevoke makes this VM refuse requests that need a credential while its newest information about the configuration
-	// is older than RevokeTime.
-	StrictRevoke bool
-	RevokeTime   time.Duration
+	// MaxConfigurationAge is the age of the newest information about the configuration above which this VM refuses requests
+	// that need a credential, since the credential may have been removed. Zero sets no limit.
+	MaxConfigurationAge time.Duration
 }
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -14,7 +14,7 @@
 	// Body is the beginning of the body. BodyBytes is the length of the whole body, -1 if unknown.
 	Body      []byte
 	BodyBytes int64
-	// Caller is the caller's credential, or its network address if it sends none.
+	// Caller is the caller's organisation, its credential if no organisations are configured, or its network address if it has neither.
 	Caller string
 }
 
