Handle pipelined requests ahead, and disconnect callers that don't read

Cause: net/http handles the requests of a connection one after the other, so that a pipelined request waits for the whole duration of the one before it. It also stops watching for the caller's disconnect as soon as a further request arrives. A caller that reads nothing held its response until its deadline.

Change: accepted connections are wrapped (pkg/ingress/pipeline_conn.go). The wrapper passes requests to net/http one by one and uses net/http's background read to read ahead while a handler runs, so it needs no goroutine or buffer of its own. GET and HEAD requests of idempotent routes behind such requests are begun ahead, at most 8 per connection; the response waits at its header for its turn. Anything unusual ends this for the connection. A request's time counts from its arrival. A stop closes a connection only after what was begun on it has been answered. A write fails after 10 s without progress. A connection that is closed soon after a response is half-closed first and read from for up to 2 s. A response that breaks off resets the caller's connection, so that it doesn't look complete to HTTP/1.0 callers.

Ruled out: an HTTP server of our own; giving net/http all bytes and matching positions by counting; a reading goroutine for each connection. Requests behind one with an unsafe method or a route that isn't idempotent aren't begun ahead (RFC 9112, section 9.3.2).

With recognised bodies ignored, without the permission of the current request and without the half-close the tests fail.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -101,7 +101,7 @@
 	wg.Go(func() { p.control.Run(runCtx, listeners.relay) })
 	p.serveInternal(listeners, registry)
 	failed := make(chan error, 1)
-	go func() { failed <- p.callers.Serve(listeners.callers) }()
+	go func() { failed <- p.callers.Serve(p.handler.WrapListener(listeners.callers)) }()
 	go p.watch(runCtx)
 	select {
 	case <-ctx.Done():
@@ -138,7 +138,7 @@
 	})
 	p.callers = &http.Server{
 		Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: o.Log.HTTPLog(),
-		ConnState: p.idle.track,
+		ConnState: p.idle.track, ConnContext: p.handler.ConnContext,
 	}
 	return p
 }
@@ -255,9 +255,12 @@
 	time.Sleep(time.Until(started.Add(drainAcceptTime)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	// http.Server closes connections after their next response, even if requests behind it are being handled ahead.
+	p.handler.AwaitAhead(ctx)
 	if err := p.callers.Shutdown(ctx); err != nil {
 		p.Log.Emit(event.RouterDrainFailed, "error", err.Error())
 	}
+	p.handler.AwaitCallers(ctx)
 }
 
 // idleConns tracks the connections of callers that have no request in progress.
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -62,5 +62,8 @@
 	TargetLimitWithdrawn = define(854, log.InfoLevel, "target withdrew its rate limit")
 	TargetLimitInvalid   = define(855, log.WarnLevel, "rate limit of a target can't be parsed; an earlier one remains")
 
+	PipelineMismatch = define(860, log.ErrorLevel, "a pipelined request differs from the one that was handled ahead; the result is dropped")
+	CallerStalled    = define(861, log.InfoLevel, "caller doesn't read its response; its connection is closed")
+
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -64,6 +64,8 @@
 	poolSelector  poolSelector
 	ages          ageEstimator
 	heldBodyBytes atomic.Int64
+	// aheadCalls counts the requests that are being handled ahead, and lingering the connections that are closed but still read from.
+	aheadCalls, lingering atomic.Int64
 	// localRuns numbers the attempts that were placed by this VM without the broker.
 	localRuns atomic.Uint64
 	stopping  atomic.Bool
@@ -135,16 +137,34 @@
 	usedConns []*targetconn.Conn
 	// headerWritten is set once a response header may have reached the caller.
 	headerWritten bool
+	// conn is the caller's connection, or nil if it isn't wrapped.
+	conn *callerConn
+	// ahead is not nil if the request is handled before its turn on the connection.
+	ahead *aheadCall
+	// disconnectLogged is set once the caller's disconnect has been logged.
+	disconnectLogged bool
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Handler: h, w: w, r: r, start: time.Now()}
-	if h.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	if c.conn, _ = r.Context().Value(connKey{}).(*callerConn); c.conn != nil {
+		defer c.conn.finish()
+		if ahead := c.conn.take(r); ahead != nil {
+			if ahead.call != nil {
+				ahead.call.deliver(w, r)
+				return
+			}
+			c.start = ahead.arrived
+		}
 	}
+	h.handle(c)
+}
+
+// handle responds to a request.
+func (h *Handler) handle(c *call) {
 	// A nil value keeps net/http from guessing the content type of a target's response.
-	w.Header()["Content-Type"] = nil
+	c.w.Header()["Content-Type"] = nil
 	defer func() {
 		if c.body != nil {
 			c.body.release()
@@ -209,6 +229,9 @@
 	if err := c.resolveRoute(view.Snapshot.Configuration); err != nil {
 		return err
 	}
+	if c.conn != nil && c.ahead == nil && c.route.Idempotent && c.r.ContentLength == 0 && isSafe(c.r.Method) {
+		c.conn.permitAhead()
+	}
 	if err := c.readBody(view.Snapshot.Configuration.Limits); err != nil {
 		return err
 	}
@@ -310,7 +333,7 @@
 func (c *call) forwardResponse(resp *targetResponse) {
 	h := c.w.Header()
 	copyHeaders(h, resp.header)
-	if c.stopping.Load() || resp.rest == nil && c.body.rest != nil {
+	if c.closesConn() || resp.rest == nil && c.body.rest != nil {
 		h.Set("Connection", "close")
 	}
 	if resp.rest == nil && bodyAllowed(c.r.Method, resp.status) {
@@ -341,10 +364,18 @@
 			c.Metrics.recordLimitExceeded()
 		}
 		c.Log.Emit(event.ResponseTruncated, "request", c.meta.ID, "target", c.lastTarget, "error", err.Error())
+		if c.conn != nil {
+			c.conn.abort()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// isSafe reports whether the method is one of the safe methods that callers use (RFC 9110, section 9.2.1).
+func isSafe(method string) bool {
+	return method == http.MethodGet || method == http.MethodHead
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -354,8 +385,10 @@
 	if c.r.Context().Err() != nil {
 		// The context may also have been cancelled because an earlier read from the connection failed, so an error is sent in
 		// any case; otherwise net/http would send a success.
-		c.Metrics.recordDisconnect()
-		c.Log.Emit(event.CallerDisconnected, "request", c.meta.ID, "ms", time.Since(c.start).Milliseconds(), "attempts", c.attempts)
+		if c.ahead != nil && c.ahead.dropped() {
+			panic(http.ErrAbortHandler)
+		}
+		c.logDisconnect()
 		c.w.Header().Set("Connection", "close")
 	}
 	var e *statusError
@@ -369,7 +402,7 @@
 	if e.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.retryAfter.Seconds(), 'f', 3, 64))
 	}
-	if c.stopping.Load() || c.body == nil && c.r.ContentLength != 0 || c.body != nil && c.body.rest != nil {
+	if c.closesConn() || c.body == nil && c.r.ContentLength != 0 || c.body != nil && c.body.rest != nil {
 		h.Set("Connection", "close")
 	}
 	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(writeGrace))
@@ -380,6 +413,16 @@
 	c.logErrorResponse(e)
 }
 
+// logDisconnect logs and counts that the caller has disconnected before its response.
+func (c *call) logDisconnect() {
+	if c.disconnectLogged {
+		return
+	}
+	c.disconnectLogged = true
+	c.Metrics.recordDisconnect()
+	c.Log.Emit(event.CallerDisconnected, "request", c.meta.ID, "ms", time.Since(c.start).Milliseconds(), "attempts", c.attempts)
+}
+
 func (c *call) logErrorResponse(e *statusError) {
 	kind := event.RequestRefused
 	if e.status == http.StatusBadGateway || e.status == http.StatusGatewayTimeout {
--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -190,7 +190,10 @@
 		Budget: placing.NewLocalBudget(0.2, 600, 10*time.Second), Clock: clock.Boottime{}, Log: event.NewLogger(&s.log, log.InfoLevel),
 		Metrics: NewMetrics(tally.NoopScope), RegionOf: regions, MaxBufferedBodyBytes: 8 << 20,
 	})
-	s.Server = httptest.NewServer(s.handler)
+	s.Server = httptest.NewUnstartedServer(s.handler)
+	s.Listener = s.handler.WrapListener(s.Listener)
+	s.Config.ConnContext = s.handler.ConnContext
+	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -85,3 +85,18 @@
 func (m *Metrics) recordLimitExceeded() {
 	m.limitsExceeded.Inc(1)
 }
+
+// recordAhead counts a pipelined request that was read ahead, by whether it was begun before its turn.
+func (m *Metrics) recordAhead(begun bool) {
+	m.scope.Tagged(map[string]string{"begun": strconv.FormatBool(begun)}).Counter("read_ahead").Inc(1)
+}
+
+// recordAheadMismatch counts a request that differs from the one that was handled ahead.
+func (m *Metrics) recordAheadMismatch() {
+	m.scope.Counter("ahead_mismatches").Inc(1)
+}
+
+// recordStalledCaller counts a caller that was disconnected because it didn't read its response.
+func (m *Metrics) recordStalledCaller() {
+	m.scope.Counter("stalled_callers").Inc(1)
+}
