Reject responses that only look complete

Cause: the kernel reports a reset once, to whichever call uses the socket first. If that is the writer of an upload, the reader sees a regular end, and a body that ends with its connection counted as complete. http.ReadResponse also accepts status codes such as 000 and +12, which were taken for informational responses, so that what followed on the connection was taken for the final one. In the other router and in grants, codes up to 999 were passed on, and an informational response to a grant left the final one for the next grant.

Change: targetconn.Conn.ReadResponse rejects codes that aren't from 100 to 599, and a body that ends with its connection fails unless the request was written without an error. Used for responses to requests in both routers and to grants. StrictTransport does the same for releases, the other router's control calls and the store, and closes the connection. Responses from other routers are checked in pkg/peer. An invalid status counts like a response to another request: it doesn't mean that the target is down.

Ruled out: SO_ERROR, which is cleared when the writer reads it; the state of the connection (TCP_INFO), which doesn't tell whether the write failed; a response with a length or chunks stays complete, whatever happens to the write. Truncated JSON of the store was rejected before, since an object that is cut off can't be decoded.

The tests of invalid status codes, of the reset in both routers, and of the store's connection fail without the change.

--- a/pkg/gateway/conn_test.go
+++ b/pkg/gateway/conn_test.go
@@ -376,3 +376,40 @@
 		}
 	}
 }
+
+// Guards against a crafted body that is taken for the answer because the status before it isn't one of HTTP.
+func TestInvalidStatusIsAnError(t *testing.T) {
+	for _, code := range []string{"000", "099", "600"} {
+		s := startScripted(t, func(_ int, c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n", code)
+			answerWith(c, r, "crafted")
+			return true
+		})
+		f := newScriptedFixture(t, s)
+		status, body, err := f.do(within(t, time.Second), newRequest(http.MethodGet, "/a"), "")
+		var refusal *problem.Error
+		if !errors.As(err, &refusal) || refusal.Outcome != problem.Unknown || body != "" {
+			t.Errorf("status %s: %d, %q, %v", code, status, body, err)
+		}
+	}
+}
+
+// Guards against an answer without length that looks complete although its connection was reset while the request was being sent. If
+// the writer of the request gets the reset, the reader sees a regular end.
+func TestResetWhileUploadingIsNoCompleteAnswer(t *testing.T) {
+	// More than the socket buffers hold.
+	upload := strings.Repeat("x", 32<<20)
+	for range 20 {
+		s := startScripted(t, func(_ int, c net.Conn, r *http.Request) bool {
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(2 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		})
+		f := newScriptedFixture(t, s)
+		status, body, err := f.do(within(t, 5*time.Second), newRequest(http.MethodPost, "/a"), upload)
+		if err == nil {
+			t.Errorf("status %d, body %q", status, body)
+		}
+	}
+}
--- a/pkg/gateway/exchange.go
+++ b/pkg/gateway/exchange.go
@@ -107,6 +107,7 @@
 		err = a.conn.Writer.Flush()
 	}
 	a.writeErr = err
+	a.conn.FinishWrite(err)
 	if err == nil {
 		return
 	}
@@ -122,7 +123,7 @@
 
 func (a *attempt) readHead() (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(a.conn.Reader, a.request)
+		response, err := a.conn.ReadResponse(a.request)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/gateway/grants.go
+++ b/pkg/gateway/grants.go
@@ -14,6 +14,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/targetconn"
 	"github.com/bronzelever/bronzelever/pkg/topology"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -76,12 +77,12 @@
 }
 
 func newControlClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: targetconn.StrictTransport{Transport: &http.Transport{
 		MaxConnsPerHost:     reservedConnections,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}}
+	}}}
 }
 
 func decimal(n uint64) string {
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
 const (
@@ -382,7 +383,8 @@
 		ending = placing.Refused
 	case r.outcome == expired || errors.Is(r.cause, context.Canceled) || errors.Is(r.cause, context.DeadlineExceeded):
 		ending = placing.Abandoned
-	case errors.Is(r.cause, errUnsigned) || errors.Is(r.cause, errWrongRequestID) || errors.Is(r.cause, errContentEncoding):
+	case errors.Is(r.cause, errUnsigned) || errors.Is(r.cause, errWrongRequestID) || errors.Is(r.cause, errContentEncoding) ||
+		errors.Is(r.cause, targetconn.ErrInvalidStatus):
 		// A malformed response doesn't mean that the target is down.
 		ending = placing.Abandoned
 		elapsed = 0
--- a/pkg/ingress/faulty_target_test.go
+++ b/pkg/ingress/faulty_target_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -310,3 +311,83 @@
 		}
 	}
 }
+
+// TestInvalidStatusEndsExchange guards against a body that is taken for a response because the status before it was taken for an
+// informational one. A crafted body with the request's ID and a signature reached callers as 200.
+func TestInvalidStatusEndsExchange(t *testing.T) {
+	for _, code := range []string{"000", "099", "+12", "600", "999"} {
+		crafting := func(_ int, r *http.Request, c net.Conn) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s X\r\nT-Id: %s\r\nT-Signed: 1\r\nContent-Length: 0\r\n\r\n", code, r.Header.Get("T-Id"))
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Signed: 1\r\nContent-Length: 7\r\n\r\ncrafted", r.Header.Get("T-Id"))
+		}
+		bad := newScriptedTarget(t, crafting)
+		s := newTestServer(t, bad)
+		for i := range 2 {
+			if resp := s.send(t, "POST", "/order/1", "x"); resp.status != http.StatusBadGateway {
+				t.Errorf("status %s: %+v", code, resp)
+			}
+			if n, connections := bad.count(), bad.connections.Load(); n != i+1 || int(connections) != i+1 {
+				t.Errorf("status %s: %d requests on %d connections, want %d", code, n, connections, i+1)
+			}
+		}
+		good := newScriptedTarget(t, func(_ int, r *http.Request, c net.Conn) { respondOK(r, c) })
+		s = newTestServer(t, newScriptedTarget(t, crafting), good)
+		for range 3 {
+			if resp := s.send(t, "GET", "/read/1", ""); resp.status != http.StatusOK || resp.body != "ok" {
+				t.Errorf("status %s, another target: %+v", code, resp)
+			}
+		}
+	}
+}
+
+// TestResetWhileUploadingIsNoCompleteResponse guards against a response without length that is passed on as complete although the target
+// has reset the connection while the request was still being written. Of 104 such responses, 3 reached the caller as complete.
+func TestResetWhileUploadingIsNoCompleteResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err == nil {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Signed: 1\r\n\r\npart of the body", r.Header.Get("T-Id"))
+					// The response must have been read before the reset, which would discard it.
+					time.Sleep(2 * time.Millisecond)
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}()
+		}
+	}()
+	s := newTestServer(t)
+	// More than the socket buffers hold, so that the writer is still busy when the connection is reset.
+	body := []byte(strings.Repeat("x", 32<<20))
+	var complete atomic.Int32
+	var senders sync.WaitGroup
+	for range 4 {
+		senders.Go(func() {
+			for range 50 {
+				id := fmt.Sprintf("id-%d", s.ids.Add(1))
+				r := s.handler.sender.exchange(t.Context(), "t0", l.Addr().String(), &upstreamRequest{
+					method: "POST", uri: "/order/1", host: "h", header: http.Header{"T-Id": {id}}, id: id,
+					body: &requestBody{buffered: body, length: int64(len(body))},
+				}, time.Now().Add(5*time.Second))
+				if r.outcome == answered {
+					complete.Add(1)
+				}
+				s.handler.sender.discard(r.response)
+			}
+		})
+	}
+	senders.Wait()
+	if n := complete.Load(); n != 0 {
+		t.Errorf("%d of 200 responses that were cut off look complete", n)
+	}
+}
--- a/pkg/ingress/limits.go
+++ b/pkg/ingress/limits.go
@@ -46,7 +46,7 @@
 	c.LimitReads(maxHeaderBytes)
 	defer c.LimitReads(math.MaxInt64)
 	for range maxInformationalResponses + 1 {
-		response, err := http.ReadResponse(c.Reader, &http.Request{Method: method})
+		response, err := c.ReadResponse(&http.Request{Method: method})
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -121,12 +121,17 @@
 	writeDone := make(chan error, 1)
 	r.body.sendStarted = true
 	if r.body.size() >= 0 && r.body.size() <= maxInlineBodyBytes {
-		writeDone <- writeRequest(c, r)
+		err := writeRequest(c, r)
+		c.FinishWrite(err)
+		writeDone <- err
 		return writeDone
 	}
 	go func() {
 		err := errWritePanicked
-		defer func() { writeDone <- err }()
+		defer func() {
+			c.FinishWrite(err)
+			writeDone <- err
+		}()
 		defer s.recoverPanic("request body")
 		err = writeRequest(c, r)
 	}()
--- a/pkg/keygrant/keygrant.go
+++ b/pkg/keygrant/keygrant.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
 const (
@@ -85,10 +86,10 @@
 
 // NewClient returns a client that uses the given dialect.
 func NewClient(dialect Dialect) *Client {
-	return &Client{dialect: dialect, releaseClient: &http.Client{Transport: &http.Transport{
+	return &Client{dialect: dialect, releaseClient: &http.Client{Transport: targetconn.StrictTransport{Transport: &http.Transport{
 		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
-	}}}
+	}}}}
 }
 
 // dial opens a connection that is reset when it is closed. Otherwise the kernel would still deliver a call that was delayed by a
--- a/pkg/keygrant/keygrant_test.go
+++ b/pkg/keygrant/keygrant_test.go
@@ -350,3 +350,67 @@
 		_ = l.Close()
 	}
 }
+
+// serveRaw answers each request on each connection with a text and counts the connections.
+func serveRaw(t *testing.T, answer string) (address string, connections *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	connections = new(atomic.Int32)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String(), connections
+}
+
+// Guards against a status that isn't one of HTTP and is taken for an outcome, and against a connection that is used after it: what follows
+// would be taken for the answer to the next grant.
+func TestInvalidStatusHasUnknownOutcome(t *testing.T) {
+	for _, code := range []string{"000", "099", "600"} {
+		address, connections := serveRaw(t, "HTTP/1.1 "+code+" X\r\nT-Leaving: 1\r\nT-Handover: crafted\r\nContent-Length: 0\r\n\r\n")
+		client, to := NewClient(testDialect{}), Endpoint{ID: "t1", Address: address}
+		client.OnLeaving = func(Endpoint) { t.Errorf("status %s: the header fields were used", code) }
+		for range 2 {
+			if _, err := client.Grant(t.Context(), to, Grant{}, 0); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Errorf("grant answered with status %s: %v", code, err)
+			}
+		}
+		if token, err := client.Release(t.Context(), to, Grant{}); !errors.Is(err, ErrOutcomeUnknown) || token != "" {
+			t.Errorf("release answered with status %s: %q, %v", code, token, err)
+		}
+		if n := connections.Load(); n != 3 {
+			t.Errorf("status %s: %d connections for three calls", code, n)
+		}
+	}
+}
+
+// Guards against an informational response that is taken for the answer to a grant, so that the real one answers the next grant.
+func TestInformationalResponsesPrecedeAnswer(t *testing.T) {
+	address, _ := serveRaw(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+	client, to := NewClient(testDialect{}), Endpoint{ID: "t1", Address: address}
+	for range 2 {
+		if _, err := client.Grant(t.Context(), to, Grant{}, 0); !errors.Is(err, ErrFenced) {
+			t.Errorf("grant: %v", err)
+		}
+	}
+}
--- a/pkg/keygrant/session.go
+++ b/pkg/keygrant/session.go
@@ -12,7 +12,13 @@
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
-var errResponseBodyTooLong = errors.New("the response body is too long")
+var (
+	errResponseBodyTooLong = errors.New("the response body is too long")
+	errNoFinalResponse     = errors.New("the target switched protocols or sent too many informational responses")
+)
+
+// maxInformationalResponses bounds the informational responses that may precede the response to a grant.
+const maxInformationalResponses = 8
 
 // sessions holds one session per target for its grants. Connections are kept open because a new one takes up a slot of the target
 // for a moment.
@@ -141,7 +147,7 @@
 	}
 	s.conn.LimitReads(maxResponseHeaderBytes + maxResponseBodyBytes)
 	defer s.conn.LimitReads(math.MaxInt64)
-	response, err := http.ReadResponse(s.conn.Reader, r)
+	response, err := s.readFinalResponse(r)
 	if err != nil {
 		return nil, err
 	}
@@ -157,3 +163,21 @@
 		return nil, errResponseBodyTooLong
 	}
 }
+
+// readFinalResponse reads the head of a response and skips informational ones. If one of those were taken for the response to a grant, the
+// final one would be taken for that to the next grant.
+func (s *session) readFinalResponse(r *http.Request) (*http.Response, error) {
+	for range maxInformationalResponses + 1 {
+		response, err := s.conn.ReadResponse(r)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, errNoFinalResponse
+}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -410,6 +410,9 @@
 	if head.ID != request.ID {
 		return nil, unknownOutcomeError(ctx, errors.New("the answer belongs to another request"))
 	}
+	if head.Status < http.StatusOK || head.Status > 599 {
+		return nil, unknownOutcomeError(ctx, fmt.Errorf("invalid status code %d", head.Status))
+	}
 	x.length = bodyLength(request, &head)
 	if head.Code != "" {
 		// Read up to the End frame, after which the connection can be reused.
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -50,6 +50,12 @@
 	closeOnce sync.Once
 	// idleSince is when the connection was returned to the pool.
 	idleSince time.Time
+	// accepted counts the bytes that the kernel has accepted over all exchanges.
+	accepted atomic.Int64
+	// requestDone is closed once the request of the exchange has been written or has failed. requestErr is then the error. It is nil if
+	// Begin hasn't been called.
+	requestDone chan struct{}
+	requestErr  error
 	// exchanges is the number of exchanges that were begun.
 	exchanges int
 	// ended is closed once the target can no longer work on an exchange of this connection.
@@ -82,18 +88,20 @@
 	}
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
+	c.accepted.Add(int64(n))
 	if err != nil {
 		c.writeErr = err
 	}
 	return n, err
 }
 
-// Begin prepares the connection for the next exchange. A nil guard permits all writes.
+// Begin prepares the connection for the next exchange. A nil guard permits all writes. FinishWrite must be called once after the request.
 func (c *Conn) Begin(guard func() error) {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	c.written = 0
 	c.guard = guard
+	c.requestDone, c.requestErr = make(chan struct{}), nil
 	c.exchanges++
 }
 
