Send pipelined requests in the soak test

Cause: no soak caller sent a request before the response to the one before.

Change: three callers send groups of 2 to 12 reads at once and check the order and content of the responses; every fifth group is read 300 ms late. Tests that the bytes read ahead stay within 64 KB, and that a stalled upload ends at its deadline.

Ruled out: callers that read nothing for 10 s, since the stand-in's responses fit into the socket buffers.

--- a/internal/soak/checker.go
+++ b/internal/soak/checker.go
@@ -24,6 +24,8 @@
 type exchange struct {
 	id, path string
 	order    bool
+	// noBody is set if the request has no body. Otherwise the body is as long as the ID.
+	noBody bool
 	// vm and generation identify the process that the request was sent to.
 	vm, generation int
 	// version is the configuration version that has the route, 0 if all versions have it.
@@ -139,7 +141,11 @@
 	}
 	switch {
 	case x.status == http.StatusOK:
-		if want := fmt.Sprintf("%s %s %d", x.id, x.path, len(x.id)); x.body != want || !x.signed {
+		bodyBytes := len(x.id)
+		if x.noBody {
+			bodyBytes = 0
+		}
+		if want := fmt.Sprintf("%s %s %d", x.id, x.path, bodyBytes); x.body != want || !x.signed {
 			c.addViolationLocked("request %s gets %q, signed: %v", x.id, x.body, x.signed)
 		}
 	case notRun(x.status):
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -168,6 +168,9 @@
 	for i := range callerCount {
 		group.Go(func() { r.runCaller(loadCtx, i) })
 	}
+	for i := range pipelinerCount {
+		group.Go(func() { r.runPipeliner(loadCtx, i) })
+	}
 	err := r.inject(ctx)
 	r.endAllFaults()
 	if err == nil && wait(ctx, settleTime) {
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -416,3 +416,41 @@
 		}
 	})
 }
+
+// TestReadAheadIsBounded guards against a caller that makes a connection hold any number of requests, and against requests that are lost
+// when no more is read ahead.
+func TestReadAheadIsBounded(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	conns := make(chan *callerConn, 1)
+	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns <- c.(*callerConn)
+		}
+	}
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/read/1")
+	awaitCount(t, target, 1)
+	paths := []string{}
+	for i := range 200 {
+		paths = append(paths, "/read/"+strings.Repeat("x", 400)+strconv.Itoa(i+2)+".")
+	}
+	p.get(paths...)
+	conn := <-conns
+	held := func() int {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.pending)
+	}
+	for deadline := time.Now().Add(5 * time.Second); held() < maxAheadBytes-1 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := held(); n < maxAheadBytes-1 || n > maxAheadBytes {
+		t.Errorf("%d bytes are held, want %d or one that net/http has taken less", n, maxAheadBytes)
+	}
+	close(gate)
+	p.expect("/read/1", false)
+	for _, path := range paths {
+		p.expect(path, false)
+	}
+}
--- a/pkg/ingress/slow_reader_test.go
+++ b/pkg/ingress/slow_reader_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"time"
 )
@@ -63,3 +66,20 @@
 		})
 	}
 }
+
+// TestStalledUploadEndsAtDeadline guards against a caller that stops in the middle of a large body and holds its connection and a megabyte of
+// the body beyond its deadline. net/http interrupts the read of the body when the handler returns, which has to work through callerConn.
+func TestStalledUploadEndsAtDeadline(t *testing.T) {
+	s := newTestServer(t, newScriptedTarget(t, func(_ int, r *http.Request, c net.Conn) { respondOK(r, c) }))
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.methods = []string{"POST", "POST"}
+	_, _ = fmt.Fprintf(p, "POST /order/1 HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Wait: 300\r\nContent-Length: %d\r\n\r\n", 3<<20)
+	_, _ = p.Write(make([]byte, 2<<20))
+	_ = p.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if text, err := p.read(); err != nil || !strings.HasPrefix(text, "504 close=true") {
+		t.Errorf("%q, %v", text, err)
+	}
+	if text, err := p.read(); errors.Is(err, os.ErrDeadlineExceeded) || err == nil {
+		t.Errorf("the connection stays open: %q, %v", text, err)
+	}
+}
