Keep a pipelined connection if a response's turn comes late

Cause: a response that was ready in time, but whose turn on its connection came more than a second after the request's own deadline, met an expired write deadline. The connection broke, and the requests behind it were lost with it.

Change: the write deadline of a response is at least a second from its turn. A response that isn't buffered as a whole, and whose target was cut off at the deadline, is replaced by 504 before its header is written.

Ruled out: bounding the wait for the turn by the request's deadline, since the requests behind would still need their place in the order.

--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -331,6 +331,15 @@
 
 // forwardResponse sends a target's response to the caller.
 func (c *call) forwardResponse(resp *targetResponse) {
+	if c.ahead != nil && resp.rest != nil {
+		c.ahead.awaitTurn()
+		if !time.Now().Before(c.deadline) {
+			// The rest of the body can't be read any more. Writing the part that was read would break the connection for the requests
+			// behind this one.
+			c.respondError(&statusError{http.StatusGatewayTimeout, "deadline", 0})
+			return
+		}
+	}
 	h := c.w.Header()
 	copyHeaders(h, resp.header)
 	if c.closesConn() || resp.rest == nil && c.body.rest != nil {
--- a/pkg/ingress/pipeline.go
+++ b/pkg/ingress/pipeline.go
@@ -84,8 +84,9 @@
 	a.mu.Lock()
 	a.w = w
 	if !a.writeDeadline.IsZero() {
+		// The turn may come after the request's own deadline. A write that fails would break the connection for the requests behind it.
 		// The response writers of tests don't support deadlines.
-		_ = http.NewResponseController(w).SetWriteDeadline(a.writeDeadline)
+		_ = http.NewResponseController(w).SetWriteDeadline(latest(a.writeDeadline, time.Now().Add(writeGrace)))
 	}
 	a.mu.Unlock()
 	close(a.turn)
@@ -95,14 +96,20 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Header implements http.ResponseWriter.
 func (a *aheadCall) Header() http.Header {
 	return a.header
 }
 
-// WriteHeader implements http.ResponseWriter. It waits until the earlier responses have been written. If the result isn't needed any
-// more, it ends the handling.
-func (a *aheadCall) WriteHeader(status int) {
+// awaitTurn waits until the earlier responses have been written. If the result isn't needed any more, it ends the handling.
+func (a *aheadCall) awaitTurn() {
 	select {
 	case <-a.turn:
 	case <-a.ctx.Done():
@@ -113,6 +120,11 @@
 			panic(http.ErrAbortHandler)
 		}
 	}
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *aheadCall) WriteHeader(status int) {
+	a.awaitTurn()
 	if a.conn.handler.stopping.Load() && a.conn.mayClose() {
 		a.header.Set("Connection", "close")
 	}
