--- a/pkg/ingress/handler_test.go
+++ b/pkg/ingress/handler_test.go
@@ -166,6 +166,8 @@
 	handler *Handler
 	ids     atomic.Int64
 	log     logBuffer
+	// conns receives the first connection of a caller.
+	conns chan *callerConn
 }
 
 func newTestServer(t *testing.T, targets ...*scriptedTarget) *testServer {
@@ -190,7 +192,7 @@
 	limits := ratelimit.NewTracker()
 	balancer.UseLimits(limits, "vm")
 	balancer.Update(snapshot, clock.Boottime{}.Now())
-	s := &testServer{state: &fakeState{}}
+	s := &testServer{state: &fakeState{}, conns: make(chan *callerConn, 1)}
 	s.state.view.Store(&View{Snapshot: snapshot, Changed: make(chan struct{}), ReceivedAt: time.Now(),
 		Routes: map[string][]coordinator.Route{"k": {{From: 0, To: 99, Owner: "k0"}, {From: 100, To: 65535, Owner: "k0", Pending: true, ReadyIn: 5000}}}})
 	s.handler = NewHandler(Options{
@@ -198,7 +200,16 @@
 		Budget: placing.NewLocalBudget(0.2, 600, 10*time.Second), Clock: clock.Boottime{}, Log: event.NewLogger(&s.log, log.InfoLevel),
 		Metrics: NewMetrics(tally.NoopScope), RegionOf: regions, MaxBufferedBodyBytes: 8 << 20,
 	})
-	s.Server = httptest.NewServer(s.handler)
+	s.Server = httptest.NewUnstartedServer(s.handler)
+	s.Listener = s.handler.WrapListener(s.Listener)
+	s.Config.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		select {
+		case s.conns <- c.(*callerConn):
+		default:
+		}
+		return s.handler.ConnContext(ctx, c)
+	}
+	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
