Leave room at key owners for short urgent requests

Urgent requests are placed ahead of long ones of the same owner, but the long ones may hold all slots and the extra place when an urgent one arrives.

Cause: each request may take any free place.

Change: in keyed pools with mixed objectives, a less urgent request at least twice as long leaves the owner's extra place free. It also leaves a slot free if the service time until a release plus the urgent kind's own service time is beyond the urgent kind's objective, times the smaller of 1 and the urgent share of the answers times the slots. The forecast for long requests counts with it. Without urgent requests nothing is kept free, and at least one place is left for long requests.

--- a/pkg/inventory/configuration.go
+++ b/pkg/inventory/configuration.go
@@ -67,8 +67,8 @@
 	Pools   map[string]*Pool
 	// routes maps lower-case host names to their routes, those with longer prefixes first.
 	routes map[string][]*Route
-	// mixed holds the pools for which MixedObjectives reports true.
-	mixed map[string]bool
+	// kindObjectives holds the shortest objective of each priority of the pools for which MixedObjectives reports true.
+	kindObjectives map[string]map[int]time.Duration
 }
 
 // NewConfiguration returns a configuration with its routes sorted for Match.
@@ -84,7 +84,7 @@
 	for _, list := range c.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	c.mixed = mixedPools(routes)
+	c.kindObjectives = kindObjectives(routes)
 	return c
 }
 
@@ -92,9 +92,9 @@
 // service time can serve as the estimate for both.
 const mixedObjectiveRatio = 2
 
-// mixedPools returns the pools that have two routes of different priority whose objectives differ by mixedObjectiveRatio or more. Routes
-// of one priority can't be told apart when a request is placed.
-func mixedPools(routes []*Route) map[string]bool {
+// kindObjectives returns the shortest objective of each priority of the pools that have two routes of different priority whose objectives
+// differ by mixedObjectiveRatio or more. Routes of one priority can't be told apart when a request is placed.
+func kindObjectives(routes []*Route) map[string]map[int]time.Duration {
 	byPool := map[string][]*Route{}
 	for _, r := range routes {
 		for _, w := range r.PoolWeights {
@@ -103,21 +103,38 @@
 			}
 		}
 	}
-	mixed := map[string]bool{}
+	mixed := map[string]map[int]time.Duration{}
 	for pool, list := range byPool {
-		for _, a := range list {
-			mixed[pool] = mixed[pool] || slices.ContainsFunc(list, func(b *Route) bool {
-				return a.Priority != b.Priority && a.Objective >= mixedObjectiveRatio*b.Objective
-			})
+		if !differ(list) {
+			continue
+		}
+		mixed[pool] = map[int]time.Duration{}
+		for _, r := range list {
+			if shortest, ok := mixed[pool][r.Priority]; !ok || r.Objective < shortest {
+				mixed[pool][r.Priority] = r.Objective
+			}
 		}
 	}
 	return mixed
 }
 
+func differ(routes []*Route) bool {
+	return slices.ContainsFunc(routes, func(a *Route) bool {
+		return slices.ContainsFunc(routes, func(b *Route) bool {
+			return a.Priority != b.Priority && a.Objective >= mixedObjectiveRatio*b.Objective
+		})
+	})
+}
+
 // MixedObjectives reports whether a pool serves routes of different priorities whose objectives differ by a factor of 2 or more. Their
 // requests are likely to take very different times.
 func (c *Configuration) MixedObjectives(pool string) bool {
-	return c.mixed[pool]
+	return c.kindObjectives[pool] != nil
+}
+
+// KindObjective returns the shortest objective of the routes of one priority of a pool with mixed objectives, 0 if there is none.
+func (c *Configuration) KindObjective(pool string, priority int) time.Duration {
+	return c.kindObjectives[pool][priority]
 }
 
 // Match returns the route of a request with the longest matching path prefix, nil if there is none.
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -189,6 +189,7 @@
 	w.backedOff = b.backoffs.affects(w.vmID, now)
 	b.enqueue(w)
 	ps := b.stateFor(w, now)
+	b.reserve(w, ps, now)
 	latency, reason := b.admissionForecast(w, ps, now)
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.dequeue(w)
@@ -267,7 +268,7 @@
 			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime(w)})
 			continue
 		}
-		if !ps.available || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
+		if !ps.available || b.yields(w, ps, now) || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
 			i++
 			continue
 		}
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -226,16 +226,18 @@
 	if len(ps.targets) == 0 {
 		return infinite, ReasonNoTarget
 	}
-	if ahead < ps.freeSlots || ps.throughput <= 0 {
+	free := w.usableSlots(ps.freeSlots)
+	if ahead < free || ps.throughput <= 0 {
 		return w.scaled(ps.fastest), ReasonOverload
 	}
 	if ps.limited {
-		return w.scaled(ps.fastest) + ps.limitWait + secondsToDuration(float64(ahead-ps.freeSlots)/ps.throughput), ReasonTargetLimit
+		return w.scaled(ps.fastest) + ps.limitWait + secondsToDuration(float64(ahead-free)/ps.throughput), ReasonTargetLimit
 	}
-	wait := 1 / ps.throughput
+	mean := 1.0
 	if ahead > 0 {
-		wait = (float64(ahead-ps.freeSlots)*(work/float64(ahead)) + 1) / ps.throughput
+		mean = work / float64(ahead)
 	}
+	wait := (float64(ahead-free)*mean + 1) / ps.throughput
 	return w.scaled(ps.fastest) + time.Duration(math.Min(wait, infinite.Seconds())*float64(time.Second)), ReasonOverload
 }
 
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -20,6 +20,8 @@
 	objectiveEnd clock.Instant
 	// late means that the objective can no longer be met.
 	late bool
+	// leavesFree is the number of places of the owner that the request leaves to more urgent ones.
+	leavesFree int8
 	// factor is the expected service time relative to the mean of the pool.
 	factor float64
 	// order is the deadline, or the time of arrival if firstCome is set: requests that wait because of a rate limit are served in the
--- a/pkg/placing/retry.go
+++ b/pkg/placing/retry.go
@@ -78,8 +78,13 @@
 // RetryAfter returns when a refused caller should retry: after half of the expected wait, but early enough to be served before
 // its deadline.
 func RetryAfter(expected, left time.Duration) time.Duration {
+	return retryAfter(expected, left, rand.Float64())
+}
+
+// retryAfter is like RetryAfter with a random number from 0 to 1.
+func retryAfter(expected, left time.Duration, random float64) time.Duration {
 	latest := time.Duration(float64(left) * retryDelayShare)
 	base := min(max(expected/2, retryDelayMin), max(latest, retryDelayMin))
-	factor := 1 - retryJitter/2 + retryJitter*rand.Float64()
+	factor := 1 - retryJitter/2 + retryJitter*random
 	return time.Duration(float64(base) * factor)
 }
