Admit by value under overload in pools of mixed objectives

Under bursts of 1.5 to 2 times the capacity, many answers of pools without keys just miss their objective, and urgent requests are refused.

Cause: whether a request can be on time was decided with the service time of the fastest target, the shortest of many averages of few samples. A request that has waited gets any target. And a queue of 512 requests refused every new request, however urgent.

Change: in pools with mixed objectives, and in all pools after Broker.SetValueAdmission(true), which is off by default, a request counts as one that can be on time if 1.25 mean service times fit. A full queue refuses its last request in favour of a more urgent one. Pools of one target (keys) are unchanged.

--- /dev/null
+++ b/pkg/placing/admission.go
@@ -0,0 +1,43 @@
+package placing
+
+import "time"
+
+// onTimeServiceFactor is the part of the mean service time that must be left to the objective when a request is placed for it to count as
+// one that can be answered on time. The service times of one kind differ by about a third.
+const onTimeServiceFactor = 1.25
+
+// SetValueAdmission makes the broker admit requests by the value of their answers under overload in all pools: requests that are unlikely
+// to be answered on time queue behind those that are likely to be, and the last request of a full queue gives way to a more urgent
+// one. It is off by default. Pools with mixed objectives are always served like that.
+func (b *Broker) SetValueAdmission(on bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.valueAdmission = on
+}
+
+func (b *Broker) admitsByValue(pool string) bool {
+	return b.valueAdmission || b.snapshot.Configuration.MixedObjectives(pool)
+}
+
+// onTimeForecast returns the latency that decides whether a new request with the given forecast can be answered on time. A forecast
+// counts with the service time of the fastest target. Of a hundred averages of few samples, the shortest is far below the mean, while a
+// request that has waited gets any target. With the forecast itself, most of the requests that are placed last under overload are late.
+func (b *Broker) onTimeForecast(w *waiter, ps *poolState, latency time.Duration) time.Duration {
+	if len(ps.targets) < 2 || ps.throughput <= 0 || latency == infinite || !b.admitsByValue(w.Pool) {
+		return latency
+	}
+	mean := secondsToDuration(onTimeServiceFactor * float64(ps.slots) / ps.throughput)
+	return latency + time.Duration(forecastMargin*float64(max(0, w.scaled(mean-ps.fastest))))
+}
+
+// makeRoom refuses the last request of a queue that is full, so that a new one ahead of it can wait.
+func (b *Broker) makeRoom(w *waiter, ps *poolState) {
+	queue := b.queues[w.queue]
+	if len(queue) <= maxQueueLength || !b.admitsByValue(w.Pool) {
+		return
+	}
+	if last := queue[len(queue)-1]; last != w {
+		latency, reason := ps.forecast(last, len(queue)-1, workAhead(queue, len(queue)-1))
+		b.resolve(last, ps.refusal(last, latency, reason))
+	}
+}
--- /dev/null
+++ b/pkg/placing/admission_test.go
@@ -0,0 +1,34 @@
+package placing
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against urgent requests that are refused under overload because a long queue of less urgent ones is full, and against requests
+// that are held until their deadline without an attempt.
+func TestUrgentRequestsAreAdmittedUnderOverload(t *testing.T) {
+	value, kinds := playSeeds(vaultSpec, func(s *replaySpec) { s.rate, s.duration = bursts(3), 8*time.Second })
+	t.Logf("value %.0f; %v; %v", value, kinds[0], kinds[1])
+	if urgent := kinds[0]; urgent.share(urgent.refused) > 0.01 || urgent.share(urgent.onTime) < 0.95 {
+		t.Errorf("urgent requests beside too many others: %v", urgent)
+	}
+	if kinds[0].held+kinds[1].held > 0 {
+		t.Errorf("requests are held until their deadline: %v; %v", kinds[0], kinds[1])
+	}
+}
+
+// Guards against overload in which many answers just miss their objective. The value with admission by value must be higher than without.
+func TestValueAdmissionEarnsMore(t *testing.T) {
+	overload := func(s *replaySpec) { s.rate = bursts(4) }
+	before, kinds := playSeeds(stockSpec, overload)
+	t.Logf("without: %.0f; %v", before, kinds[0])
+	after, kinds := playSeeds(stockSpec, func(s *replaySpec) {
+		overload(s)
+		s.configure = func(b *Broker) { b.SetValueAdmission(true) }
+	})
+	t.Logf("with: %.0f; %v", after, kinds[0])
+	if after <= before || kinds[0].held > 0 {
+		t.Errorf("with admission by value, answers earn %.0f instead of %.0f, %d are held until their deadline", after, before, kinds[0].held)
+	}
+}
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -112,6 +112,8 @@
 	suspects      *quarantine.Tracker
 	onKeyUsed     func(pool string, key int)
 	kinds         kinds
+	// valueAdmission is set by SetValueAdmission.
+	valueAdmission bool
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -191,6 +193,9 @@
 	ps := b.stateFor(w, now)
 	b.reserve(w, ps, now)
 	latency, reason := b.admissionForecast(w, ps, now)
+	if latency <= b.maxLatency(w, ps, now) {
+		b.makeRoom(w, ps)
+	}
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.dequeue(w)
 		b.noteLimitRefusal(w.queue, reason, now)
@@ -217,7 +222,7 @@
 		b.requeue(w)
 	}
 	latency, reason := b.forecastWithMargin(w, ps)
-	if !w.late && latency > w.Objective {
+	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
 		w.late = true
 		b.requeue(w)
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -20,6 +20,8 @@
 	fastest    time.Duration
 	freeSlots  int
 	throughput float64
+	// slots is the number of slots of the targets that aren't cold.
+	slots int
 	// limited reports whether rate limits, not slots, determine how many requests the targets can get. limitWait is the time until one
 	// of the limits permits another request.
 	limited   bool
@@ -99,6 +101,7 @@
 			service += blocked
 		}
 		ps.throughput += limit.capRate(float64(l.target.Slots)/service.Seconds(), b.share)
+		ps.slots += l.target.Slots
 		ps.freeSlots += limit.capSlots(max(0, l.target.Slots-l.busy(now)))
 		ps.available = ps.available || blocked <= 0 && hasSlot
 		ps.fastest = min(ps.fastest, service)
--- a/pkg/placing/replay_test.go
+++ b/pkg/placing/replay_test.go
@@ -277,3 +277,28 @@
 		{name: "browse", priority: 2, perTarget: 416.0 / 165, work: 520 * ms, objective: 1500 * ms, deadline: 4 * time.Second, onTimeValue: 1, lateValue: 0.3, retries: 1},
 	}}
 }
+
+// stockSpec is the load of the pool "stock" of the deployment "members".
+func stockSpec(seed uint64) replaySpec {
+	return replaySpec{targets: 30, slots: 2, duration: 24 * time.Second, seed: seed, kinds: []replayKind{
+		{name: "lookup", priority: 1, perTarget: 790.0 / 112, work: 120 * ms, objective: 500 * ms, deadline: 3 * time.Second, onTimeValue: 1, lateValue: 0.52, retries: 2},
+	}}
+}
+
+// vaultSpec is the load of the pool "vault" of the deployment "transcripts" with 40% of the requests "search" of the pool "finder".
+func vaultSpec(seed uint64) replaySpec {
+	return replaySpec{targets: 60, slots: 4, unequal: true, duration: 24 * time.Second, seed: seed, kinds: []replayKind{
+		{name: "search", priority: 0, perTarget: 120.0 / 126, work: 82 * ms, objective: 300 * ms, deadline: time.Second, onTimeValue: 2, lateValue: 0.6, retries: 1},
+		{name: "archive", priority: 2, perTarget: 889.0 / 126, work: 200 * ms, objective: 800 * ms, deadline: 2 * time.Second, onTimeValue: 1, lateValue: 0.3, retries: 1},
+	}}
+}
+
+// bursts multiplies the rate by the given factor for 4 s of each 20 s.
+func bursts(factor float64) func(time.Duration) float64 {
+	return func(t time.Duration) float64 {
+		if t%(20*time.Second) < 4*time.Second {
+			return factor
+		}
+		return 1
+	}
+}
