Record forecast errors by kind, and judge refusals by what happened

How far forecasts are off was visible nowhere, and whether a refusal was right could not be told.

Change: the broker records the time until an answer minus the forecast at admission as a histogram for each priority below 8 and one for the rest. It costs no memory for each request, as the forecast is kept in padding. TestRefusalsAreRight judges first refusals of urgent requests in the replay: one is wrong if a slot of the owner was then idle for as long as the request takes, in time for its deadline.

Owners of keys in pools with mixed objectives now admit requests that are expected to be answered within 0.8 of their remaining time instead of 0.5, as a refused caller can only come back to the same owner.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -129,6 +129,7 @@
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
+	p.control.placer.broker.RecordForecastErrors(registry.Scope())
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
 		Budget: localBudget, Suspects: suspects, Limits: limits,
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -83,7 +83,9 @@
 	target      string
 	incarnation inventory.Incarnation
 	rank        kindRank
-	start, end  clock.Instant
+	// forecastLeftMs is the part of the forecast at admission that remained at start.
+	forecastLeftMs int32
+	start, end     clock.Instant
 }
 
 // Broker places the requests of all VMs with exact knowledge of each target's free slots. VMs that place requests independently
@@ -112,6 +114,8 @@
 	suspects      *quarantine.Tracker
 	onKeyUsed     func(pool string, key int)
 	kinds         kinds
+	// forecastErrors is nil unless RecordForecastErrors was called.
+	forecastErrors *forecastErrors
 	// valueAdmission is set by SetValueAdmission.
 	valueAdmission bool
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
@@ -202,6 +206,7 @@
 		reply(ps.refusal(w, latency, reason))
 		return
 	}
+	w.setForecast(latency)
 	b.waiting[requestID{a.VM, a.Seq}] = w
 	cache := stateCache{b: b, now: now}
 	if !w.needsOwnState() && !w.backedOff {
@@ -233,7 +238,7 @@
 
 // maxLatency returns the forecast above which a new request is refused.
 func (b *Broker) maxLatency(w *waiter, ps *poolState, now clock.Instant) time.Duration {
-	latency := time.Duration(maxWaitShare * float64(w.TimeLeft))
+	latency := time.Duration(b.maxWaitShare(w) * float64(w.TimeLeft))
 	if ps.limited && b.limitContended(w.queue, now) {
 		// What a late request takes of the limit, one that could meet its objective would be refused for.
 		return min(latency, w.Objective)
@@ -364,7 +369,7 @@
 		l.limit.tokens--
 	}
 	l.inFlight++
-	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), rank: rankOf(w.Priority), start: now, end: w.deadline.Add(permitGrace)}
+	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
 }
@@ -426,6 +431,7 @@
 	p, ok := b.permits[requestID{vm, seq}]
 	if ok {
 		b.recordRateLimit(p, result, report, now)
+		b.recordForecastError(p, result, now)
 	}
 	if l := b.releasePermit(requestID{vm, seq}); l != nil {
 		if report != nil && report.ClosedFor > 0 {
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -22,6 +22,8 @@
 	late bool
 	// leavesFree is the number of places of the owner that the request leaves to more urgent ones.
 	leavesFree int8
+	// forecastMs is the forecast at admission.
+	forecastMs int32
 	// factor is the expected service time relative to the mean of the pool.
 	factor float64
 	// order is the deadline, or the time of arrival if firstCome is set: requests that wait because of a rate limit are served in the
