--- a/pkg/placing/kind.go
+++ b/pkg/placing/kind.go
@@ -32,6 +32,7 @@
 
 // kindEstimate is what is known about one kind of request of a pool.
 type kindEstimate struct {
+	rank kindRank
 	// work is the mean service time relative to the service time of the target.
 	work    float64
 	samples int
@@ -41,37 +42,42 @@
 
 // poolKinds estimates how long the kinds of requests of one pool take, relative to the mean of all its requests.
 type poolKinds struct {
-	byRank  map[kindRank]*kindEstimate
+	// list holds the kinds that were answered. A pool has few.
+	list    []*kindEstimate
 	samples int
+	// mean is the mean work of the pool's requests, by which the work of each kind is divided.
+	mean float64
 }
 
-// mean returns the mean work of the pool's requests, by which the work of each kind is divided.
-func (p *poolKinds) mean() float64 {
-	sum, weight := 0.0, 0.0
-	for _, k := range p.byRank {
-		sum += k.share * k.work
-		weight += k.share
-	}
-	if weight <= 0 {
-		return 1
+func (p *poolKinds) find(rank kindRank) *kindEstimate {
+	for _, k := range p.list {
+		if k.rank == rank {
+			return k
+		}
 	}
-	return sum / weight
+	return nil
 }
 
 // factor returns the service time of a kind relative to the mean of the pool: 1 for a kind that isn't known, and for the only one.
 func (p *poolKinds) factor(rank kindRank) float64 {
-	if p == nil || len(p.byRank) < 2 || p.byRank[rank] == nil {
+	if p == nil || len(p.list) < 2 {
 		return 1
 	}
-	return p.byRank[rank].work / p.mean()
+	if k := p.find(rank); k != nil {
+		return k.work / p.mean
+	}
+	return 1
 }
 
 // record adds the service time of an answered request relative to the service time of its target.
 func (p *poolKinds) record(rank kindRank, relative float64) {
-	k := p.byRank[rank]
+	k := p.find(rank)
 	if k == nil {
-		k = &kindEstimate{work: p.mean()}
-		p.byRank[rank] = k
+		k = &kindEstimate{rank: rank, work: 1}
+		if len(p.list) > 0 {
+			k.work = p.mean
+		}
+		p.list = append(p.list, k)
 	}
 	bound := 1.0
 	if k.samples < kindLearningSamples {
@@ -83,10 +89,20 @@
 	k.work += max(kindWeight, 1/float64(k.samples+1)) * (relative - k.work)
 	p.samples++
 	weight := max(kindShareWeight, 1/float64(p.samples))
-	for _, other := range p.byRank {
+	for _, other := range p.list {
 		other.share -= weight * other.share
 	}
 	k.share += weight
+	p.updateMean()
+}
+
+func (p *poolKinds) updateMean() {
+	sum, weight := 0.0, 0.0
+	for _, k := range p.list {
+		sum += k.share * k.work
+		weight += k.share
+	}
+	p.mean = sum / weight
 }
 
 // kinds holds the estimates of all pools that serve requests with clearly different objectives. In other pools one service time for all
@@ -100,7 +116,7 @@
 	}
 	p := b.kinds[pool]
 	if p == nil {
-		p = &poolKinds{byRank: map[kindRank]*kindEstimate{}}
+		p = &poolKinds{}
 		b.kinds[pool] = p
 	}
 	return p
--- a/pkg/placing/reserve.go
+++ b/pkg/placing/reserve.go
@@ -23,19 +23,23 @@
 		return
 	}
 	pool, rank, l := b.kindsOf(w.Pool), rankOf(w.Priority), ps.targets[0]
-	if pool == nil || pool.byRank[rank] == nil {
+	if pool == nil {
+		return
+	}
+	own := pool.find(rank)
+	if own == nil {
 		return
 	}
 	slots := float64(l.target.Slots)
 	service := l.serviceTime.Seconds() * l.currentSlowdown(now)
-	for urgent, k := range pool.byRank {
-		if urgent >= rank || k.share < minUrgentShare || k.work*shortWorkRatio > pool.byRank[rank].work {
+	for _, urgent := range pool.list {
+		if urgent.rank >= rank || urgent.share < minUrgentShare || urgent.work*shortWorkRatio > own.work {
 			continue
 		}
 		w.leavesFree = max(w.leavesFree, keyedExtraSlots)
-		latency := service * (pool.factor(rank)/slots + pool.factor(urgent))
-		objective := b.snapshot.Configuration.KindObjective(w.Pool, int(urgent))
-		if objective > 0 && latency*min(1, k.share*slots) > objective.Seconds() {
+		latency := service * (pool.factor(rank)/slots + pool.factor(urgent.rank))
+		objective := b.snapshot.Configuration.KindObjective(w.Pool, int(urgent.rank))
+		if objective > 0 && latency*min(1, urgent.share*slots) > objective.Seconds() {
 			w.leavesFree = keyedExtraSlots + 1
 		}
 	}
