--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -84,7 +84,10 @@
 type permit struct {
 	target      string
 	incarnation inventory.Incarnation
-	start, end  clock.Instant
+	rank        kindRank
+	// forecastLeftMs is the part of the forecast at admission that remained at start.
+	forecastLeftMs int32
+	start, end     clock.Instant
 }
 
 // Broker places the requests of all VMs with exact knowledge of each target's free slots. VMs that place requests independently
@@ -112,6 +115,11 @@
 	budget        *RetryBudget
 	suspects      *quarantine.Tracker
 	onKeyUsed     func(pool string, key int)
+	kinds         kinds
+	// forecastErrors is nil unless RecordForecastErrors was called.
+	forecastErrors *forecastErrors
+	// valueAdmission is set by SetValueAdmission.
+	valueAdmission bool
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -123,7 +131,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
-		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{},
+		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
 	}
 }
 
@@ -137,6 +145,7 @@
 	}
 	updateLoads(b.loads, s, now)
 	b.limits.version = 0
+	b.pruneKinds()
 	for _, w := range b.waiting {
 		b.requeue(w)
 	}
@@ -153,7 +162,7 @@
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets = nil, map[string]*tokenBucket{}
-	b.loads, b.targetSets = map[string]*load{}, map[targetSetID][]*load{}
+	b.loads, b.targetSets, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, kinds{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
 	b.backoffs = newBackoffs()
@@ -182,18 +191,24 @@
 		return
 	}
 	w := &waiter{PlacementRequest: a, deadline: now.Add(a.TimeLeft), order: now.Add(a.TimeLeft), objectiveEnd: now.Add(a.Objective), reply: reply, regionsKey: joinRegions(a.AllowedRegions)}
+	w.factor = b.kindsOf(w.Pool).factor(rankOf(w.Priority))
 	w.suspected = verdict == quarantine.Suspected
 	w.vmID = vmIDOf(w.VM)
 	w.backedOff = b.backoffs.affects(w.vmID, now)
 	b.enqueue(w)
 	ps := b.stateFor(w, now)
+	b.reserve(w, ps, now)
 	latency, reason := b.admissionForecast(w, ps, now)
+	if latency <= b.maxLatency(w, ps, now) {
+		b.makeRoom(w, ps)
+	}
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.dequeue(w)
 		b.noteLimitRefusal(w.queue, reason, now)
-		reply(ps.refusal(latency, reason))
+		reply(ps.refusal(w, latency, reason))
 		return
 	}
+	w.setForecast(latency)
 	b.waiting[requestID{a.VM, a.Seq}] = w
 	cache := stateCache{b: b, now: now}
 	if !w.needsOwnState() && !w.backedOff {
@@ -209,12 +224,12 @@
 		b.requeue(w)
 		return b.forecastWithMargin(w, ps)
 	}
-	if now.Add(ps.minUsefulTime()) > w.objectiveEnd {
+	if now.Add(ps.minUsefulTime(w)) > w.objectiveEnd {
 		w.late = true
 		b.requeue(w)
 	}
 	latency, reason := b.forecastWithMargin(w, ps)
-	if !w.late && latency > w.Objective {
+	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
 		w.late = true
 		b.requeue(w)
@@ -225,7 +240,7 @@
 
 // maxLatency returns the forecast above which a new request is refused.
 func (b *Broker) maxLatency(w *waiter, ps *poolState, now clock.Instant) time.Duration {
-	latency := time.Duration(maxWaitShare * float64(w.TimeLeft))
+	latency := time.Duration(b.maxWaitShare(w) * float64(w.TimeLeft))
 	if ps.limited && b.limitContended(w.queue, now) {
 		// What a late request takes of the limit, one that could meet its objective would be refused for.
 		return min(latency, w.Objective)
@@ -261,11 +276,11 @@
 		w.suspected = verdict == quarantine.Suspected
 		w.backedOff = b.backoffs.affects(w.vmID, now)
 		ps := cache.get(w)
-		if left := w.deadline.Sub(now); left < ps.minUsefulTime() {
-			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime()})
+		if left := w.deadline.Sub(now); left < ps.minUsefulTime(w) {
+			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime(w)})
 			continue
 		}
-		if !ps.available || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
+		if !ps.available || b.yields(w, ps, now) || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
 			i++
 			continue
 		}
@@ -275,7 +290,7 @@
 			ps = b.stateFor(w, now)
 			c = b.bestCandidate(w, ps, now)
 		}
-		if c.load == nil || !c.betterThanWaiting(w, ps, i) {
+		if c.load == nil || !c.betterThanWaiting(w, ps, b.queues[id][:i]) {
 			i++
 			continue
 		}
@@ -294,14 +309,14 @@
 	fastest time.Duration
 }
 
-// betterThanWaiting reports whether a request with the given number of others ahead of it should take the free target now. A slow
+// betterThanWaiting reports whether a request with the given others ahead of it should take the free target now. A slow
 // target is taken only by requests that would wait even longer for another one. Each request decides for itself: when the whole
 // queue waited behind a first request that declined, slow targets stayed idle.
-func (c candidate) betterThanWaiting(w *waiter, ps *poolState, ahead int) bool {
+func (c candidate) betterThanWaiting(w *waiter, ps *poolState, ahead []*waiter) bool {
 	if c.score <= slowTargetFactor*c.fastest {
 		return true
 	}
-	wait, _ := ps.forecast(w, ahead)
+	wait, _ := ps.forecast(w, len(ahead), workAhead(ahead, len(ahead)))
 	return c.score <= wait
 }
 
@@ -312,11 +327,11 @@
 	for i := range ps.domains {
 		d := &ps.domains[i]
 		penalty := distancePenalty(b.regionOf, w.Domain, w.Region, d.name, w.BodyBytes)
-		best.fastest = min(best.fastest, d.minLatency+penalty)
+		best.fastest = min(best.fastest, w.scaled(d.minLatency)+penalty)
 		if d.freeTarget == nil {
 			continue
 		}
-		score := d.freeLatency + penalty
+		score := w.scaled(d.freeLatency) + penalty
 		if rank := score + localityPenalty(b.regionOf, w.Domain, w.Region, d.name, objective); rank < best.rank {
 			best.load, best.rank, best.score = d.freeTarget, rank, score
 		}
@@ -356,9 +371,9 @@
 		l.limit.tokens--
 	}
 	l.inFlight++
-	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), start: now, end: w.deadline.Add(permitGrace)}
+	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
-	b.resolve(w, Decision{Target: l.target.ID, Expected: l.expectedLatency(now)})
+	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
 }
 
 // resolve removes a request from its queue and replies to it.
@@ -415,14 +430,16 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.suspects.End(quarantine.RunID{VM: vm, Seq: seq}, result.QuarantineOutcome(), now)
-	if p, ok := b.permits[requestID{vm, seq}]; ok {
+	p, ok := b.permits[requestID{vm, seq}]
+	if ok {
 		b.recordRateLimit(p, result, report, now)
+		b.recordForecastError(p, result, now)
 	}
 	if l := b.releasePermit(requestID{vm, seq}); l != nil {
 		if report != nil && report.ClosedFor > 0 {
 			b.backoffs.add(l.target.Incarnation(), vmIDOf(vm), now.Add(report.ClosedFor), l.inFlight, now)
 		}
-		l.recordResult(elapsed, result, report, now)
+		b.recordEnd(p, l, elapsed, result, report, now)
 		b.dispatchTarget(l, now)
 	}
 }
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -20,6 +20,8 @@
 	fastest    time.Duration
 	freeSlots  int
 	throughput float64
+	// slots is the number of slots of the targets that aren't cold.
+	slots int
 	// limited reports whether rate limits, not slots, determine how many requests the targets can get. limitWait is the time until one
 	// of the limits permits another request.
 	limited   bool
@@ -99,6 +101,7 @@
 			service += blocked
 		}
 		ps.throughput += limit.capRate(float64(l.target.Slots)/service.Seconds(), b.share)
+		ps.slots += l.target.Slots
 		ps.freeSlots += limit.capSlots(max(0, l.target.Slots-l.busy(now)))
 		ps.available = ps.available || blocked <= 0 && hasSlot
 		ps.fastest = min(ps.fastest, service)
@@ -106,12 +109,12 @@
 	return ps
 }
 
-// minUsefulTime is the minimum time before the deadline at which a request is worth sending.
-func (ps *poolState) minUsefulTime() time.Duration {
+// minUsefulTime is the minimum time before its deadline at which a request is worth sending.
+func (ps *poolState) minUsefulTime(w *waiter) time.Duration {
 	if ps.minServiceTime == infinite {
-		return time.Duration(minServiceShare * float64(initialServiceTime))
+		return w.scaled(time.Duration(minServiceShare * float64(initialServiceTime)))
 	}
-	return time.Duration(minServiceShare * float64(ps.minServiceTime))
+	return w.scaled(time.Duration(minServiceShare * float64(ps.minServiceTime)))
 }
 
 // addTarget adds a target with its expected latency to its failure domain.
@@ -217,29 +220,35 @@
 	return len(w.AllowedRegions) == 0 || slices.Contains(w.AllowedRegions, b.regionOf[l.target.Domain])
 }
 
-// forecast estimates the time until a request is answered that has the given number of others ahead of it.
-func (ps *poolState) forecast(w *waiter, ahead int) (time.Duration, Reason) {
+// forecast estimates the time until a request is answered that has the given number of others ahead of it, with the given work, 1 being
+// a request with the mean service time.
+func (ps *poolState) forecast(w *waiter, ahead int, work float64) (time.Duration, Reason) {
 	if w.owner.Pending {
 		return w.owner.Wait + initialServiceTime, ReasonKeyPending
 	}
 	if len(ps.targets) == 0 {
 		return infinite, ReasonNoTarget
 	}
-	if ahead < ps.freeSlots || ps.throughput <= 0 {
-		return ps.fastest, ReasonOverload
+	free := w.usableSlots(ps.freeSlots)
+	if ahead < free || ps.throughput <= 0 {
+		return w.scaled(ps.fastest), ReasonOverload
 	}
 	if ps.limited {
-		return ps.fastest + ps.limitWait + secondsToDuration(float64(ahead-ps.freeSlots)/ps.throughput), ReasonTargetLimit
+		return w.scaled(ps.fastest) + ps.limitWait + secondsToDuration(float64(ahead-free)/ps.throughput), ReasonTargetLimit
 	}
-	wait := float64(ahead+1-ps.freeSlots) / ps.throughput
-	return ps.fastest + time.Duration(math.Min(wait, infinite.Seconds())*float64(time.Second)), ReasonOverload
+	mean := 1.0
+	if ahead > 0 {
+		mean = work / float64(ahead)
+	}
+	wait := (float64(ahead-free)*mean + 1) / ps.throughput
+	return w.scaled(ps.fastest) + time.Duration(math.Min(wait, infinite.Seconds())*float64(time.Second)), ReasonOverload
 }
 
 // refusal returns the decision for a request that is forecast to be answered too late.
-func (ps *poolState) refusal(latency time.Duration, reason Reason) Decision {
+func (ps *poolState) refusal(w *waiter, latency time.Duration, reason Reason) Decision {
 	if reason == ReasonTargetLimit {
 		// The caller needs to know when there is room for its request, not when it would be answered.
-		latency -= ps.fastest
+		latency -= w.scaled(ps.fastest)
 	}
 	return Decision{Reason: reason, Expected: latency}
 }
