Distinguish kinds only if each takes a part of the pool's work

Cause: operators send fast requests to new routes, with priority 0 and an objective of 1 s. On deployments with objectives of 0.25 or 0.5 s these routes made a pool count as mixed, although all other requests on it are alike, and the forecasts of those became longer.

Change: the estimates are learned in pools with clearly different objectives, and used, as are the reserve and admission by value, only while two such kinds take 3% of the work of the latest answers each.

Ruled out: the share of the requests, since short urgent ones may be as few as the operators' are in small deployments; names of routes.

Measured: one request of eight with 3% of the usual work is not distinguished, with three times the work it is (test).

--- a/pkg/inventory/configuration.go
+++ b/pkg/inventory/configuration.go
@@ -128,7 +128,7 @@
 func differ(routes []*Route) bool {
 	return slices.ContainsFunc(routes, func(a *Route) bool {
 		return slices.ContainsFunc(routes, func(b *Route) bool {
-			return a.Priority != b.Priority && a.Objective >= mixedObjectiveRatio*b.Objective
+			return a.Priority != b.Priority && ObjectivesDiffer(a.Objective, b.Objective)
 		})
 	})
 }
@@ -139,9 +139,14 @@
 	return c.kindObjectives[pool] != nil
 }
 
-// KindObjective returns the shortest objective of the routes of one priority of a pool with mixed objectives, 0 if there is none.
-func (c *Configuration) KindObjective(pool string, priority int) time.Duration {
-	return c.kindObjectives[pool][priority]
+// KindObjectives returns the shortest objective of the routes of each priority of a pool with mixed objectives.
+func (c *Configuration) KindObjectives(pool string) map[int]time.Duration {
+	return c.kindObjectives[pool]
+}
+
+// ObjectivesDiffer reports whether two objectives differ by a factor of 2 or more. An objective of 0 is none, which differs from no other.
+func ObjectivesDiffer(a, b time.Duration) bool {
+	return min(a, b) > 0 && max(a, b) >= mixedObjectiveRatio*min(a, b)
 }
 
 // Match returns the route of a request with the longest matching path prefix, nil if there is none.
--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -6,13 +6,13 @@
 // one that can be answered on time. The service times of one kind differ by about a third.
 const onTimeServiceFactor = 1.25
 
-// ownerMaxWaitShare takes the place of maxWaitShare for owners of keys in pools with mixed objectives. A caller that is refused early can
+// ownerMaxWaitShare takes the place of maxWaitShare for owners of keys in pools whose kinds of requests are distinguished. A caller that is refused early can
 // only come back to the same owner, and forecasts by kind are accurate enough to use more of the remaining time.
 const ownerMaxWaitShare = 0.8
 
 // maxWaitShare returns the part of its remaining time within which a new request must be expected to be answered.
 func (b *Broker) maxWaitShare(w *waiter) float64 {
-	if b.keyed(w.Pool) && b.snapshot.Configuration.MixedObjectives(w.Pool) {
+	if b.keyed(w.Pool) && b.distinguishesKinds(w.Pool) {
 		return ownerMaxWaitShare
 	}
 	return maxWaitShare
@@ -20,7 +20,7 @@
 
 // SetValueAdmission makes the broker admit requests by the value of their answers under overload in all pools: requests that are unlikely
 // to be answered on time queue behind those that are likely to be, and the last request of a full queue gives way to a more urgent
-// one. It is off by default. Pools with mixed objectives are always served like that.
+// one. It is off by default. Pools whose kinds of requests are distinguished are always served like that.
 func (b *Broker) SetValueAdmission(on bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -28,7 +28,7 @@
 }
 
 func (b *Broker) admitsByValue(pool string) bool {
-	return b.valueAdmission || b.snapshot.Configuration.MixedObjectives(pool)
+	return b.valueAdmission || b.distinguishesKinds(pool)
 }
 
 // onTimeForecast returns the latency that decides whether a new request with the given forecast can be answered on time. A forecast
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -145,7 +145,7 @@
 	}
 	updateLoads(b.loads, s, now)
 	b.limits.version = 0
-	b.pruneKinds()
+	b.updateKinds()
 	for _, w := range b.waiting {
 		b.requeue(w)
 	}
--- a/pkg/placing/kind.go
+++ b/pkg/placing/kind.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 const (
@@ -19,6 +20,13 @@
 	// since the estimate is still close to the prior.
 	kindLearningSamples = 8
 	kindLearningBound   = 5
+	// minWorkShare is the part of the work of a pool that each of two kinds must take for the kinds to be distinguished, and
+	// minWorkShareKept the part from which on they remain so. Operators send fast requests with an objective of their own to new
+	// routes: in small deployments a tenth of all requests, but less than 1% of the work. Distinguishing them made the forecasts of all
+	// others longer, and more were refused.
+	minWorkShare, minWorkShareKept = 0.03, 0.015
+	// minPoolSamples is the number of answers of a pool before which its kinds aren't distinguished.
+	minPoolSamples = 10
 	// kindRankMask selects the priority of the route in the priority of a request. Above it is the priority of the organisation.
 	kindRankMask = 0xff
 )
@@ -47,6 +55,36 @@
 	samples int
 	// mean is the mean work of the pool's requests, by which the work of each kind is divided.
 	mean float64
+	// objectives holds the shortest objective of each kind in the configuration.
+	objectives map[kindRank]time.Duration
+	// distinguished reports whether the estimates are used. Until then the pool is served with one service time for all requests.
+	distinguished bool
+}
+
+func (p *poolKinds) setObjectives(byPriority map[int]time.Duration) {
+	p.objectives = make(map[kindRank]time.Duration, len(byPriority))
+	for priority, objective := range byPriority {
+		p.objectives[rankOf(priority)] = objective
+	}
+}
+
+// updateDistinguished determines whether two kinds with clearly different objectives take a part of the pool's work each.
+func (p *poolKinds) updateDistinguished() {
+	threshold := minWorkShare
+	if p.distinguished {
+		threshold = minWorkShareKept
+	}
+	p.distinguished = false
+	if p.samples < minPoolSamples {
+		return
+	}
+	for i, a := range p.list {
+		for _, b := range p.list[:i] {
+			if min(a.share*a.work, b.share*b.work) >= threshold*p.mean && inventory.ObjectivesDiffer(p.objectives[a.rank], p.objectives[b.rank]) {
+				p.distinguished = true
+			}
+		}
+	}
 }
 
 func (p *poolKinds) find(rank kindRank) *kindEstimate {
@@ -58,9 +96,10 @@
 	return nil
 }
 
-// factor returns the service time of a kind relative to the mean of the pool: 1 for a kind that isn't known, and for the only one.
+// factor returns the service time of a kind relative to the mean of the pool: 1 for a kind that isn't known, and while kinds aren't
+// distinguished.
 func (p *poolKinds) factor(rank kindRank) float64 {
-	if p == nil || len(p.list) < 2 {
+	if p == nil || !p.distinguished {
 		return 1
 	}
 	if k := p.find(rank); k != nil {
@@ -94,6 +133,7 @@
 	}
 	k.share += weight
 	p.updateMean()
+	p.updateDistinguished()
 }
 
 func (p *poolKinds) updateMean() {
@@ -109,26 +149,35 @@
 // requests is used: objectives and limits on queueing suit it there.
 type kinds map[string]*poolKinds
 
-// kindsOf returns the estimates of a pool, nil if its requests aren't distinguished.
+// kindsOf returns the estimates of a pool whose routes have clearly different objectives, nil for another pool.
 func (b *Broker) kindsOf(pool string) *poolKinds {
+	if p := b.kinds[pool]; p != nil {
+		return p
+	}
 	if !b.snapshot.Configuration.MixedObjectives(pool) {
 		return nil
 	}
-	p := b.kinds[pool]
-	if p == nil {
-		p = &poolKinds{}
-		b.kinds[pool] = p
-	}
+	p := &poolKinds{}
+	p.setObjectives(b.snapshot.Configuration.KindObjectives(pool))
+	b.kinds[pool] = p
 	return p
 }
 
-// pruneKinds drops the estimates of pools whose requests are no longer distinguished: the service times of their targets become those of
-// other requests.
-func (b *Broker) pruneKinds() {
-	for pool := range b.kinds {
+// distinguishesKinds reports whether the kinds of requests of a pool are distinguished.
+func (b *Broker) distinguishesKinds(pool string) bool {
+	p := b.kindsOf(pool)
+	return p != nil && p.distinguished
+}
+
+// updateKinds applies the objectives of a new configuration. It drops the estimates of pools whose objectives don't differ any more: the
+// service times of their targets become those of other requests.
+func (b *Broker) updateKinds() {
+	for pool, p := range b.kinds {
 		if b.snapshot == nil || b.snapshot.Configuration == nil || !b.snapshot.Configuration.MixedObjectives(pool) {
 			delete(b.kinds, pool)
+			continue
 		}
+		p.setObjectives(b.snapshot.Configuration.KindObjectives(pool))
 	}
 }
 
--- a/pkg/placing/kind_test.go
+++ b/pkg/placing/kind_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Guards against distinguishing kinds because of fast requests that take almost none of a pool's work, such as those that operators send to
+// new routes: the forecasts for all others became longer, and more of them were refused.
+func TestKindWithoutWorkIsNotDistinguished(t *testing.T) {
+	for _, c := range []struct {
+		work          float64
+		distinguished bool
+	}{{0.03, false}, {3, true}} {
+		p := &poolKinds{}
+		p.setObjectives(map[int]time.Duration{0: time.Second, 1: 300 * time.Millisecond})
+		for i := range 400 {
+			if i%8 == 0 {
+				p.record(0, c.work)
+				continue
+			}
+			p.record(1, 1)
+		}
+		if p.distinguished != c.distinguished || (p.factor(1) != 1) != c.distinguished {
+			t.Errorf("one request of eight with the work %v: distinguished %v, factor of the others %v", c.work, p.distinguished, p.factor(1))
+		}
+	}
+}
+
 // Guards against estimates that need long to be learned, are distorted by the slowest requests, or depend on the mix of kinds, so that
 // targets seem to differ in speed and key owners in capacity.
 func TestKindsAndSpeedsAreLearned(t *testing.T) {
--- a/pkg/placing/reserve.go
+++ b/pkg/placing/reserve.go
@@ -23,7 +23,7 @@
 		return
 	}
 	pool, rank, l := b.kindsOf(w.Pool), rankOf(w.Priority), ps.targets[0]
-	if pool == nil {
+	if pool == nil || !pool.distinguished {
 		return
 	}
 	own := pool.find(rank)
@@ -38,7 +38,7 @@
 		}
 		w.leavesFree = max(w.leavesFree, keyedExtraSlots)
 		latency := service * (pool.factor(rank)/slots + pool.factor(urgent.rank))
-		objective := b.snapshot.Configuration.KindObjective(w.Pool, int(urgent.rank))
+		objective := pool.objectives[urgent.rank]
 		if objective > 0 && latency*min(1, urgent.share*slots) > objective.Seconds() {
 			w.leavesFree = keyedExtraSlots + 1
 		}
