Decide on hedged requests without I/O

Cause: a few slow responses degrade the latency figures. Operators accept some extra work on targets for requests that may be repeated.

The broker places a hedge only if it needn't wait: the pool's queue is empty, a tenth of the slots of the region stays free, the retry budget has room. It stays in the region of the first attempt and prefers another failure domain. The mark travels as an integer after the array of a place request, which earlier versions ignore.

--- a/pkg/entry/placer.go
+++ b/pkg/entry/placer.go
@@ -103,7 +103,7 @@
 	if !link.SendPlaceRequest(replica.PlaceRequest{Seq: a.Seq, Pool: a.Pool, Key: a.Key, Priority: a.Priority, LeftMs: a.TimeLeft.Milliseconds(),
 		ObjectiveMs: a.Objective.Milliseconds(),
 		Body:        a.BodyBytes, Homes: a.AllowedRegions, Avoid: a.Avoid, Repeat: a.Retry,
-		Content: a.Fingerprint.Content, Caller: a.Fingerprint.ByCaller, Organisation: a.Organisation}) {
+		Content: a.Fingerprint.Content, Caller: a.Fingerprint.ByCaller, Organisation: a.Organisation, Hedge: a.Hedge}) {
 		return nil, placing.Decision{}, false
 	}
 	select {
@@ -178,7 +178,7 @@
 	received := p.clock.Now()
 	request := placing.PlacementRequest{VM: f.ID, Domain: f.Domain, Region: f.Region, Seq: a.Seq, Pool: a.Pool, Key: a.Key, Priority: a.Priority,
 		TimeLeft: time.Duration(a.LeftMs) * time.Millisecond, Objective: time.Duration(a.ObjectiveMs) * time.Millisecond, BodyBytes: a.Body, AllowedRegions: a.Homes, Avoid: a.Avoid, Retry: a.Repeat,
-		Fingerprint: quarantine.Fingerprint{Content: a.Content, ByCaller: a.Caller}, Organisation: a.Organisation}
+		Fingerprint: quarantine.Fingerprint{Content: a.Content, ByCaller: a.Caller}, Organisation: a.Organisation, Hedge: a.Hedge}
 	if leading, _ := p.backend(); !leading {
 		f.SendPlaceResponse(replica.PlaceResponse{Seq: a.Seq, Reason: placing.ReasonBrokerMoved})
 		return
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -60,6 +60,9 @@
 	Avoid []string
 	// Retry reports whether the request was sent to a target before.
 	Retry bool
+	// Hedge reports whether another attempt of the request is in flight, at a target in Avoid. Such a request is placed only if it
+	// needn't wait.
+	Hedge bool
 	// Fingerprint is the same for all attempts of the request.
 	Fingerprint quarantine.Fingerprint
 }
@@ -172,6 +175,12 @@
 		reply(Decision{Reason: ReasonQuarantined, Expected: refusedFor})
 		return
 	}
+	if a.Hedge {
+		w := b.newWaiter(a, verdict, reply, now)
+		w.queue.pool = a.Pool
+		b.placeHedge(w, verdict, now)
+		return
+	}
 	if !a.Retry {
 		b.budget.AddAttempt(a.Pool, now)
 		if b.keyed(a.Pool) {
@@ -181,10 +190,7 @@
 		reply(Decision{Reason: ReasonRetryBudget})
 		return
 	}
-	w := &waiter{PlacementRequest: a, deadline: now.Add(a.TimeLeft), order: now.Add(a.TimeLeft), objectiveEnd: now.Add(a.Objective), reply: reply, regionsKey: joinRegions(a.AllowedRegions)}
-	w.suspected = verdict == quarantine.Suspected
-	w.vmID = vmIDOf(w.VM)
-	w.backedOff = b.backoffs.affects(w.vmID, now)
+	w := b.newWaiter(a, verdict, reply, now)
 	b.enqueue(w)
 	ps := b.stateFor(w, now)
 	latency, reason := b.admissionForecast(w, ps, now)
@@ -202,6 +208,14 @@
 	b.dispatchWith(w.queue, cache)
 }
 
+func (b *Broker) newWaiter(a PlacementRequest, verdict quarantine.Verdict, reply func(Decision), now clock.Instant) *waiter {
+	w := &waiter{PlacementRequest: a, deadline: now.Add(a.TimeLeft), order: now.Add(a.TimeLeft), objectiveEnd: now.Add(a.Objective), reply: reply, regionsKey: joinRegions(a.AllowedRegions)}
+	w.suspected = verdict == quarantine.Suspected
+	w.vmID = vmIDOf(w.VM)
+	w.backedOff = b.backoffs.affects(w.vmID, now)
+	return w
+}
+
 // admissionForecast determines the place of a new request in its queue and returns the forecast for it.
 func (b *Broker) admissionForecast(w *waiter, ps *poolState, now clock.Instant) (time.Duration, Reason) {
 	if ps.limited {
--- /dev/null
+++ b/pkg/placing/hedge_broker.go
@@ -0,0 +1,104 @@
+package placing
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/quarantine"
+)
+
+const (
+	// hedgeReserveShare is the share of the slots of a region's targets that must remain free when a hedge is placed, at least one
+	// slot. Requests that arrive next need them more.
+	hedgeReserveShare = 0.1
+	// sameDomainPenalty is the additional latency that a hedge accepts to run in another failure domain than the first attempt,
+	// since a slow response is often due to what the targets of a domain share.
+	sameDomainPenalty = 100 * time.Millisecond
+)
+
+// placeHedge places a hedge if it needn't wait and takes nothing that other requests need, and refuses it otherwise. It is never
+// queued. The caller holds b.mu.
+func (b *Broker) placeHedge(w *waiter, verdict quarantine.Verdict, now clock.Instant) {
+	if verdict != quarantine.Clear {
+		w.reply(Decision{Reason: ReasonSuspected})
+		return
+	}
+	if b.keyed(w.Pool) || len(b.queues[queueID{pool: w.Pool}]) > 0 {
+		w.reply(Decision{Reason: ReasonOverload})
+		return
+	}
+	l := b.hedgeTarget(w, now)
+	if l == nil {
+		w.reply(Decision{Reason: ReasonOverload})
+		return
+	}
+	// A hedge that isn't placed must not use up the budget.
+	if !b.budget.TakeRetry(w.Pool, now) {
+		w.reply(Decision{Reason: ReasonRetryBudget})
+		return
+	}
+	b.assign(w, l, now)
+}
+
+// hedgeTarget returns the best target for a hedge, nil if there is none. A hedge doesn't run in a region where the request wasn't
+// tried, because traffic between regions is billed, nor at targets that are cold or have named a rate limit.
+func (b *Broker) hedgeTarget(w *waiter, now clock.Instant) *load {
+	b.limits.refresh(b.loads, now)
+	view := b.viewFor(w, w.backedOff, now)
+	regions, domains := b.triedPlaces(w)
+	free, slots := map[string]int{}, map[string]int{}
+	best, fastest := map[string]candidate{}, infinite
+	for _, l := range b.eligibleTargets(w, now) {
+		domain := l.target.Domain
+		region := b.regionOf[domain]
+		if !slices.Contains(regions, region) {
+			continue
+		}
+		slots[region] += l.target.Slots
+		if now < l.coldUntil || now < view.notBefore(l) || l.limit.limited {
+			continue
+		}
+		score := l.expectedLatency(now) + l.penalty() + distancePenalty(b.regionOf, w.Domain, w.Region, domain, w.BodyBytes)
+		fastest = min(fastest, score)
+		if !view.isFree(l) {
+			continue
+		}
+		free[region] += max(0, l.target.Slots-l.busy(now))
+		rank := score
+		if slices.Contains(domains, domain) {
+			rank += sameDomainPenalty
+		}
+		if c, ok := best[region]; !ok || rank < c.rank {
+			best[region] = candidate{load: l, rank: rank, score: score}
+		}
+	}
+	var chosen candidate
+	for _, region := range regions {
+		c, ok := best[region]
+		reserve := max(1, int(math.Ceil(hedgeReserveShare*float64(slots[region]))))
+		if !ok || free[region] <= reserve || c.score > slowTargetFactor*fastest || c.score > w.TimeLeft {
+			continue
+		}
+		if chosen.load == nil || c.rank < chosen.rank {
+			chosen = c
+		}
+	}
+	return chosen.load
+}
+
+// triedPlaces returns the regions and the failure domains of the targets to which the request was sent.
+func (b *Broker) triedPlaces(w *waiter) (regions, domains []string) {
+	for _, id := range w.Avoid {
+		l := b.loads[id]
+		if l == nil {
+			continue
+		}
+		domains = append(domains, l.target.Domain)
+		if region := b.regionOf[l.target.Domain]; !slices.Contains(regions, region) {
+			regions = append(regions, region)
+		}
+	}
+	return regions, domains
+}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -115,6 +115,9 @@
 	Content, Caller uint64
 	// Organisation is the name of the organisation that sent the request, or empty if there is none. It is sent after the array.
 	Organisation string `msgpack:"-"`
+	// Hedge reports whether the request is placed only if it needn't wait, because another attempt is in flight. It is sent after
+	// the array.
+	Hedge bool `msgpack:"-"`
 }
 
 // PlaceResponse is the response to a PlaceRequest. Target is empty if no target is available.
--- a/pkg/replica/place_request.go
+++ b/pkg/replica/place_request.go
@@ -18,14 +18,26 @@
 // an array of another length.
 type placeRequestArray PlaceRequest
 
-// EncodeMsgpack implements msgpack.CustomEncoder. The organisation follows the array as a value of its own, and only if there is one:
-// earlier versions ignore what follows the first value of a frame. Without an organisation the encoding is that of earlier versions.
+// flagHedge is the bit of PlaceRequest.Hedge in the flags of a place request.
+const flagHedge = 1
+
+// EncodeMsgpack implements msgpack.CustomEncoder. The organisation, a string, and the flags, an integer, follow the array as values of
+// their own, each only if it isn't empty: earlier versions ignore what follows the values that they know. Without them the encoding is
+// that of earlier versions.
 func (a PlaceRequest) EncodeMsgpack(e *msgpack.Encoder) error {
 	array := placeRequestArray(a)
-	if err := e.Encode(&array); err != nil || a.Organisation == "" {
+	if err := e.Encode(&array); err != nil {
 		return err
 	}
-	return e.EncodeString(a.Organisation)
+	if a.Organisation != "" {
+		if err := e.EncodeString(a.Organisation); err != nil {
+			return err
+		}
+	}
+	if a.Hedge {
+		return e.EncodeUint(flagHedge)
+	}
+	return nil
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder. Values of another kind or further values after the array are ignored, so that later
@@ -36,17 +48,34 @@
 		return err
 	}
 	*a = PlaceRequest(array)
-	code, err := d.PeekCode()
-	if errors.Is(err, io.EOF) || err == nil && !msgpcode.IsString(code) {
-		return nil
+	code, ok, err := nextCode(d)
+	if ok && msgpcode.IsString(code) {
+		if a.Organisation, err = decodeOrganisation(d); err != nil {
+			return err
+		}
+		code, ok, err = nextCode(d)
 	}
-	if err != nil {
+	if !ok || !isUnsigned(code) {
 		return err
 	}
-	a.Organisation, err = decodeOrganisation(d)
+	flags, err := d.DecodeUint64()
+	a.Hedge = flags&flagHedge != 0
 	return err
 }
 
+// nextCode returns the kind of the next value, and whether there is one.
+func nextCode(d *msgpack.Decoder) (code byte, ok bool, err error) {
+	code, err = d.PeekCode()
+	if errors.Is(err, io.EOF) {
+		return 0, false, nil
+	}
+	return code, err == nil, err
+}
+
+func isUnsigned(code byte) bool {
+	return code <= msgpcode.PosFixedNumHigh || code >= msgpcode.Uint8 && code <= msgpcode.Uint64
+}
+
 // decodeOrganisation decodes a string without trusting its announced length, which wire.Frame.Decode checks only for the first value.
 func decodeOrganisation(d *msgpack.Decoder) (string, error) {
 	n, err := d.DecodeBytesLen()
