Send a second copy of slow repeatable requests

Change: an attempt is a value of its own (sending), so that two can be in flight. A request that may be hedged runs on a goroutine; after the delay the broker is asked for a second target on another one. The first accepted answer counts. The other attempt's connection is reset, and its slot is reported only then, as abandoned.

Ruled out: hedges without the broker, since a VM doesn't know the free slots; forwarding the answer before the loser's connection is reset, which would need shared state for the time after.

--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -21,6 +21,7 @@
 	"github.com/bronzelever/bronzelever/pkg/entry"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/logbuffer"
+	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/version"
 	"github.com/bronzelever/bronzelever/platform"
 )
@@ -34,11 +35,12 @@
 )
 
 type arguments struct {
-	Settings  string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
-	Check     bool             `help:"Check the settings and exit."`
-	LogLevel  string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
-	Advertise string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
-	Version   kong.VersionFlag `help:"Show the version and exit."`
+	Settings        string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
+	Check           bool             `help:"Check the settings and exit."`
+	LogLevel        string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
+	Advertise       string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
+	HedgeExtraShare float64          `help:"Share of extra requests, 0 to 0.1, that may be sent to a second target while the first one is slow. 0 sends none." default:"0" placeholder:"SHARE"`
+	Version         kong.VersionFlag `help:"Show the version and exit."`
 }
 
 func main() {
@@ -63,6 +65,10 @@
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
 		return exitInvalid
 	}
+	if err := setHedgeExtraShare(&settings, parsed.HedgeExtraShare); err != nil {
+		_, _ = fmt.Fprintln(errOut, "blentry:", err)
+		return exitInvalid
+	}
 	level, err := log.ParseLevel(parsed.LogLevel)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
@@ -89,6 +95,15 @@
 	return nil
 }
 
+// setHedgeExtraShare sets the share of extra requests.
+func setHedgeExtraShare(settings *entry.Settings, share float64) error {
+	if !(share >= 0 && share <= placing.MaxHedgeExtraShare) {
+		return fmt.Errorf("--hedge-extra-share: %v is not between 0 and %v", share, placing.MaxHedgeExtraShare)
+	}
+	settings.HedgeExtraShare = share
+	return nil
+}
+
 func parse(args []string, out, errOut io.Writer) (arguments, int, bool) {
 	var parsed arguments
 	exitRequested := false
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -31,6 +31,8 @@
 	Suspects []quarantine.Record `json:"suspects"`
 	// RateLimits are the rate limits that targets have named or withdrawn.
 	RateLimits []ratelimit.Record `json:"rate_limits"`
+	// HedgeDelaysMs is how long a request of each route is in flight before it may be sent to a second target.
+	HedgeDelaysMs map[string]int64 `json:"hedge_delays_ms,omitempty"`
 }
 
 // serveDump writes the state as JSON.
@@ -39,6 +41,12 @@
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
 		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
 		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now())}
+	for route, delay := range p.hedger.Delays(p.control.clock.Now()) {
+		if d.HedgeDelaysMs == nil {
+			d.HedgeDelaysMs = map[string]int64{}
+		}
+		d.HedgeDelaysMs[route] = delay.Milliseconds()
+	}
 	if s := view.Snapshot; s != nil {
 		d.DomainsOut = s.DomainsOut
 		for _, t := range s.Targets {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -77,6 +77,7 @@
 	Options
 	control  *Control
 	handler  *ingress.Handler
+	hedger   *placing.Hedger
 	callers  *http.Server
 	idle     idleConns
 	stopping chan struct{}
@@ -122,7 +123,7 @@
 	localBudget := placing.NewLocalBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	balancer.UseLimits(limits, o.Settings.VM)
-	p := &process{Options: o, stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
+	p := &process{Options: o, hedger: placing.NewHedger(o.Settings.HedgeExtraShare), stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
@@ -133,7 +134,7 @@
 	})
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
-		Budget: localBudget, Suspects: suspects, Limits: limits,
+		Budget: localBudget, Suspects: suspects, Limits: limits, Hedger: p.hedger,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		ConfigurationAge:         p.control.ConfigurationAge,
 		MaxConfigurationAge:      o.Settings.MaxConfigurationAge,
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -38,4 +38,7 @@
 	// MaxConfigurationAge is the age of the newest information about the configuration above which this VM refuses requests
 	// that need a credential, since the credential may have been removed. Zero sets no limit.
 	MaxConfigurationAge time.Duration
+	// HedgeExtraShare is the share of extra requests that may be sent to shorten slow responses, at most
+	// placing.MaxHedgeExtraShare. Zero sends none.
+	HedgeExtraShare float64
 }
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -50,6 +50,8 @@
 
 	CredentialRejected = define(856, log.InfoLevel, "request refused: it has no valid credential")
 
+	RequestHedged = define(857, log.DebugLevel, "request was sent to a second target while the first one was working on it")
+
 	TargetLimitExceeded    = define(845, log.WarnLevel, "target broke a bound of what is read from it")
 	MessageRejected        = define(847, log.WarnLevel, "failed to handle a message of another VM; connection closed")
 	TargetConnectionsLost  = define(848, log.WarnLevel, "connections to the target closed before a response")
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -36,7 +36,7 @@
 		}
 		_, limited := c.Limits.Rate(target.Incarnation())
 		c.Metrics.recordPlacement(retry && c.attempts > 0, c.placement != nil, limited)
-		result := c.send(ctx, target)
+		target, result := c.sendHedged(ctx, target)
 		if result.outcome == answered && !c.shouldRetry(result.response) {
 			defer c.sender.discard(result.response)
 			c.forwardResponse(result.response)
@@ -109,10 +109,7 @@
 // prepareRetry excludes the last target from the next attempt or, in a keyed pool, waits for a newer view.
 func (c *call) prepareRetry(ctx context.Context, target *inventory.Target, r result) {
 	if !c.pool.Keyed {
-		if c.avoid == nil {
-			c.avoid = map[string]bool{}
-		}
-		c.avoid[target.ID] = true
+		c.avoidTarget(target)
 		return
 	}
 	if r.outcome == notRun || r.outcome == unsent {
@@ -120,6 +117,14 @@
 	}
 }
 
+// avoidTarget excludes a target from further attempts.
+func (c *call) avoidTarget(target *inventory.Target) {
+	if c.avoid == nil {
+		c.avoid = map[string]bool{}
+	}
+	c.avoid[target.ID] = true
+}
+
 func (c *call) awaitViewChange(ctx context.Context, view *View, timeout time.Duration) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -320,31 +325,6 @@
 	return max(remaining, 100*time.Millisecond)
 }
 
-// send sends the request to a target on which it has been placed.
-func (c *call) send(ctx context.Context, t *inventory.Target) result {
-	header := make(http.Header, len(c.r.Header)+2)
-	copyHeaders(header, c.r.Header)
-	c.setOrganisation(header)
-	request := &upstreamRequest{
-		method: c.r.Method, uri: c.uri(), host: c.r.Host, header: header, id: c.meta.ID, body: c.body, idempotent: c.route.Idempotent,
-		usedConns: c.usedConns,
-	}
-	c.lastTarget = t.ID
-	sentAt, sentInstant := time.Now(), c.Clock.Now()
-	mayHaveRunBefore := c.mayHaveRun
-	// If sending panics, the response must not claim that the request was not executed.
-	c.mayHaveRun = true
-	r := c.sender.exchange(ctx, t.ID, t.Address, request, c.deadline)
-	c.usedConns = request.usedConns
-	if r.outcome != unsent {
-		c.attempts++
-	}
-	c.mayHaveRun = mayHaveRunBefore || r.outcome == unknown || r.outcome == expired || r.outcome == answered
-	c.recordRateLimit(t, r, sentInstant)
-	c.finishAttempt(t, r, time.Since(sentAt))
-	return r
-}
-
 // recordRateLimit records what a response says about the target's rate limit. A response that refuses the request as misdirected
 // may come from another target.
 func (c *call) recordRateLimit(t *inventory.Target, r result, sent clock.Instant) {
@@ -363,7 +343,8 @@
 }
 
 // finishAttempt reports the end of an attempt to the balancer, the broker and the metrics.
-func (c *call) finishAttempt(t *inventory.Target, r result, elapsed time.Duration) {
+func (c *call) finishAttempt(s *sending) {
+	t, r, elapsed := s.target, s.result, s.elapsed
 	if r.response != nil && r.response.meta.Leaving {
 		c.State.RecordTargetLeaving(t.Incarnation())
 	}
@@ -389,12 +370,12 @@
 		ending = placing.Abandoned
 		elapsed = 0
 	}
-	if c.placement == nil {
-		c.Suspects.End(c.run, ending.QuarantineOutcome(), c.Clock.Now())
+	if s.placement == nil {
+		c.Suspects.End(s.run, ending.QuarantineOutcome(), c.Clock.Now())
 		c.Balancer.Done(t.ID, elapsed, ending, report, c.Clock.Now())
 	} else {
 		c.Balancer.RecordResult(t.ID, elapsed, ending, report, c.Clock.Now())
-		c.releasePlacement(elapsed, ending, report)
+		s.placement.Done(elapsed, ending, report)
 	}
 	c.Metrics.recordAttempt(r.outcome, elapsed)
 }
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -42,7 +42,9 @@
 	// Suspects tracks the requests that may crash targets. If nil, an empty tracker is used.
 	Suspects *quarantine.Tracker
 	// Limits holds the rate limits of the targets. If nil, an empty tracker is used.
-	Limits  *ratelimit.Tracker
+	Limits *ratelimit.Tracker
+	// Hedger decides which requests are sent to a second target while the first one is slow. If nil, none are.
+	Hedger  *placing.Hedger
 	Clock   clock.Clock
 	Log     *event.Logger
 	Metrics *Metrics
@@ -137,10 +139,15 @@
 	mayHaveRun bool
 	avoid      map[string]bool
 	lastTarget string
-	// placement is the place reserved for the current attempt. It is nil if the request was placed locally; run then identifies
-	// the attempt.
+	// placement is the place reserved for the next attempt. It is nil if the request was placed locally; run then identifies the
+	// attempt.
 	placement Placement
 	run       quarantine.RunID
+	// unfinished are the attempts that have begun and whose end isn't recorded, flights those with a goroutine of their own.
+	unfinished []*sending
+	flights    []*flight
+	// hedgeDecided is set once it is decided whether and when the request may be hedged.
+	hedgeDecided bool
 	// usedConns are the connections on which the request was sent.
 	usedConns []*targetconn.Conn
 	// headerWritten is set once a response header may have reached the caller.
@@ -175,6 +182,7 @@
 	}
 	c.releasePlacement(0, placing.Abandoned, nil)
 	c.Suspects.Drop(c.run)
+	c.abandon()
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
--- /dev/null
+++ b/pkg/ingress/hedge.go
@@ -0,0 +1,243 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/placing"
+)
+
+var errAttemptPanicked = errors.New("panic during an attempt")
+
+// flight is an attempt on a goroutine of its own.
+type flight struct {
+	*sending
+	cancel context.CancelFunc
+	// done is closed when the goroutine has ended. Until then, no other goroutine accesses the fields of sending.
+	done chan struct{}
+	// hedge is set for the second attempt. reason tells why it was not sent, in which case sending is nil.
+	hedge  bool
+	reason placing.HedgeReason
+	// landed is set once the end of the attempt is recorded.
+	landed bool
+}
+
+// sendHedged sends the request like send. If the response takes unusually long, it sends the request to a second target, too, and
+// returns the attempt that counts.
+func (c *call) sendHedged(ctx context.Context, t *inventory.Target) (*inventory.Target, result) {
+	if c.Hedger == nil || c.hedgeDecided {
+		return t, c.send(ctx, t).result
+	}
+	c.hedgeDecided = true
+	delay, reason := c.Hedger.Begin(c.hedgeRequest(1), c.Clock.Now())
+	if reason != placing.HedgeSent {
+		c.Metrics.recordHedgeNotSent(reason)
+		s := c.send(ctx, t)
+		c.observeLatency(s)
+		return t, s.result
+	}
+	first := c.launch(ctx, c.newSending(t))
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-first.done:
+		c.land(first)
+		return t, first.result
+	case <-timer.C:
+	}
+	return c.race(first, c.launchHedge(ctx, t))
+}
+
+// hedgeRequest describes the request with the given number of attempts in flight.
+func (c *call) hedgeRequest(inFlight int) placing.HedgeRequest {
+	return placing.HedgeRequest{
+		Route: c.route.Name, Idempotent: c.route.Idempotent, Keyed: c.pool.Keyed, Replayable: c.body.rest == nil,
+		Attempts: c.attempts + inFlight, MaxAttempts: c.route.MaxAttempts, TimeLeft: time.Until(c.deadline),
+	}
+}
+
+// launch runs an attempt on a goroutine of its own.
+func (c *call) launch(ctx context.Context, s *sending) *flight {
+	f := &flight{sending: s, done: make(chan struct{})}
+	ctx, f.cancel = context.WithCancel(ctx)
+	c.flights = append(c.flights, f)
+	go func() {
+		defer close(f.done)
+		f.exchange(ctx, c.Handler, c.deadline)
+	}()
+	return f
+}
+
+// exchange is sending.exchange for a goroutine of its own.
+func (f *flight) exchange(ctx context.Context, h *Handler, deadline time.Time) {
+	// Replaced by the result, unless the exchange panics.
+	f.result = result{outcome: unknown, cause: errAttemptPanicked}
+	defer h.Log.RecoverPanic("attempt")
+	f.sending.exchange(ctx, h, deadline)
+}
+
+// launchHedge has a second target selected and sends the request to it, on a goroutine of its own. The response to the first attempt
+// doesn't wait for the selection. It returns nil if no second attempt is permitted.
+func (c *call) launchHedge(ctx context.Context, first *inventory.Target) *flight {
+	reason := c.Hedger.Admit(c.hedgeRequest(1), c.Clock.Now())
+	if reason != placing.HedgeSent {
+		c.Metrics.recordHedgeNotSent(reason)
+		return nil
+	}
+	f := &flight{done: make(chan struct{}), hedge: true, reason: placing.HedgeUndecided}
+	request := c.upstreamRequest()
+	// The first attempt modifies its body.
+	request.body = &requestBody{buffered: c.body.buffered, length: c.body.length}
+	place := c.placementRequest(true).AsHedge(first.ID)
+	ctx, f.cancel = context.WithCancel(ctx)
+	c.flights = append(c.flights, f)
+	go func() {
+		defer close(f.done)
+		defer c.Log.RecoverPanic("hedge")
+		f.sending, f.reason = c.placeHedge(ctx, place, request)
+		if f.sending != nil {
+			f.exchange(ctx, c.Handler, c.deadline)
+		}
+	}()
+	return f
+}
+
+// placeHedge asks the broker for a second target. It runs beside the goroutine of the call and accesses only what that one leaves
+// unchanged. Without the broker no hedge is sent, since this VM doesn't know what the others send to the targets.
+func (c *call) placeHedge(ctx context.Context, a placing.PlacementRequest, request *upstreamRequest) (s *sending, reason placing.HedgeReason) {
+	defer func() { c.Hedger.Place(s != nil, c.Clock.Now()) }()
+	decisionCtx, cancel := context.WithTimeout(ctx, placing.HedgeDecisionTime)
+	defer cancel()
+	placement, decision, ok := c.Placer.Place(decisionCtx, a)
+	switch {
+	case !ok:
+		return nil, placing.HedgeNoBroker
+	case decision.Target == "" && ctx.Err() != nil:
+		return nil, placing.HedgeAnswered
+	case decision.Target == "" && decisionCtx.Err() != nil:
+		return nil, placing.HedgeUndecided
+	case decision.Target == "":
+		return nil, placing.HedgeReasonFor(decision.Reason)
+	}
+	t := c.usableTarget(decision.Target)
+	backoffLeft := c.Balancer.BackoffLeft(decision.Target, c.Clock.Now())
+	if t == nil || backoffLeft > 0 || t.ID == a.Avoid[len(a.Avoid)-1] {
+		placement.Done(0, placing.Abandoned, &placing.Report{ClosedFor: backoffLeft})
+		return nil, placing.HedgeNoFreeSlot
+	}
+	if ctx.Err() != nil {
+		placement.Done(0, placing.Abandoned, nil)
+		return nil, placing.HedgeAnswered
+	}
+	return &sending{target: t, request: request, placement: placement}, placing.HedgeSent
+}
+
+// race waits for two attempts and returns the one that counts: the first one that is answered, which ends the other one. An attempt
+// that fails leaves the other one to go on, as its retry or as if it had been the only one. hedge may be nil.
+func (c *call) race(first, hedge *flight) (*inventory.Target, result) {
+	if hedge == nil {
+		<-first.done
+		c.land(first)
+		return first.target, first.result
+	}
+	var winner *flight
+	select {
+	case <-first.done:
+		if c.acceptable(first) {
+			winner = first
+			c.cancelLoser(hedge)
+		}
+		c.land(first)
+		<-hedge.done
+		c.landHedge(hedge)
+	case <-hedge.done:
+		if c.acceptable(hedge) {
+			winner = hedge
+			c.cancelLoser(first)
+		}
+		c.landHedge(hedge)
+		<-first.done
+		c.land(first)
+	}
+	switch {
+	case hedge.sending == nil:
+		return first.target, first.result
+	case winner == hedge || winner == nil && !c.acceptable(first) && hedge.result.outcome != unsent:
+		return c.settle(hedge, first, c.acceptable(hedge))
+	default:
+		return c.settle(first, hedge, false)
+	}
+}
+
+// acceptable reports whether an attempt that has ended was answered in a way that ends the request.
+func (c *call) acceptable(f *flight) bool {
+	return f.sending != nil && f.result.outcome == answered && !c.shouldRetry(f.result.response)
+}
+
+// cancelLoser resets the connection of the attempt that doesn't count and waits until it is reset. That takes no longer than closing a
+// socket. Only then is the slot at its target released.
+func (c *call) cancelLoser(f *flight) {
+	f.cancel()
+	<-f.done
+	if f.sending == nil {
+		return
+	}
+	c.sender.discard(f.result.response)
+	switch f.result.outcome {
+	case answered, notRun:
+	case unsent:
+		f.result = result{outcome: unsent, cause: context.Canceled}
+	default:
+		f.result = result{outcome: cancelled, cause: context.Canceled}
+	}
+}
+
+// land records the end of the first attempt.
+func (c *call) land(first *flight) {
+	c.observeLatency(first.sending)
+	c.finish(first.sending)
+}
+
+// landHedge records the end of the second attempt, if it was sent.
+func (c *call) landHedge(f *flight) {
+	if f.sending == nil {
+		c.Metrics.recordHedgeNotSent(f.reason)
+		return
+	}
+	_, limited := c.Limits.Rate(f.target.Incarnation())
+	c.Metrics.recordPlacement(true, true, limited)
+	c.Metrics.recordHedge()
+	c.finish(f.sending)
+	f.landed = true
+}
+
+// settle ends the attempt that doesn't count and returns the other one.
+func (c *call) settle(counts, other *flight, hedgeWon bool) (*inventory.Target, result) {
+	if !errors.Is(other.result.cause, context.Canceled) && !c.acceptable(other) {
+		c.logFailedAttempt(other.target, other.result)
+	}
+	c.sender.discard(other.result.response)
+	c.avoidTarget(other.target)
+	c.lastTarget = counts.target.ID
+	if hedgeWon {
+		c.Metrics.recordHedgeWon()
+	}
+	c.Log.Emit(event.RequestHedged, "request", c.meta.ID, "route", c.route.Name, "target", counts.target.ID, "other", other.target.ID,
+		"outcome", counts.result.outcome.String(), "other_outcome", other.result.outcome.String(), "won", hedgeWon,
+		"ms", counts.elapsed.Milliseconds(), "other_ms", other.elapsed.Milliseconds())
+	return counts.target, counts.result
+}
+
+// observeLatency records how long the first attempt took, or at least would have taken.
+func (c *call) observeLatency(s *sending) {
+	switch r := s.result; {
+	case !c.route.Idempotent || c.pool.Keyed:
+	case r.outcome == answered && !c.shouldRetry(r.response):
+		c.Hedger.Observe(c.route.Name, s.elapsed, true, c.Clock.Now())
+	case r.outcome == cancelled || r.outcome == expired:
+		c.Hedger.Observe(c.route.Name, s.elapsed, false, c.Clock.Now())
+	}
+}
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/placing"
 )
 
 // latencyBuckets are the buckets of the latency histograms for requests and attempts.
@@ -67,6 +68,21 @@
 	}).Counter("placed").Inc(1)
 }
 
+// recordHedge counts a request that was sent to a second target while the first one was working on it.
+func (m *Metrics) recordHedge() {
+	m.scope.Counter("hedges").Inc(1)
+}
+
+// recordHedgeWon counts a hedge whose response the caller got.
+func (m *Metrics) recordHedgeWon() {
+	m.scope.Counter("hedges_won").Inc(1)
+}
+
+// recordHedgeNotSent counts a request that wasn't hedged.
+func (m *Metrics) recordHedgeNotSent(reason placing.HedgeReason) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("hedges_not_sent").Inc(1)
+}
+
 // recordRateLimit counts a response in which a target named a rate limit.
 func (m *Metrics) recordRateLimit(unreadable bool) {
 	m.scope.Tagged(map[string]string{"unclear": strconv.FormatBool(unreadable)}).Counter("target_rate_limits").Inc(1)
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -107,9 +107,11 @@
 	unknown
 	// expired means that the deadline passed, or the caller disconnected, after the request was sent.
 	expired
+	// cancelled means that the other attempt of a hedged request was answered first.
+	cancelled
 )
 
 // String implements fmt.Stringer.
 func (o outcome) String() string {
-	return [...]string{"answered", "not-run", "unsent", "unknown", "expired"}[o]
+	return [...]string{"answered", "not-run", "unsent", "unknown", "expired", "cancelled"}[o]
 }
