--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -56,19 +56,20 @@
 	if !ok {
 		return code
 	}
+	if err := checkHedgeExtraShare(parsed.HedgeExtraShare); err != nil {
+		_, _ = fmt.Fprintln(errOut, "blentry:", err)
+		return exitInvalid
+	}
 	settings, findings := platform.LoadSettings(parsed.Settings)
 	if err := findings.Err(); err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitInvalid
 	}
+	settings.HedgeExtraShare = parsed.HedgeExtraShare
 	if err := advertise(&settings, parsed.Advertise); err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
 		return exitInvalid
 	}
-	if err := setHedgeExtraShare(&settings, parsed.HedgeExtraShare); err != nil {
-		_, _ = fmt.Fprintln(errOut, "blentry:", err)
-		return exitInvalid
-	}
 	level, err := log.ParseLevel(parsed.LogLevel)
 	if err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
@@ -95,12 +96,11 @@
 	return nil
 }
 
-// setHedgeExtraShare sets the share of extra requests.
-func setHedgeExtraShare(settings *entry.Settings, share float64) error {
+func checkHedgeExtraShare(share float64) error {
+	// NaN is in no range.
 	if !(share >= 0 && share <= placing.MaxHedgeExtraShare) {
 		return fmt.Errorf("--hedge-extra-share: %v is not between 0 and %v", share, placing.MaxHedgeExtraShare)
 	}
-	settings.HedgeExtraShare = share
 	return nil
 }
 
--- a/pkg/placing/hedge.go
+++ b/pkg/placing/hedge.go
@@ -110,7 +110,7 @@
 	mu     sync.Mutex
 	routes map[string]*routeLatencies
 	// requests counts the requests that could be hedged, and hedges those that were.
-	requests, hedges windowCounter
+	requests, hedges *windowCounter
 	// undecided is the number of permitted hedges for which the broker is being asked.
 	undecided int
 }
@@ -120,7 +120,12 @@
 	if !(share > 0) {
 		return nil
 	}
-	return &Hedger{share: min(share, MaxHedgeExtraShare), routes: map[string]*routeLatencies{}}
+	// The requests of at most hedgeWindow and the hedges of at least hedgeWindow are counted, so that the limit holds exactly.
+	const parts = int(hedgeWindow / hedgeWindowPart)
+	return &Hedger{
+		share: min(share, MaxHedgeExtraShare), routes: map[string]*routeLatencies{},
+		requests: &windowCounter{parts: make([]int, parts)}, hedges: &windowCounter{parts: make([]int, parts+1)},
+	}
 }
 
 // Begin counts a new request. It returns the delay after which Admit is to be asked for a hedge, or why there will be none.
@@ -279,9 +284,9 @@
 	return l.measured
 }
 
-// windowCounter counts events within the last hedgeWindow.
+// windowCounter counts events within a sliding window. The newest of its parts is the current one.
 type windowCounter struct {
-	parts [hedgeWindow / hedgeWindowPart]int
+	parts []int
 	// newest is the number of the newest part since the origin of the clock.
 	newest int64
 	total  int
--- a/pkg/replica/place_request_test.go
+++ b/pkg/replica/place_request_test.go
@@ -84,3 +84,30 @@
 		}
 	}
 }
+
+// Guards against a hedge that a broker takes for another request, and against requests that VMs of two versions can't read from each other
+// because of the mark: with an organisation and without, versions before it read the rest.
+func TestHedgeMarkIsReadByEarlierVersions(t *testing.T) {
+	for _, organisation := range []string{"", "org1"} {
+		sent := PlaceRequest{Seq: 7, Pool: "p", Avoid: []string{"t1"}, Repeat: true, Organisation: organisation, Hedge: true}
+		var decoded PlaceRequest
+		if err := frameOf(t, sent).Decode(&decoded); err != nil || !reflect.DeepEqual(decoded, sent) {
+			t.Errorf("%q: decoded %+v, %v", organisation, decoded, err)
+		}
+		var old earlierPlaceRequest
+		if err := frameOf(t, sent).Decode(&old); err != nil || old.Seq != 7 || !old.Repeat {
+			t.Errorf("%q: at an earlier version: %+v, %v", organisation, old, err)
+		}
+		later := frameOf(t, sent)
+		// A later version may set other flags and add values.
+		later.Payload = append(later.Payload[:len(later.Payload)-1], 0xcc, 0x81, 0x93, 1, 2, 3)
+		decoded = PlaceRequest{}
+		if err := later.Decode(&decoded); err != nil || !reflect.DeepEqual(decoded, sent) {
+			t.Errorf("%q: from a later version: %+v, %v", organisation, decoded, err)
+		}
+		later.Payload = later.Payload[:len(later.Payload)-5]
+		if err := later.Decode(&decoded); err == nil {
+			t.Errorf("%q: truncated flags are no error", organisation)
+		}
+	}
+}
