--- a/pkg/ingress/hedge_test.go
+++ b/pkg/ingress/hedge_test.go
@@ -143,7 +143,7 @@
 }
 
 func fail(_ *hedgeTest, r *http.Request, c net.Conn) {
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Error\r\nT-Id: %s\r\nT-Signed: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("T-Id"))
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 500 Error\r\nT-Id: %s\r\nT-Signed: 1\r\nContent-Length: 2\r\n\r\nno", r.Header.Get("T-Id"))
 }
 
 // TestHedgedRequests guards against callers that get no answer or another attempt's, attempts that go on after the other one was
--- a/pkg/placing/hedge_test.go
+++ b/pkg/placing/hedge_test.go
@@ -108,11 +108,13 @@
 	for range 20 {
 		now = now.Add(time.Second)
 		delay := h.Delays(now)["r"]
-		for i := range 94 {
+		for i := range 88 {
 			h.Observe("r", time.Duration(i+1)*time.Millisecond, true, now)
 		}
-		for range 6 {
+		for range 12 {
 			h.Observe("r", delay, false, now)
+		}
+		for range 300 {
 			h.Observe("r", delay/4, false, now) // Its caller has left.
 		}
 	}
