--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -48,11 +48,11 @@
 
 // startCrashRun starts entry processes and targets. The targets have no proxies in front of them, because a crashed target must refuse
 // connections.
-func startCrashRun(t *testing.T, targets int) *run {
+func startCrashRun(t *testing.T, targets int, arguments ...string) *run {
 	t.Helper()
 	dir := t.ArtifactDir()
 	r := &run{Options: Options{
-		Binary: buildEntry(t, dir), Seed: 1, VMs: crashVMs, Targets: targets, FirstPort: freePorts(t, crashVMs*portsPerVM), LogDir: dir,
+		Binary: buildEntry(t, dir), Seed: 1, VMs: crashVMs, Targets: targets, FirstPort: freePorts(t, crashVMs*portsPerVM), LogDir: dir, Arguments: arguments,
 	}, version: 7}
 	var err error
 	if r.deployment, err = standin.Start(targets, nil); err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,8 @@
 	FirstPort int
 	LogDir    string
 	Out       io.Writer
+	// Arguments are further command-line arguments of the entry processes.
+	Arguments []string
 }
 
 // vm is an entry process with the links to it and from it.
@@ -152,7 +154,8 @@
 
 // start starts a VM's process. The caller holds v.mu.
 func (r *run) start(v *vm) error {
-	p, err := r.supervisor.Start(fmt.Sprintf("blentry-%d", v.index), r.Binary, "--advertise="+v.peerLink.Address(), v.settingsPath)
+	p, err := r.supervisor.Start(fmt.Sprintf("blentry-%d", v.index), r.Binary,
+		append([]string{"--advertise=" + v.peerLink.Address(), v.settingsPath}, r.Arguments...)...)
 	v.process, v.startedAt = p, time.Now()
 	v.generation++
 	r.checker.processStarted(v.index, v.generation)
