Name the parts of hedged requests by their function

Cause: some names were figurative.

Change: targetAttempt and asyncAttempt for attempts, sendAsync, startHedge, awaitBoth, conclude, releaseUnfinished. No change of behaviour.

Ruled out: the name attempt, which is a method of call.

--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -343,7 +343,7 @@
 }
 
 // finishAttempt reports the end of an attempt to the balancer, the broker and the metrics.
-func (c *call) finishAttempt(s *sending) {
+func (c *call) finishAttempt(s *targetAttempt) {
 	t, r, elapsed := s.target, s.result, s.elapsed
 	if r.response != nil && r.response.meta.Leaving {
 		c.State.RecordTargetLeaving(t.Incarnation())
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -143,9 +143,9 @@
 	// attempt.
 	placement Placement
 	run       quarantine.RunID
-	// unfinished are the attempts that have begun and whose end isn't recorded, flights those with a goroutine of their own.
-	unfinished []*sending
-	flights    []*flight
+	// unfinished are the attempts that have begun and whose end isn't recorded, asyncAttempts those with a goroutine of their own.
+	unfinished    []*targetAttempt
+	asyncAttempts []*asyncAttempt
 	// hedgeDecided is set once it is decided whether and when the request may be hedged.
 	hedgeDecided bool
 	// usedConns are the connections on which the request was sent.
@@ -182,7 +182,7 @@
 	}
 	c.releasePlacement(0, placing.Abandoned, nil)
 	c.Suspects.Drop(c.run)
-	c.abandon()
+	c.releaseUnfinished()
 	if v == http.ErrAbortHandler {
 		panic(v)
 	}
--- a/pkg/ingress/hedge.go
+++ b/pkg/ingress/hedge.go
@@ -12,17 +12,17 @@
 
 var errAttemptPanicked = errors.New("panic during an attempt")
 
-// flight is an attempt on a goroutine of its own.
-type flight struct {
-	*sending
+// asyncAttempt is an attempt on a goroutine of its own.
+type asyncAttempt struct {
+	*targetAttempt
 	cancel context.CancelFunc
-	// done is closed when the goroutine has ended. Until then, no other goroutine accesses the fields of sending.
+	// done is closed when the goroutine has ended. Until then, no other goroutine accesses the fields of targetAttempt.
 	done chan struct{}
-	// hedge is set for the second attempt. reason tells why it was not sent, in which case sending is nil.
+	// hedge is set for the second attempt. reason tells why it was not sent, in which case targetAttempt is nil.
 	hedge  bool
 	reason placing.HedgeReason
-	// landed is set once the end of the attempt is recorded.
-	landed bool
+	// recorded is set once the end of the attempt is recorded.
+	recorded bool
 }
 
 // sendHedged sends the request like send. If the response takes unusually long, it sends the request to a second target, too, and
@@ -39,16 +39,16 @@
 		c.observeLatency(s)
 		return t, s.result
 	}
-	first := c.launch(ctx, c.newSending(t))
+	first := c.sendAsync(ctx, c.newAttempt(t))
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-first.done:
-		c.land(first)
+		c.recordFirstEnd(first)
 		return t, first.result
 	case <-timer.C:
 	}
-	return c.race(first, c.launchHedge(ctx, t))
+	return c.awaitBoth(first, c.startHedge(ctx, t))
 }
 
 // hedgeRequest describes the request with the given number of attempts in flight.
@@ -59,11 +59,11 @@
 	}
 }
 
-// launch runs an attempt on a goroutine of its own.
-func (c *call) launch(ctx context.Context, s *sending) *flight {
-	f := &flight{sending: s, done: make(chan struct{})}
+// sendAsync runs an attempt on a goroutine of its own.
+func (c *call) sendAsync(ctx context.Context, s *targetAttempt) *asyncAttempt {
+	f := &asyncAttempt{targetAttempt: s, done: make(chan struct{})}
 	ctx, f.cancel = context.WithCancel(ctx)
-	c.flights = append(c.flights, f)
+	c.asyncAttempts = append(c.asyncAttempts, f)
 	go func() {
 		defer close(f.done)
 		f.exchange(ctx, c.Handler, c.deadline)
@@ -71,34 +71,34 @@
 	return f
 }
 
-// exchange is sending.exchange for a goroutine of its own.
-func (f *flight) exchange(ctx context.Context, h *Handler, deadline time.Time) {
+// exchange is targetAttempt.exchange for a goroutine of its own.
+func (f *asyncAttempt) exchange(ctx context.Context, h *Handler, deadline time.Time) {
 	// Replaced by the result, unless the exchange panics.
 	f.result = result{outcome: unknown, cause: errAttemptPanicked}
 	defer h.Log.RecoverPanic("attempt")
-	f.sending.exchange(ctx, h, deadline)
+	f.targetAttempt.exchange(ctx, h, deadline)
 }
 
-// launchHedge has a second target selected and sends the request to it, on a goroutine of its own. The response to the first attempt
+// startHedge has a second target selected and sends the request to it, on a goroutine of its own. The response to the first attempt
 // doesn't wait for the selection. It returns nil if no second attempt is permitted.
-func (c *call) launchHedge(ctx context.Context, first *inventory.Target) *flight {
+func (c *call) startHedge(ctx context.Context, first *inventory.Target) *asyncAttempt {
 	reason := c.Hedger.Admit(c.hedgeRequest(1), c.Clock.Now())
 	if reason != placing.HedgeSent {
 		c.Metrics.recordHedgeNotSent(reason)
 		return nil
 	}
-	f := &flight{done: make(chan struct{}), hedge: true, reason: placing.HedgeUndecided}
+	f := &asyncAttempt{done: make(chan struct{}), hedge: true, reason: placing.HedgeUndecided}
 	request := c.upstreamRequest()
 	// The first attempt modifies its body.
 	request.body = &requestBody{buffered: c.body.buffered, length: c.body.length}
 	place := c.placementRequest(true).AsHedge(first.ID)
 	ctx, f.cancel = context.WithCancel(ctx)
-	c.flights = append(c.flights, f)
+	c.asyncAttempts = append(c.asyncAttempts, f)
 	go func() {
 		defer close(f.done)
 		defer c.Log.RecoverPanic("hedge")
-		f.sending, f.reason = c.placeHedge(ctx, place, request)
-		if f.sending != nil {
+		f.targetAttempt, f.reason = c.placeHedge(ctx, place, request)
+		if f.targetAttempt != nil {
 			f.exchange(ctx, c.Handler, c.deadline)
 		}
 	}()
@@ -107,7 +107,7 @@
 
 // placeHedge asks the broker for a second target. It runs beside the goroutine of the call and accesses only what that one leaves
 // unchanged. Without the broker no hedge is sent, since this VM doesn't know what the others send to the targets.
-func (c *call) placeHedge(ctx context.Context, a placing.PlacementRequest, request *upstreamRequest) (s *sending, reason placing.HedgeReason) {
+func (c *call) placeHedge(ctx context.Context, a placing.PlacementRequest, request *upstreamRequest) (s *targetAttempt, reason placing.HedgeReason) {
 	defer func() { c.Hedger.Place(s != nil, c.Clock.Now()) }()
 	decisionCtx, cancel := context.WithTimeout(ctx, placing.HedgeDecisionTime)
 	defer cancel()
@@ -132,57 +132,57 @@
 		placement.Done(0, placing.Abandoned, nil)
 		return nil, placing.HedgeAnswered
 	}
-	return &sending{target: t, request: request, placement: placement}, placing.HedgeSent
+	return &targetAttempt{target: t, request: request, placement: placement}, placing.HedgeSent
 }
 
-// race waits for two attempts and returns the one that counts: the first one that is answered, which ends the other one. An attempt
+// awaitBoth waits for two attempts and returns the one that counts: the first one that is answered, which ends the other one. An attempt
 // that fails leaves the other one to go on, as its retry or as if it had been the only one. hedge may be nil.
-func (c *call) race(first, hedge *flight) (*inventory.Target, result) {
+func (c *call) awaitBoth(first, hedge *asyncAttempt) (*inventory.Target, result) {
 	if hedge == nil {
 		<-first.done
-		c.land(first)
+		c.recordFirstEnd(first)
 		return first.target, first.result
 	}
-	var winner *flight
+	var winner *asyncAttempt
 	select {
 	case <-first.done:
 		if c.acceptable(first) {
 			winner = first
 			c.cancelLoser(hedge)
 		}
-		c.land(first)
+		c.recordFirstEnd(first)
 		<-hedge.done
-		c.landHedge(hedge)
+		c.recordHedgeEnd(hedge)
 	case <-hedge.done:
 		if c.acceptable(hedge) {
 			winner = hedge
 			c.cancelLoser(first)
 		}
-		c.landHedge(hedge)
+		c.recordHedgeEnd(hedge)
 		<-first.done
-		c.land(first)
+		c.recordFirstEnd(first)
 	}
 	switch {
-	case hedge.sending == nil:
+	case hedge.targetAttempt == nil:
 		return first.target, first.result
 	case winner == hedge || winner == nil && !c.acceptable(first) && hedge.result.outcome != unsent:
-		return c.settle(hedge, first, c.acceptable(hedge))
+		return c.conclude(hedge, first, c.acceptable(hedge))
 	default:
-		return c.settle(first, hedge, false)
+		return c.conclude(first, hedge, false)
 	}
 }
 
 // acceptable reports whether an attempt that has ended was answered in a way that ends the request.
-func (c *call) acceptable(f *flight) bool {
-	return f.sending != nil && f.result.outcome == answered && !c.shouldRetry(f.result.response)
+func (c *call) acceptable(f *asyncAttempt) bool {
+	return f.targetAttempt != nil && f.result.outcome == answered && !c.shouldRetry(f.result.response)
 }
 
 // cancelLoser resets the connection of the attempt that doesn't count and waits until it is reset. That takes no longer than closing a
 // socket. Only then is the slot at its target released.
-func (c *call) cancelLoser(f *flight) {
+func (c *call) cancelLoser(f *asyncAttempt) {
 	f.cancel()
 	<-f.done
-	if f.sending == nil {
+	if f.targetAttempt == nil {
 		return
 	}
 	c.sender.discard(f.result.response)
@@ -195,27 +195,27 @@
 	}
 }
 
-// land records the end of the first attempt.
-func (c *call) land(first *flight) {
-	c.observeLatency(first.sending)
-	c.finish(first.sending)
+// recordFirstEnd records the end of the first attempt.
+func (c *call) recordFirstEnd(first *asyncAttempt) {
+	c.observeLatency(first.targetAttempt)
+	c.finish(first.targetAttempt)
 }
 
-// landHedge records the end of the second attempt, if it was sent.
-func (c *call) landHedge(f *flight) {
-	if f.sending == nil {
+// recordHedgeEnd records the end of the second attempt, if it was sent.
+func (c *call) recordHedgeEnd(f *asyncAttempt) {
+	if f.targetAttempt == nil {
 		c.Metrics.recordHedgeNotSent(f.reason)
 		return
 	}
 	_, limited := c.Limits.Rate(f.target.Incarnation())
 	c.Metrics.recordPlacement(true, true, limited)
 	c.Metrics.recordHedge()
-	c.finish(f.sending)
-	f.landed = true
+	c.finish(f.targetAttempt)
+	f.recorded = true
 }
 
-// settle ends the attempt that doesn't count and returns the other one.
-func (c *call) settle(counts, other *flight, hedgeWon bool) (*inventory.Target, result) {
+// conclude ends the attempt that doesn't count and returns the other one.
+func (c *call) conclude(counts, other *asyncAttempt, hedgeWon bool) (*inventory.Target, result) {
 	if !errors.Is(other.result.cause, context.Canceled) && !c.acceptable(other) {
 		c.logFailedAttempt(other.target, other.result)
 	}
@@ -232,7 +232,7 @@
 }
 
 // observeLatency records how long the first attempt took, or at least would have taken.
-func (c *call) observeLatency(s *sending) {
+func (c *call) observeLatency(s *targetAttempt) {
 	switch r := s.result; {
 	case !c.route.Idempotent || c.pool.Keyed:
 	case r.outcome == answered && !c.shouldRetry(r.response):
--- a/pkg/ingress/sending.go
+++ b/pkg/ingress/target_attempt.go
@@ -12,9 +12,9 @@
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 )
 
-// sending is one attempt of a request at a target. While exchange runs, possibly on a goroutine of its own, no other goroutine accesses
+// targetAttempt is one attempt of a request at a target. While exchange runs, possibly on a goroutine of its own, no other goroutine accesses
 // its fields. Everything else happens on the goroutine of the call.
-type sending struct {
+type targetAttempt struct {
 	target  *inventory.Target
 	request *upstreamRequest
 	// placement is the place reserved for the attempt. It is nil if the request was placed locally; run then identifies the attempt.
@@ -27,9 +27,9 @@
 	result      result
 }
 
-// newSending prepares an attempt at a target on which the request has been placed. The attempt takes over the call's placement.
-func (c *call) newSending(t *inventory.Target) *sending {
-	s := &sending{target: t, request: c.upstreamRequest(), placement: c.placement, run: c.run}
+// newAttempt prepares an attempt at a target on which the request has been placed. The attempt takes over the call's placement.
+func (c *call) newAttempt(t *inventory.Target) *targetAttempt {
+	s := &targetAttempt{target: t, request: c.upstreamRequest(), placement: c.placement, run: c.run}
 	c.placement, c.run = nil, quarantine.RunID{}
 	c.unfinished = append(c.unfinished, s)
 	c.lastTarget = t.ID
@@ -47,22 +47,22 @@
 }
 
 // exchange sends the request and waits for the response.
-func (s *sending) exchange(ctx context.Context, h *Handler, deadline time.Time) {
+func (s *targetAttempt) exchange(ctx context.Context, h *Handler, deadline time.Time) {
 	s.sentAt, s.sentInstant = time.Now(), h.Clock.Now()
 	s.result = h.sender.exchange(ctx, s.target.ID, s.target.Address, s.request, deadline)
 	s.elapsed = time.Since(s.sentAt)
 }
 
 // send sends the request to a target on which it has been placed.
-func (c *call) send(ctx context.Context, t *inventory.Target) *sending {
-	s := c.newSending(t)
+func (c *call) send(ctx context.Context, t *inventory.Target) *targetAttempt {
+	s := c.newAttempt(t)
 	s.exchange(ctx, c.Handler, c.deadline)
 	c.finish(s)
 	return s
 }
 
 // finish records the end of an attempt and releases its slot.
-func (c *call) finish(s *sending) {
+func (c *call) finish(s *targetAttempt) {
 	r := s.result
 	for _, conn := range s.request.usedConns {
 		if !slices.Contains(c.usedConns, conn) {
@@ -75,17 +75,17 @@
 	c.mayHaveRun = c.mayHaveRun || r.outcome != unsent && r.outcome != notRun
 	c.recordRateLimit(s.target, r, s.sentInstant)
 	c.finishAttempt(s)
-	c.unfinished = slices.DeleteFunc(c.unfinished, func(other *sending) bool { return other == s })
+	c.unfinished = slices.DeleteFunc(c.unfinished, func(other *targetAttempt) bool { return other == s })
 }
 
-// abandon ends the attempts that are unfinished after a panic. They may have run: the response must not claim that the request was
+// releaseUnfinished ends the attempts that are unfinished after a panic. They may have run: the response must not claim that the request was
 // not executed.
-func (c *call) abandon() {
-	for _, f := range c.flights {
+func (c *call) releaseUnfinished() {
+	for _, f := range c.asyncAttempts {
 		f.cancel()
 		<-f.done
-		if f.sending != nil && f.hedge && !f.landed {
-			c.unfinished = append(c.unfinished, f.sending)
+		if f.targetAttempt != nil && f.hedge && !f.recorded {
+			c.unfinished = append(c.unfinished, f.targetAttempt)
 		}
 	}
 	for _, s := range c.unfinished {
