--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -21,6 +21,7 @@
 	"github.com/bronzelever/bronzelever/pkg/entry"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/logbuffer"
+	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/version"
 	"github.com/bronzelever/bronzelever/platform"
 )
@@ -34,11 +35,12 @@
 )
 
 type arguments struct {
-	Settings  string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
-	Check     bool             `help:"Check the settings and exit."`
-	LogLevel  string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
-	Advertise string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
-	Version   kong.VersionFlag `help:"Show the version and exit."`
+	Settings        string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
+	Check           bool             `help:"Check the settings and exit."`
+	LogLevel        string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
+	Advertise       string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
+	HedgeExtraShare float64          `help:"Share of extra requests, 0 to 0.1, that may be sent to a second target while the first one is slow. 0 sends none." default:"0" placeholder:"SHARE"`
+	Version         kong.VersionFlag `help:"Show the version and exit."`
 }
 
 func main() {
@@ -54,11 +56,16 @@
 	if !ok {
 		return code
 	}
+	if err := checkHedgeExtraShare(parsed.HedgeExtraShare); err != nil {
+		_, _ = fmt.Fprintln(errOut, "blentry:", err)
+		return exitInvalid
+	}
 	settings, findings := platform.LoadSettings(parsed.Settings)
 	if err := findings.Err(); err != nil {
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitInvalid
 	}
+	settings.HedgeExtraShare = parsed.HedgeExtraShare
 	if err := advertise(&settings, parsed.Advertise); err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
 		return exitInvalid
@@ -89,6 +96,14 @@
 	return nil
 }
 
+func checkHedgeExtraShare(share float64) error {
+	// NaN is in no range.
+	if !(share >= 0 && share <= placing.MaxHedgeExtraShare) {
+		return fmt.Errorf("--hedge-extra-share: %v is not between 0 and %v", share, placing.MaxHedgeExtraShare)
+	}
+	return nil
+}
+
 func parse(args []string, out, errOut io.Writer) (arguments, int, bool) {
 	var parsed arguments
 	exitRequested := false
