Use targets that shed a part of their load while others are full

Change: refusals have a rate of their own, with a penalty of 300 ms for a certain refusal instead of 2 s, since a refused request has not run and can be sent again at once.

--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -49,6 +49,10 @@
 	// failurePenalty is the additional latency that is accepted to avoid a certain failure. Most objectives are between 0.5 and 2
 	// s.
 	failurePenalty = 2 * time.Second
+	// refusalPenalty is the same for a certain refusal by a target with free slots. A refused request has not run, so it can be sent
+	// again at once; it costs about the time of one more attempt. With failurePenalty, requests waited for the few targets of a
+	// pool that didn't refuse any, while the slots of all others were idle.
+	refusalPenalty = 300 * time.Millisecond
 	// targetQueueLength is the number of requests that a target queues beyond its slots.
 	targetQueueLength = 8
 )
@@ -86,8 +90,9 @@
 	// this time for each VM in backoffs.
 	backoffUntil       clock.Instant
 	connectionFailures int
-	// failureRate is the moving average of the share of requests that the target failed.
-	failureRate float64
+	// failureRate is the moving average of the share of requests that the target failed, and refusalRate of the share that it refused
+	// although it had free slots.
+	failureRate, refusalRate float64
 	limit       rateLimit
 	// cold is when Balancer last sent a request while the target was cold.
 	cold lastTurn
@@ -410,6 +415,7 @@
 	case Answered:
 		l.connectionFailures = 0
 		l.failureRate -= failureRateWeight * l.failureRate
+		l.refusalRate -= failureRateWeight * l.refusalRate
 		l.updateServiceTime(elapsed, now)
 	case TargetError:
 		l.connectionFailures = 0
@@ -420,9 +426,8 @@
 		}
 	case Refused:
 		if l.inFlight < l.target.Slots && l.estimateOtherRequests(now) < 1 {
-			// The target had a free slot, so its refusal doesn't mean that it would refuse the next request. It counts as a
-			// failure instead.
-			l.recordFailure()
+			// The target had a free slot, so its refusal doesn't mean that it would refuse the next request.
+			l.refusalRate += failureRateWeight * (1 - l.refusalRate)
 			return
 		}
 		l.notBefore = max(l.notBefore, now.Add(refusalBackoff))
@@ -443,9 +448,10 @@
 	l.failureRate += failureRateWeight * (1 - l.failureRate)
 }
 
-// penalty is the additional latency that is accepted elsewhere to avoid a target that fails part of its requests.
+// penalty is the additional latency that is accepted elsewhere to avoid a target that fails or refuses part of its requests.
 func (l *load) penalty() time.Duration {
-	return time.Duration(max(0, l.failureRate-toleratedFailureRate) * float64(failurePenalty))
+	return time.Duration(max(0, l.failureRate-toleratedFailureRate)*float64(failurePenalty) +
+		max(0, l.refusalRate-toleratedFailureRate)*float64(refusalPenalty))
 }
 
 func (l *load) recordReport(r *Report, now clock.Instant) {
