Admit by value in all pools of a deployment whose kinds are distinguished

Change: as soon as the kinds of one pool are distinguished, all pools are admitted by value. Other deployments are served as before.

--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -20,22 +20,31 @@
 
 // SetValueAdmission makes the broker admit requests by the value of their answers under overload in all pools: requests that are unlikely
 // to be answered on time queue behind those that are likely to be, and the last request of a full queue gives way to a more urgent
-// one. It is off by default. Pools whose kinds of requests are distinguished are always served like that.
+// one. It is off by default. A deployment in which the kinds of requests of some pool are distinguished is always served like that.
 func (b *Broker) SetValueAdmission(on bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.valueAdmission = on
 }
 
-func (b *Broker) admitsByValue(pool string) bool {
-	return b.valueAdmission || b.distinguishesKinds(pool)
+// admitsByValue reports whether requests are admitted by the value of their answers.
+func (b *Broker) admitsByValue() bool {
+	if b.valueAdmission {
+		return true
+	}
+	for _, p := range b.kinds {
+		if p.distinguished {
+			return true
+		}
+	}
+	return false
 }
 
 // onTimeForecast returns the latency that decides whether a new request with the given forecast can be answered on time. A forecast
 // counts with the service time of the fastest target. Of a hundred averages of few samples, the shortest is far below the mean, while a
 // request that has waited gets any target. With the forecast itself, most of the requests that are placed last under overload are late.
 func (b *Broker) onTimeForecast(w *waiter, ps *poolState, latency time.Duration) time.Duration {
-	if len(ps.targets) < 2 || ps.throughput <= 0 || latency == infinite || !b.admitsByValue(w.Pool) {
+	if len(ps.targets) < 2 || ps.throughput <= 0 || latency == infinite || !b.admitsByValue() {
 		return latency
 	}
 	mean := secondsToDuration(onTimeServiceFactor * float64(ps.slots) / ps.throughput)
@@ -45,7 +54,7 @@
 // makeRoom refuses the last request of a queue that is full, so that a new one ahead of it can wait.
 func (b *Broker) makeRoom(w *waiter, ps *poolState) {
 	queue := b.queues[w.queue]
-	if len(queue) <= maxQueueLength || !b.admitsByValue(w.Pool) {
+	if len(queue) <= maxQueueLength || !b.admitsByValue() {
 		return
 	}
 	if last := queue[len(queue)-1]; last != w {
