Add rates that all VMs share

Cause: an organisation's quota holds for all VMs together, also while VMs are disconnected, paused, killed or restarted, or while the coordinator changes.

Change: pkg/sharedrate without I/O. Granter is the coordinator's ledger of shares with the broker's token buckets, Holder a VM's share, its commitment to lend it and its local buckets.

Ruled out: rounding each VM's burst up to one token, which lets 300 VMs send 300 requests at once; shares that start with a full burst, which doubles it when all VMs lose the coordinator.

--- /dev/null
+++ b/pkg/sharedrate/granter.go
@@ -0,0 +1,354 @@
+package sharedrate
+
+import (
+	"math"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
+
+const (
+	// fractionError is the rounding error of sums of fractions below which a difference is ignored.
+	fractionError = 1e-9
+	// overlapTime is how long two coordinators may act at the same time although leases prevent it, as a margin.
+	overlapTime = 2 * time.Second
+)
+
+// GranterOptions are the settings of a Granter.
+type GranterOptions struct {
+	// Coordinator identifies this term of the coordinator among all of all VMs; it isn't 0.
+	Coordinator uint64
+	Allowance   Allowance
+	// Inherited is set if a predecessor may have granted shares that this coordinator doesn't know.
+	Inherited bool
+	// Own is the share that the coordinator's VM has surrendered. The predecessor may use it until OwnLentUntil.
+	Own          float64
+	OwnLentUntil clock.Instant
+}
+
+// Granter is the coordinator's side: the ledger of the shares, and the token buckets for the requests that the broker places. It
+// isn't safe for concurrent use.
+//
+// Invariant: unknown + leftovers + the charges of all members is at most 1. The broker uses what is left after subtracting unknown,
+// the leftovers and the charges of the members that don't lend.
+type Granter struct {
+	options GranterOptions
+	// authority is until when this VM is certainly the coordinator; afterwards it uses nothing.
+	authority clock.Instant
+	// mayGrant is set once it is stored that this coordinator grants shares.
+	mayGrant bool
+	// unknown is the fraction that the predecessors may have granted to VMs that haven't connected, until unknownEnd.
+	unknown    float64
+	unknownEnd clock.Instant
+	members    map[string]*member
+	// leftovers are shares of ended processes that another coordinator may still use.
+	leftovers []leftover
+	// charged is the sum of the charges and leftovers.
+	charged float64
+
+	supply supply
+	// next is when the level changes by itself, and dirty is set if it may have changed already.
+	next  clock.Instant
+	dirty bool
+	// admitted counts requests at their admission, sent counts them when they are placed. A request waits between the two, so
+	// that only the second bounds what is sent within a window.
+	admitted, sent buckets
+}
+
+// member is a VM in the ledger.
+type member struct {
+	process int64
+	// granted is the share that was offered last with serial; previous is the one that the VM may still hold, until it confirms
+	// the serial.
+	granted, previous float64
+	serial, confirmed uint32
+	// stamp is the newest stamp of the VM.
+	stamp int64
+	// heardAt is when the VM's last answer arrived. Its grant ends before end.
+	heardAt, end clock.Instant
+	// lentUntil is until when the coordinator may use the share.
+	lentUntil clock.Instant
+}
+
+// charge is the largest share that the VM may hold.
+func (m *member) charge() float64 {
+	if m.confirmed == m.serial {
+		return m.granted
+	}
+	return max(m.granted, m.previous)
+}
+
+type leftover struct {
+	fraction float64
+	until    clock.Instant
+}
+
+// NewGranter returns the ledger of a new coordinator.
+func NewGranter(o GranterOptions, now clock.Instant) *Granter {
+	g := &Granter{options: o, members: map[string]*member{}, supply: newSupply(now), dirty: true}
+	if o.Inherited {
+		g.unknown, g.unknownEnd = 1-o.Own, now.Add(clock.WithDrift(GrantTime)+overlapTime)
+		g.leftovers = append(g.leftovers, leftover{o.Own, o.OwnLentUntil})
+	}
+	capacity := func(l Limit, level float64) float64 {
+		if level <= fractionError {
+			return 0
+		}
+		return max(o.Allowance.initialTokens(), l.Burst*level)
+	}
+	g.admitted = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
+	g.sent = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
+	return g
+}
+
+// SetAuthority sets until when this VM is certainly the coordinator, and whether it may grant shares.
+func (g *Granter) SetAuthority(until clock.Instant, mayGrant bool, now clock.Instant) {
+	g.advance(now)
+	if until != g.authority {
+		g.authority, g.dirty = until, true
+	}
+	g.mayGrant = mayGrant
+}
+
+// advance accounts for the time until now.
+func (g *Granter) advance(now clock.Instant) {
+	for {
+		if g.dirty || g.supply.at >= g.next {
+			g.recompute()
+		}
+		if now <= g.supply.at {
+			return
+		}
+		g.supply.advance(min(now, g.next))
+	}
+}
+
+// recompute drops what has ended and sets the level at the supply's time.
+func (g *Granter) recompute() {
+	now := g.supply.at
+	g.dirty, g.next = false, clock.Instant(math.MaxInt64)
+	g.charged = 0
+	unlent := g.expireUnknown(now) + g.expireLeftovers(now)
+	for name, m := range g.members {
+		if now >= m.end {
+			delete(g.members, name)
+			continue
+		}
+		charge := m.charge()
+		g.charged += charge
+		g.next = min(g.next, m.end)
+		if now < m.lentUntil {
+			g.next = min(g.next, m.lentUntil)
+		} else {
+			unlent += charge
+		}
+	}
+	level := max(0, 1-unlent)
+	if level < fractionError || now >= g.authority {
+		level = 0
+	} else {
+		g.next = min(g.next, g.authority)
+	}
+	g.supply.set(level)
+}
+
+func (g *Granter) expireUnknown(now clock.Instant) float64 {
+	if now >= g.unknownEnd {
+		g.unknown = 0
+		return 0
+	}
+	g.next = min(g.next, g.unknownEnd)
+	return g.unknown
+}
+
+func (g *Granter) expireLeftovers(now clock.Instant) float64 {
+	sum, kept := 0.0, g.leftovers[:0]
+	for _, l := range g.leftovers {
+		if now < l.until {
+			kept, sum, g.next = append(kept, l), sum+l.fraction, min(g.next, l.until)
+		}
+	}
+	g.leftovers = kept
+	g.charged += sum
+	return sum
+}
+
+// Answer records the answer of a connected VM.
+func (g *Granter) Answer(vm string, a Answer, now clock.Instant) {
+	g.advance(now)
+	m := g.members[vm]
+	if m != nil && a.Process < m.process {
+		return
+	}
+	if m != nil && a.Process > m.process {
+		g.release(m, now)
+		m = nil
+	}
+	if m == nil {
+		m = &member{process: a.Process}
+		g.members[vm], g.dirty = m, true
+	}
+	g.noteShare(m, a)
+	m.stamp = max(m.stamp, a.Stamp)
+	m.heardAt, m.end = now, now.Add(clock.WithDrift(GrantTime))
+	if a.Coordinator == g.options.Coordinator && a.Echo > 0 {
+		g.noteLent(m, clock.Instant(a.Echo).Add(LendTime), now)
+	}
+}
+
+// noteLent records until when a VM lends its share. The end of an earlier time at which the level is computed again needn't change.
+func (g *Granter) noteLent(m *member, until, now clock.Instant) {
+	if until <= m.lentUntil {
+		return
+	}
+	g.dirty = g.dirty || now >= m.lentUntil
+	m.lentUntil = until
+}
+
+// noteShare records the share that a VM holds.
+func (g *Granter) noteShare(m *member, a Answer) {
+	if a.GrantedBy == g.options.Coordinator {
+		if a.Serial == m.serial && m.confirmed != m.serial {
+			m.confirmed, g.dirty = a.Serial, true
+		}
+		return
+	}
+	held := a.Fraction
+	if a.LeftMs <= 0 {
+		held = 0
+	}
+	extra := held - m.charge()
+	if extra <= fractionError {
+		return
+	}
+	// The share was granted by another coordinator.
+	g.unknown = max(0, g.unknown-extra)
+	m.granted, m.previous = held, held
+	m.serial++
+	g.dirty = true
+}
+
+// release frees the share of a process that has ended. Another coordinator may have borrowed it from the process only after the last
+// commitment to this one had ended, and may use it for LendTime.
+func (g *Granter) release(m *member, now clock.Instant) {
+	g.dirty = true
+	if now.Sub(m.heardAt) >= LendTime && m.charge() > 0 {
+		g.leftovers = append(g.leftovers, leftover{m.charge(), now.Add(clock.WithDrift(LendTime))})
+	}
+}
+
+// Offer returns what is sent to a connected VM now.
+func (g *Granter) Offer(vm string, now clock.Instant) Offer {
+	g.advance(now)
+	o := Offer{Coordinator: g.options.Coordinator, Stamp: int64(now)}
+	m := g.members[vm]
+	if m == nil {
+		return o
+	}
+	if m.confirmed == m.serial && now < m.lentUntil && now < g.authority && g.mayGrant {
+		g.adjust(m, now)
+	}
+	if now < g.authority {
+		// A grant that is renewed later could outlast what the successor assumes.
+		o.Process, o.Echo, o.Fraction, o.Serial = m.process, m.stamp, m.granted, m.serial
+	}
+	return o
+}
+
+// adjust moves the share of a VM towards an equal one.
+func (g *Granter) adjust(m *member, now clock.Instant) {
+	target := 1 / float64(roundUpVMs(len(g.members)))
+	room := max(0, 1-g.unknown-g.charged)
+	next := min(target, m.granted+room)
+	if math.Abs(next-m.granted) < target/32 {
+		return
+	}
+	m.previous, m.granted = m.granted, next
+	m.serial++
+	g.dirty = true
+	g.advance(now)
+}
+
+// roundUpVMs rounds a number of VMs up by at most an eighth, so that not each VM that joins changes all shares. What isn't granted is
+// used by the broker.
+func roundUpVMs(vms int) int {
+	step := 1
+	for vms > 16*step {
+		step *= 2
+	}
+	return (max(vms, 1) + step - 1) / step * step
+}
+
+// Level returns the fraction of all limits that the broker may use now.
+func (g *Granter) Level(now clock.Instant) float64 {
+	g.advance(now)
+	return g.supply.level
+}
+
+// Admit takes the token of a request that is admitted, or returns when the caller should return. A further attempt of a request may
+// overdraw the bucket.
+func (g *Granter) Admit(name string, l Limit, further bool, now clock.Instant) (Verdict, time.Duration) {
+	g.advance(now)
+	if g.supply.level <= 0 {
+		return NoShare, noShareRetryTime
+	}
+	e := g.admitted.get(name, l)
+	if e.tokens < g.minTokens(further) {
+		return OverLimit, g.admitted.refuse(e, now)
+	}
+	e.tokens--
+	e.taken++
+	return Granted, 0
+}
+
+// Return gives back the token of a request that was refused without having been sent.
+func (g *Granter) Return(name string, l Limit, now clock.Instant) {
+	g.advance(now)
+	e := g.admitted.get(name, l)
+	e.tokens = min(e.tokens+1, g.admitted.capacity(l, g.supply.level))
+	e.taken--
+}
+
+// Send reports whether an admitted request may be sent now, and counts it if so. Otherwise it returns when to ask again.
+func (g *Granter) Send(name string, l Limit, further bool, now clock.Instant) (bool, time.Duration) {
+	g.advance(now)
+	if g.supply.level <= 0 {
+		return false, noShareRetryTime
+	}
+	e := g.sent.get(name, l)
+	if lowest := g.minTokens(further); e.tokens < lowest {
+		return false, seconds((lowest - e.tokens) / (l.Rate * g.supply.level))
+	}
+	e.tokens--
+	return true, 0
+}
+
+func (g *Granter) minTokens(further bool) float64 {
+	if further {
+		return 1 - g.options.Allowance.debt()
+	}
+	return 1
+}
+
+// GranterState is the state of a Granter as shown to operators. All values but VMs and Uses are fractions.
+type GranterState struct {
+	// Usable is what the broker may use, Unknown what a predecessor may have granted, and Charged what is granted.
+	Usable  float64 `json:"usable"`
+	Unknown float64 `json:"unknown"`
+	Charged float64 `json:"charged"`
+	VMs     int     `json:"vms"`
+	// Uses are the organisations with the least tokens left.
+	Uses []Use `json:"organisations"`
+}
+
+// State returns the state with at most count organisations.
+func (g *Granter) State(count int, now clock.Instant) GranterState {
+	g.advance(now)
+	return GranterState{Usable: g.supply.level, Unknown: g.unknown, Charged: g.charged, VMs: len(g.members), Uses: g.admitted.top(count)}
+}
+
+// Idle reports whether nobody can hold a share, so that the ledger can be dropped.
+func (g *Granter) Idle(now clock.Instant) bool {
+	g.advance(now)
+	return g.unknown == 0 && g.charged == 0
+}
--- /dev/null
+++ b/pkg/sharedrate/model_test.go
@@ -0,0 +1,503 @@
+package sharedrate
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
+
+// The model runs a fleet in one sequence of events in true time. Each VM reads a clock of its own that is up to 0.5% fast or slow. Links
+// keep the order of messages and end with the first one that is lost, like TCP connections.
+
+const (
+	modelHeartbeat = 300 * time.Millisecond
+	modelReport    = 250 * time.Millisecond
+	modelLinkLoss  = 800 * time.Millisecond
+	modelLease     = 1500 * time.Millisecond
+)
+
+type modelEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type modelQueue []modelEvent
+
+func (q modelQueue) Len() int      { return len(q) }
+func (q modelQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q modelQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q *modelQueue) Push(x any) { *q = append(*q, x.(modelEvent)) }
+func (q *modelQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// modelVM is one process of a VM; a restart replaces it.
+type modelVM struct {
+	id          int
+	dead        bool
+	rate        float64
+	offset      time.Duration
+	pausedUntil time.Duration
+	holder      *Holder
+	link        *modelLink
+	// granter is set while the VM believes to be the coordinator; authority is the true end of its lease.
+	granter   *Granter
+	followers map[*modelLink]bool
+}
+
+// modelLink is a connection of a VM to a coordinator.
+type modelLink struct {
+	vm, coordinator *modelVM
+	granter         *Granter
+	closed          bool
+	heardAt         time.Duration
+	lastArrival     [2]time.Duration
+}
+
+type modelOrg struct {
+	name    string
+	limits  [2]Limit
+	changed time.Duration
+	sent    []time.Duration
+	total   int
+}
+
+type modelFaults struct {
+	random  bool
+	restart bool
+}
+
+type model struct {
+	t           *testing.T
+	rng         *rand.Rand
+	now         time.Duration
+	seq         int
+	queue       modelQueue
+	vms         []*modelVM
+	cut         map[int]bool
+	slow        map[int]bool
+	orgs        []*modelOrg
+	coordinator *modelVM
+	terms       uint64
+	leaseEnd    time.Duration
+	faults      modelFaults
+	trace       uint64
+	violations  []string
+}
+
+func newModel(t *testing.T, seed uint64, vms int, limits [][2]Limit, faults modelFaults) *model {
+	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, slow: map[int]bool{}, faults: faults}
+	for i := range vms {
+		m.vms = append(m.vms, nil)
+		m.start(i)
+	}
+	for i, l := range limits {
+		m.orgs = append(m.orgs, &modelOrg{name: fmt.Sprint("org", i), limits: l, changed: math.MaxInt64})
+	}
+	m.every(10*time.Millisecond, 20*time.Millisecond, m.govern)
+	m.every(15*time.Millisecond, 50*time.Millisecond, m.checkFractions)
+	for i := range vms {
+		m.every(m.jitter(modelHeartbeat), modelHeartbeat, func() { m.heartbeat(i) })
+		m.every(m.jitter(modelReport), modelReport, func() { m.report(i) })
+		m.every(m.jitter(150*time.Millisecond), 150*time.Millisecond, func() { m.follow(i) })
+	}
+	return m
+}
+
+func (m *model) jitter(d time.Duration) time.Duration {
+	return time.Duration(m.rng.Int64N(int64(d)))
+}
+
+func (m *model) after(d time.Duration, f func()) {
+	m.seq++
+	heap.Push(&m.queue, modelEvent{m.now + d, m.seq, f})
+}
+
+func (m *model) every(first, period time.Duration, f func()) {
+	var again func()
+	again = func() {
+		f()
+		m.after(period, again)
+	}
+	m.after(first, again)
+}
+
+func (m *model) run(until time.Duration) {
+	for len(m.queue) > 0 && m.queue[0].at <= until {
+		e := heap.Pop(&m.queue).(modelEvent)
+		m.now = e.at
+		e.run()
+	}
+	m.now = until
+}
+
+func (m *model) start(id int) {
+	v := &modelVM{id: id, rate: 1 + 0.005*(2*m.rng.Float64()-1), offset: m.jitter(time.Hour), followers: map[*modelLink]bool{}}
+	v.holder = NewHolder(int64(m.now)+1, DefaultAllowance, m.clock(v))
+	m.vms[id] = v
+}
+
+func (m *model) clock(v *modelVM) clock.Instant {
+	return clock.Instant(float64(m.now)*v.rate) + clock.Instant(v.offset)
+}
+
+func (m *model) running(v *modelVM) bool {
+	return !v.dead && m.now >= v.pausedUntil
+}
+
+func (m *model) reachable(a, b *modelVM) bool {
+	return a == b || !m.cut[a.id] && !m.cut[b.id]
+}
+
+// govern keeps a coordinator with a lease. The store is always reachable for VMs that aren't cut off. With faults, one lease in three
+// begins up to 1 s before its predecessor's has ended, which leases of the real store prevent.
+func (m *model) govern() {
+	c := m.coordinator
+	if c != nil && m.running(c) && !m.cut[c.id] && c.granter != nil {
+		m.leaseEnd = m.now + modelLease
+		c.granter.SetAuthority(m.clock(c).Add(modelLease), true, m.clock(c))
+		return
+	}
+	early := time.Duration(0)
+	if m.faults.random && m.terms%3 == 2 {
+		early = time.Second
+	}
+	if m.now < m.leaseEnd-early {
+		return
+	}
+	v := m.vms[m.rng.IntN(len(m.vms))]
+	if !m.running(v) || m.cut[v.id] || v == c && v.granter != nil && !v.dead {
+		return
+	}
+	m.disconnect(v.link)
+	m.terms++
+	own, until := v.holder.Surrender(m.clock(v))
+	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.terms > 1, Own: own, OwnLentUntil: until}, m.clock(v))
+	v.granter.SetAuthority(m.clock(v).Add(modelLease), true, m.clock(v))
+	m.coordinator, m.leaseEnd = v, m.now+modelLease
+}
+
+// deposed drops the role of a coordinator that notices its lease's end or the successor, at the next heartbeat that it sends.
+func (m *model) deposed(v *modelVM) bool {
+	if v.granter == nil || v == m.coordinator || m.cut[v.id] || m.rng.IntN(4) > 0 {
+		return v.granter == nil
+	}
+	v.granter = nil
+	for _, f := range m.vms {
+		if f.link != nil && f.link.coordinator == v {
+			m.disconnect(f.link)
+		}
+	}
+	return true
+}
+
+func (m *model) follow(id int) {
+	v := m.vms[id]
+	if !m.running(v) || v.granter != nil {
+		return
+	}
+	if l := v.link; l != nil && (l.coordinator.dead || m.now-l.heardAt > modelLinkLoss) {
+		m.disconnect(l)
+	}
+	c := m.coordinator
+	if v.link != nil || c == nil || c == v || c.granter == nil || !m.running(c) || !m.reachable(v, c) {
+		return
+	}
+	v.link = &modelLink{vm: v, coordinator: c, granter: c.granter, heardAt: m.now}
+	c.followers[v.link] = true
+	m.after(0, func() { m.heartbeat(id) })
+}
+
+func (m *model) disconnect(l *modelLink) {
+	if l == nil || l.closed {
+		return
+	}
+	l.closed = true
+	delete(l.coordinator.followers, l)
+	if l.vm.link == l {
+		l.vm.link = nil
+		l.vm.holder.Disconnected()
+	}
+}
+
+// send delivers a message over a link: direction 0 goes to the coordinator, 1 to the VM.
+func (m *model) send(l *modelLink, direction int, f func()) {
+	from, to := l.vm, l.coordinator
+	if direction == 1 {
+		from, to = to, from
+	}
+	delay := time.Millisecond + m.jitter(15*time.Millisecond)
+	if m.slow[from.id] || m.slow[to.id] {
+		delay += m.jitter(900 * time.Millisecond)
+	}
+	at := max(m.now+delay, l.lastArrival[direction])
+	l.lastArrival[direction] = at
+	var deliver func()
+	deliver = func() {
+		switch {
+		case l.closed || to.dead:
+		case !m.reachable(from, to):
+			// The sender notices the loss by the silence.
+		case m.now < to.pausedUntil:
+			m.after(to.pausedUntil-m.now, deliver)
+		case l.coordinator.granter != l.granter:
+			m.disconnect(l)
+		default:
+			f()
+		}
+	}
+	m.after(at-m.now, deliver)
+}
+
+func (m *model) heartbeat(id int) {
+	v := m.vms[id]
+	l := v.link
+	if l == nil || l.coordinator.dead || !m.running(l.coordinator) || m.deposed(l.coordinator) || l.closed {
+		return
+	}
+	o := l.granter.Offer(fmt.Sprint(v.id), m.clock(l.coordinator))
+	m.send(l, 1, func() {
+		l.heardAt = m.now
+		if v.holder.Offer(o, m.clock(v)) {
+			m.report(id)
+		}
+	})
+}
+
+func (m *model) report(id int) {
+	v := m.vms[id]
+	l := v.link
+	if l == nil || !m.running(v) {
+		return
+	}
+	if a, ok := v.holder.Answer(m.clock(v)); ok {
+		m.send(l, 0, func() { l.granter.Answer(fmt.Sprint(v.id), a, m.clock(l.coordinator)) })
+	}
+}
+
+// request sends one request of an organisation to a VM.
+func (m *model) request(o *modelOrg, v *modelVM) {
+	limit := o.limits[0]
+	if m.now >= o.changed {
+		limit = o.limits[1]
+	}
+	switch {
+	case !m.running(v):
+	case v.granter != nil:
+		if m.place(v.granter, o, limit, m.clock(v)) {
+			m.record(o)
+		}
+	case v.link != nil:
+		asked, l := m.clock(v), v.link
+		m.send(l, 0, func() {
+			if m.place(l.granter, o, limit, m.clock(l.coordinator)) {
+				m.send(l, 1, func() {
+					if m.clock(v).Sub(asked) <= DefaultAllowance.MaxSendDelay() {
+						m.record(o)
+					}
+				})
+			}
+		})
+	default:
+		if verdict, _ := v.holder.Take(o.name, limit, m.clock(v)); verdict == Granted {
+			m.record(o)
+		}
+	}
+}
+
+// place admits a request and sends it. One in 50 is attempted again, and one in 50 is refused after its admission.
+func (m *model) place(g *Granter, o *modelOrg, l Limit, now clock.Instant) bool {
+	if verdict, _ := g.Admit(o.name, l, m.rng.IntN(50) == 0, now); verdict != Granted {
+		return false
+	}
+	if m.rng.IntN(50) == 0 {
+		g.Return(o.name, l, now)
+		return false
+	}
+	ok, _ := g.Send(o.name, l, false, now)
+	if !ok {
+		g.Return(o.name, l, now)
+	}
+	return ok
+}
+
+// record checks the rule for the window that ends now. A changed limit binds one window after its change.
+func (m *model) record(o *modelOrg) {
+	a := DefaultAllowance
+	o.sent = append(o.sent, m.now)
+	for o.sent[0] <= m.now-a.Window {
+		o.sent = o.sent[1:]
+	}
+	o.total++
+	m.trace = m.trace*31 + uint64(m.now)
+	l := o.limits[0]
+	if m.now >= o.changed+a.Window {
+		l = o.limits[1]
+	} else if m.now >= o.changed {
+		l = Limit{max(l.Rate, o.limits[1].Rate), max(l.Burst, o.limits[1].Burst)}
+	}
+	if most := (l.Rate*a.Window.Seconds()+l.Burst)*(1+a.Over) + a.Slack; float64(len(o.sent)) > most && len(m.violations) < 3 {
+		m.violations = append(m.violations, fmt.Sprintf("%v: %s sent %d in a window, at most %.1f", m.now, o.name, len(o.sent), most))
+	}
+}
+
+// checkFractions checks that no part of the limits is in use twice.
+func (m *model) checkFractions() {
+	sum := 0.0
+	for _, v := range m.vms {
+		if !m.running(v) {
+			continue
+		}
+		now := m.clock(v)
+		v.holder.advance(now)
+		sum += v.holder.supply.level
+		if v.granter != nil {
+			sum += v.granter.Level(now)
+		}
+	}
+	if sum > 1+1e-6 && len(m.violations) < 3 {
+		m.violations = append(m.violations, fmt.Sprintf("%v: fractions in use add up to %.4f", m.now, sum))
+	}
+}
+
+// load sends factor times the limit of each organisation, to VMs that differ in their part of it.
+func (m *model) load(factor float64) {
+	for _, o := range m.orgs {
+		var next func()
+		next = func() {
+			v := m.vms[min(m.rng.IntN(len(m.vms)), m.rng.IntN(len(m.vms)))]
+			m.request(o, v)
+			m.after(time.Duration(m.rng.ExpFloat64()/(factor*max(o.limits[0].Rate, o.limits[1].Rate))*float64(time.Second)), next)
+		}
+		m.after(m.jitter(time.Second), next)
+	}
+}
+
+// kill ends a VM's process and starts another one.
+func (m *model) kill(id int, restart time.Duration) {
+	m.vms[id].dead = true
+	m.after(restart, func() {
+		if m.vms[id].dead {
+			m.start(id)
+		}
+	})
+}
+
+// fault causes one random fault at one VM, or at all.
+func (m *model) fault() {
+	id, d := m.rng.IntN(len(m.vms)), m.jitter(4*time.Second)
+	if m.coordinator != nil && m.rng.IntN(3) == 0 {
+		id = m.coordinator.id
+	}
+	switch m.rng.IntN(6) {
+	case 0:
+		m.kill(id, 300*time.Millisecond+m.jitter(3*time.Second))
+	case 1:
+		m.vms[id].pausedUntil = m.now + d
+	case 2:
+		m.cut[id] = true
+		m.after(d*time.Duration(1+m.rng.IntN(10)), func() { delete(m.cut, id) })
+	case 3:
+		m.slow[id] = true
+		m.after(d, func() { delete(m.slow, id) })
+	case 4:
+		for i := range m.vms {
+			if m.rng.IntN(2) == 0 {
+				m.cut[i] = true
+				m.after(d+m.jitter(time.Second), func() { delete(m.cut, i) })
+			}
+		}
+	case 5:
+		if l := m.vms[id].link; l != nil {
+			m.disconnect(l)
+		}
+	}
+	m.after(m.jitter(2*time.Second), m.fault)
+}
+
+func (m *model) used(o *modelOrg, period time.Duration) float64 {
+	return float64(o.total) / (o.limits[0].Rate * period.Seconds())
+}
+
+var modelLimits = [][2]Limit{
+	{{373, 373}, {373, 373}}, {{20, 20}, {5, 2}}, {{3, 1}, {30, 60}}, {{0.5, 0}, {0.5, 0}}, {{8, 100}, {8, 100}}, {{60, 5}, {60, 200}},
+}
+
+// runRandom runs one seed with random faults and returns a digest of all that was sent.
+func runRandom(t *testing.T, seed uint64, vms int, period time.Duration) (uint64, []string) {
+	m := newModel(t, seed, vms, modelLimits, modelFaults{random: true})
+	for _, o := range m.orgs {
+		o.changed = 10*time.Second + m.jitter(period)
+	}
+	m.load(2 + 6*m.rng.Float64())
+	m.after(3*time.Second, m.fault)
+	m.run(period)
+	return m.trace, m.violations
+}
+
+// TestLimitHoldsUnderRandomFaults guards the rule that no window has more requests of an organisation than its limit and the allowance.
+// QUOTA_SEEDS sets the number of seeds, QUOTA_FIRST_SEED the first one.
+func TestLimitHoldsUnderRandomFaults(t *testing.T) {
+	seeds, first := 12, 1
+	if n, err := strconv.Atoi(os.Getenv("QUOTA_SEEDS")); err == nil {
+		seeds = n
+	}
+	if n, err := strconv.Atoi(os.Getenv("QUOTA_FIRST_SEED")); err == nil {
+		first = n
+	}
+	for seed := first; seed < first+seeds; seed++ {
+		vms := []int{4, 12, 4, 300}[seed%4]
+		if _, violations := runRandom(t, uint64(seed), vms, 75*time.Second); len(violations) > 0 {
+			t.Errorf("seed %d, %d VMs: %v", seed, vms, violations)
+		}
+	}
+}
+
+// TestSameSeedSameRun guards the use of the model for finding faults.
+func TestSameSeedSameRun(t *testing.T) {
+	a, _ := runRandom(t, 7, 12, 30*time.Second)
+	b, _ := runRandom(t, 7, 12, 30*time.Second)
+	if a != b {
+		t.Errorf("two runs of one seed differ: %d, %d", a, b)
+	}
+}
+
+// TestLimitIsUsed guards against requests that are refused below the limit.
+func TestLimitIsUsed(t *testing.T) {
+	const period = 90 * time.Second
+	for _, vms := range []int{4, 12, 300} {
+		for _, lose := range []bool{false, true} {
+			m := newModel(t, 3, vms, [][2]Limit{{{373, 373}, {373, 373}}, {{20, 20}, {20, 20}}, {{2, 2}, {2, 2}}}, modelFaults{})
+			m.load(2)
+			least := 0.9
+			if lose {
+				least = 0.8
+				next := 0
+				m.every(3*time.Second, 4500*time.Millisecond, func() { m.kill(next%vms, time.Second); next++ })
+			}
+			m.run(period)
+			for _, o := range m.orgs {
+				used := m.used(o, period)
+				t.Logf("%d VMs, lost %v: %s with %v/s: %.3f", vms, lose, o.name, o.limits[0].Rate, used)
+				if used < least {
+					t.Errorf("%d VMs, lost %v: %s uses %.3f of its limit, want %.2f", vms, lose, o.name, used, least)
+				}
+			}
+			if len(m.violations) > 0 {
+				t.Error(m.violations)
+			}
+		}
+	}
+}
