Count the quotas of organisations at the broker and on VMs without one

Cause: an organisation may send a limited rate to all VMs together.

Change: the broker takes a token when it admits a request, gives it back when it refuses the request unsent, and counts it once more when it is sent; a VM without a broker uses its own share. A request above the quota is answered with 429 and the time at which there is a token for it, one on a VM without a share with 503. Offers and answers about shares travel in updates and reports, only if an organisation has a quota. The coordinator's row says whether shares may exist, so that the first coordinator needn't wait for unknown ones; none is granted before the row says so. Requests with a quota go to a slow broker as well, since the VM's share is lent to it.

Ruled out: local placement beside a slow broker, which would use a share twice.

--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -63,6 +63,9 @@
 	VMs int `msgpack:"vms,omitempty"`
 	// Distributors maps each failure domain to the address of the VM that relays the tables in it.
 	Distributors map[string]string `msgpack:"dist,omitempty"`
+	// Shares is set if VMs may hold shares of the organisations' quotas. A coordinator stores it before it grants the first one, so
+	// that its successor knows whether to wait for their end.
+	Shares bool `msgpack:"shares,omitempty"`
 }
 
 // Identity identifies a process that may become the coordinator.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -19,6 +19,7 @@
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 const (
@@ -95,6 +96,9 @@
 	limits         *ratelimit.Tracker
 	// localBudget limits the retries that this VM places without a broker.
 	localBudget *placing.RetryBudget
+	// quota is this VM's share of the organisations' quotas.
+	quota       *sharedrate.Holder
+	quotaEvents quotaEvents
 	placer      *placer
 	onSnapshot  func(*inventory.Snapshot)
 
@@ -222,7 +226,9 @@
 	// broker.
 	BrokerBudget *placing.RetryBudget
 	LocalBudget  *placing.RetryBudget
-	Incarnation  string
+	// Quota is this VM's share of the organisations' quotas.
+	Quota       *sharedrate.Holder
+	Incarnation string
 	// OnSnapshot is called with each new snapshot, from the control goroutine.
 	OnSnapshot func(*inventory.Snapshot)
 }
@@ -238,9 +244,12 @@
 	if o.LocalBudget == nil {
 		o.LocalBudget = placing.NewLocalBudget(0, 0, time.Second)
 	}
+	if o.Quota == nil {
+		o.Quota = sharedrate.NewHolder(1, sharedrate.DefaultAllowance, o.Clock.Now())
+	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
+		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, quota: o.Quota, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loadWindow: newLoadWindow(), reading: map[string]bool{}, readCounts: map[string]int{}, nextRead: map[string]clock.Instant{}, pacers: map[string]*readPacer{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
@@ -364,6 +373,7 @@
 	c.logSuspects()
 	c.logLimits(now)
 	c.divideLimits(now, leading)
+	c.shareQuotas(now, leading)
 	c.syncSuspects(now, leading)
 	if c.stopRequested {
 		c.stepDown(now)
@@ -395,7 +405,7 @@
 	if !c.wasLeading || now.Sub(c.leadingSince) < fleetSettleTime {
 		return row.Fleet
 	}
-	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors()}
+	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors(), Shares: c.sharesPossible(now)}
 }
 
 // runEffects carries out effects of the coordinator's state machine.
@@ -491,6 +501,7 @@
 		c.distribution = replica.NewDistribution(c.settings.Region)
 		row, _ := c.coordinator.Leader()
 		c.distribution.Expect(row.Distributors, c.leadingSince)
+		c.startQuotas(c.leadingSince, row.Shares)
 		c.setBackend(true, nil)
 		c.updateBroker()
 		return
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 const (
@@ -120,18 +121,20 @@
 	localBudget := placing.NewLocalBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	balancer.UseLimits(limits, o.Settings.VM)
+	quota := sharedrate.NewHolder(time.Now().UnixNano(), sharedrate.DefaultAllowance, clock.Boottime{}.Now())
 	p := &process{Options: o, stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
+		Quota:        quota,
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
-		Budget: localBudget, Suspects: suspects, Limits: limits,
+		Budget: localBudget, Suspects: suspects, Limits: limits, Quota: quota,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		MaxBufferedBodyBytes:     int64(float64(o.Settings.MemoryBytes) * requestBodyMemoryShare),
 		MaxBufferedResponseBytes: int64(float64(o.Settings.MemoryBytes) * responseMemoryShare),
--- a/pkg/entry/placer.go
+++ b/pkg/entry/placer.go
@@ -34,6 +34,8 @@
 type pendingRequest struct {
 	decision chan placing.Decision
 	sent     clock.Instant
+	// limited is set if the request has a quota.
+	limited bool
 }
 
 const (
@@ -70,7 +72,8 @@
 	switch {
 	case leading:
 		return p.placeOnOwnBroker(ctx, a)
-	case link != nil && !p.decisionsTooSlow():
+	case link != nil && (a.Limited || !p.decisionsTooSlow()):
+		// While this VM is connected, its share of the quotas is lent to the broker, however slow that is.
 		return p.placeRemotely(ctx, a, link)
 	default:
 		return nil, placing.Decision{}, false
@@ -79,7 +82,10 @@
 
 func (p *placer) placeOnOwnBroker(ctx context.Context, a placing.PlacementRequest) (ingress.Placement, placing.Decision, bool) {
 	decision := make(chan placing.Decision, 1)
-	p.broker.Place(a, func(v placing.Decision) { decision <- v }, p.clock.Now())
+	p.broker.Place(a, func(v placing.Decision) {
+		v.SendBy = sendBy(a.Limited, p.clock.Now())
+		decision <- v
+	}, p.clock.Now())
 	placement := &brokerPlacement{placer: p, seq: a.Seq}
 	select {
 	case v := <-decision:
@@ -93,7 +99,7 @@
 func (p *placer) placeRemotely(ctx context.Context, a placing.PlacementRequest, link *replica.Link) (ingress.Placement, placing.Decision, bool) {
 	decision := make(chan placing.Decision, 1)
 	p.mu.Lock()
-	p.pending[a.Seq] = &pendingRequest{decision: decision, sent: p.clock.Now()}
+	p.pending[a.Seq] = &pendingRequest{decision: decision, sent: p.clock.Now(), limited: a.Limited}
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
@@ -123,7 +129,9 @@
 	defer p.mu.Unlock()
 	if request := p.pending[v.Seq]; request != nil {
 		p.recordDelay(p.clock.Now().Sub(request.sent) - time.Duration(v.WaitedMs)*time.Millisecond)
-		request.decision <- placing.Decision{Target: v.Target, Reason: v.Reason, Expected: time.Duration(v.ExpectedMs) * time.Millisecond}
+		waited := time.Duration(v.WaitedMs) * time.Millisecond
+		request.decision <- placing.Decision{Target: v.Target, Reason: v.Reason, Expected: time.Duration(v.ExpectedMs) * time.Millisecond,
+			SendBy: sendBy(request.limited, request.sent.Add(waited))}
 	}
 }
 
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -25,6 +25,7 @@
 		Report: func(f *replica.Follower, r replica.Report) {
 			// The requests of the VM that follow on the connection must be placed with these limits.
 			c.limits.Merge(r.Limits, c.clock.Now())
+			c.recordQuotaAnswer(f, r)
 			c.post(func() {
 				f.PlaceDelay = time.Duration(r.DelayMs) * time.Millisecond
 				c.loadWindow.add(r.Keys, c.clock.Now())
@@ -204,6 +205,9 @@
 			MinElectionDelayMs: c.minElectionDelay.Milliseconds(), LeaseVersion: c.coordinator.Version(), Index: i + 1, Count: len(followers) + 1,
 			Distributor: f.Distributor, Suspects: suspects, Leaving: leaving, Limits: limits, StoreAge: age,
 		}
+		if heartbeat || !f.SuspectsSent {
+			u.Quota = c.quotaOffer(f, now)
+		}
 		if !f.SuspectsSent {
 			u.Limits = c.limits.Records(now)
 			u.Suspects, u.Leaving, f.SuspectsSent = c.suspects.Records(now), c.leavingTargets.stillRegistered(c.registered()), true
@@ -347,6 +351,7 @@
 	}
 	c.cancelFollow, c.link, c.followedAddress, c.leaderConfirmed = nil, nil, "", false
 	c.setBackend(c.wasLeading, nil)
+	c.quota.Disconnected()
 }
 
 func (c *Control) coordinatorLinked(ctx context.Context, l *replica.Link, vm string) {
@@ -406,6 +411,7 @@
 	c.suspects.Merge(u.Suspects, now)
 	c.limits.Merge(u.Limits, now)
 	c.addLeavingTargets(u.Leaving)
+	c.applyQuotaOffer(l, u, now)
 	c.coordinatorFreshAt = max(c.coordinatorFreshAt, now.Add(-time.Duration(u.StoreAge)*time.Millisecond))
 	if !c.leaderConfirmed {
 		// The subscribers connect to the coordinator immediately after the notice.
@@ -457,6 +463,7 @@
 	if c.link != nil {
 		r := replica.Report{Keys: keys, DelayMs: c.placer.delay().Milliseconds(), Suspects: c.suspects.Changes(now)}
 		c.addStoreReport(&r, now)
+		r.Quota = c.quotaAnswer(now)
 		c.link.SendReport(r)
 	}
 }
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -62,5 +62,9 @@
 	TargetLimitWithdrawn = define(854, log.InfoLevel, "target withdrew its rate limit")
 	TargetLimitInvalid   = define(855, log.WarnLevel, "rate limit of a target can't be parsed; an earlier one remains")
 
+	QuotaShareGranted  = define(870, log.InfoLevel, "share of the quotas granted to this VM")
+	QuotaSharedLocally = define(871, log.WarnLevel, "this VM uses its own share of the quotas, without a coordinator")
+	QuotaPartUnknown   = define(872, log.InfoLevel, "part of the quotas stays unused because a previous coordinator may have granted it")
+
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -30,7 +30,7 @@
 	c.Budget.AddAttempt(c.pool.Name, c.Clock.Now())
 	unsentCount := 0
 	for retry := false; ; retry = true {
-		target, err := c.place(ctx, retry)
+		target, err := c.placeInTime(ctx, retry)
 		if err != nil {
 			return err
 		}
@@ -141,7 +141,7 @@
 		if decision.Target == "" {
 			return nil, c.placementError(placing.Choice{Reason: decision.Reason, Expected: decision.Expected})
 		}
-		c.placement = placement
+		c.placement, c.sendBy = placement, decision.SendBy
 		t := c.usableTarget(decision.Target)
 		if t != nil {
 			backoffLeft := c.Balancer.BackoffLeft(t.ID, c.Clock.Now())
@@ -186,7 +186,7 @@
 		AllowedRegions: c.route.HomeRegions, Retry: retry, Objective: c.objective(), Fingerprint: c.fingerprint,
 	}
 	if c.organisation != nil {
-		a.Organisation = c.organisation.Name
+		a.Organisation, a.Limited = c.organisation.Name, c.organisation.Rate > 0
 	}
 	for id := range c.avoid {
 		a.Avoid = append(a.Avoid, id)
@@ -230,10 +230,14 @@
 		if candidates, err = c.admitSuspect(candidates); err != nil {
 			return nil, err
 		}
+		if err := c.takeQuota(); err != nil {
+			return nil, err
+		}
 		choice := c.Balancer.Choose(placing.Criteria{
 			Candidates: candidates, Avoid: c.avoid, BodyBytes: c.body.size(), TimeLeft: time.Until(c.deadline), Objective: c.objective(),
 		}, c.Clock.Now())
 		if choice.Target == nil {
+			c.returnQuota()
 			return nil, c.placementError(choice)
 		}
 		c.run = quarantine.RunID{Seq: c.localRuns.Add(1)}
@@ -275,6 +279,12 @@
 	if choice.Reason == placing.ReasonQuarantined {
 		return &statusError{http.StatusServiceUnavailable, string(choice.Reason), choice.Expected}
 	}
+	if choice.Reason == placing.ReasonQuota {
+		return &statusError{http.StatusTooManyRequests, string(choice.Reason), quotaRetryAfter(choice.Expected)}
+	}
+	if choice.Reason == placing.ReasonNoShare {
+		return &statusError{http.StatusServiceUnavailable, string(choice.Reason), quotaRetryAfter(choice.Expected)}
+	}
 	if choice.Reason == placing.ReasonTargetLimit {
 		return &statusError{http.StatusServiceUnavailable, string(choice.Reason), placing.RetryAfterLimit(choice.Expected)}
 	}
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -17,6 +17,7 @@
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -42,7 +43,9 @@
 	// Suspects tracks the requests that may crash targets. If nil, an empty tracker is used.
 	Suspects *quarantine.Tracker
 	// Limits holds the rate limits of the targets. If nil, an empty tracker is used.
-	Limits  *ratelimit.Tracker
+	Limits *ratelimit.Tracker
+	// Quota is this VM's share of the organisations' quotas, for requests that are placed without the broker.
+	Quota   *sharedrate.Holder
 	Clock   clock.Clock
 	Log     *event.Logger
 	Metrics *Metrics
@@ -133,6 +136,8 @@
 	// the attempt.
 	placement Placement
 	run       quarantine.RunID
+	// sendBy is until when the current attempt must be sent, 0 if the organisation has no quota.
+	sendBy clock.Instant
 	// usedConns are the connections on which the request was sent.
 	usedConns []*targetconn.Conn
 	// headerWritten is set once a response header may have reached the caller.
--- /dev/null
+++ b/pkg/ingress/quota.go
@@ -0,0 +1,78 @@
+package ingress
+
+import (
+	"context"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
+
+// minQuotaRetryAfter is the minimum Retry-After of a refusal because of a quota. Times from the broker are rounded down to
+// milliseconds, which quotaRounding makes up for.
+const (
+	minQuotaRetryAfter = 50 * time.Millisecond
+	quotaRounding      = time.Millisecond
+)
+
+func quotaRetryAfter(wait time.Duration) time.Duration {
+	return max(wait+quotaRounding, minQuotaRetryAfter)
+}
+
+// placeInTime returns the target of the next attempt. A token of the quota counts for the time at which it was taken, so that a request
+// that was held up since then, for example because the VM was suspended, needs another one.
+func (c *call) placeInTime(ctx context.Context, retry bool) (*inventory.Target, error) {
+	for {
+		c.sendBy = 0
+		target, err := c.place(ctx, retry)
+		if err != nil || c.sendBy == 0 || c.Clock.Now() <= c.sendBy {
+			return target, err
+		}
+		c.withdraw(target)
+		if ctx.Err() != nil {
+			return nil, c.placementError(placing.Choice{Reason: placing.ReasonOverload})
+		}
+	}
+}
+
+// withdraw gives back the place of an attempt that isn't made.
+func (c *call) withdraw(target *inventory.Target) {
+	if c.placement != nil {
+		c.releasePlacement(0, placing.Abandoned, nil)
+		return
+	}
+	c.Suspects.End(c.run, placing.Abandoned.QuarantineOutcome(), c.Clock.Now())
+	c.Balancer.Done(target.ID, 0, placing.Abandoned, nil, c.Clock.Now())
+}
+
+// quota returns the quota of the request's organisation, and whether this VM counts the request under it.
+func (c *call) quota() (sharedrate.Limit, bool) {
+	if c.organisation == nil || c.Quota == nil {
+		return sharedrate.Limit{}, false
+	}
+	l := sharedrate.Limit{Rate: c.organisation.Rate, Burst: c.organisation.Burst}
+	return l, l.Limited()
+}
+
+// takeQuota takes a token of this VM's own share for a request that is placed without the broker.
+func (c *call) takeQuota() error {
+	l, limited := c.quota()
+	if !limited {
+		return nil
+	}
+	now := c.Clock.Now()
+	verdict, wait := c.Quota.Take(c.organisation.Name, l, now)
+	if reason := placing.QuotaReason(verdict); reason != "" {
+		return c.placementError(placing.Choice{Reason: reason, Expected: wait})
+	}
+	c.sendBy = now.Add(sharedrate.DefaultAllowance.MaxSendDelay())
+	return nil
+}
+
+// returnQuota gives back the token of a request for which there is no target.
+func (c *call) returnQuota() {
+	if l, limited := c.quota(); limited {
+		c.Quota.Return(c.organisation.Name, l, c.Clock.Now())
+	}
+}
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -8,6 +8,7 @@
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Key int
 	// Organisation is the name of the organisation that sent the request, or empty if there is none.
 	Organisation string
+	// Limited reports whether the organisation has a quota according to the VM's configuration. The broker uses its own.
+	Limited bool
 	// Priority is the rank of the request, as returned by inventory.RequestPriority; 0 is the highest.
 	Priority int
 	// Objective is the remaining time within which an answer meets the latency objective.
@@ -70,6 +73,8 @@
 	Target   string
 	Reason   Reason
 	Expected time.Duration
+	// SendBy is the time on the VM's clock after which a request with a quota must not be sent any more, 0 if there is none.
+	SendBy clock.Instant
 }
 
 // Owner is the owner of a key.
@@ -112,6 +117,8 @@
 	budget        *RetryBudget
 	suspects      *quarantine.Tracker
 	onKeyUsed     func(pool string, key int)
+	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
+	quotas *sharedrate.Granter
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -152,7 +159,7 @@
 	}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
-	b.snapshot, b.coldBuckets = nil, map[string]*tokenBucket{}
+	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
 	b.loads, b.targetSets = map[string]*load{}, map[targetSetID][]*load{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
@@ -172,12 +179,17 @@
 		reply(Decision{Reason: ReasonQuarantined, Expected: refusedFor})
 		return
 	}
+	if reason, wait := b.admitQuota(a, now); reason != "" {
+		reply(Decision{Reason: reason, Expected: wait})
+		return
+	}
 	if !a.Retry {
 		b.budget.AddAttempt(a.Pool, now)
 		if b.keyed(a.Pool) {
 			b.onKeyUsed(a.Pool, a.Key)
 		}
 	} else if !b.budget.TakeRetry(a.Pool, now) {
+		b.returnQuota(a, now)
 		reply(Decision{Reason: ReasonRetryBudget})
 		return
 	}
@@ -190,6 +202,7 @@
 	latency, reason := b.admissionForecast(w, ps, now)
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.dequeue(w)
+		b.returnQuota(a, now)
 		b.noteLimitRefusal(w.queue, reason, now)
 		reply(ps.refusal(latency, reason))
 		return
@@ -255,14 +268,14 @@
 		w := b.queues[id][i]
 		verdict, refusedFor := b.suspects.Verdict(w.Fingerprint, now)
 		if verdict == quarantine.Quarantined {
-			b.resolve(w, Decision{Reason: ReasonQuarantined, Expected: refusedFor})
+			b.refuseAdmitted(w, Decision{Reason: ReasonQuarantined, Expected: refusedFor}, now)
 			continue
 		}
 		w.suspected = verdict == quarantine.Suspected
 		w.backedOff = b.backoffs.affects(w.vmID, now)
 		ps := cache.get(w)
 		if left := w.deadline.Sub(now); left < ps.minUsefulTime() {
-			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime()})
+			b.refuseAdmitted(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime()}, now)
 			continue
 		}
 		if !ps.available || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
@@ -279,6 +292,12 @@
 			i++
 			continue
 		}
+		if wait, ok := b.sendQuota(w, now); !ok {
+			if !b.deferForQuota(w, wait, now) {
+				i++
+			}
+			continue
+		}
 		b.assign(w, c.load, now)
 		cache.invalidate()
 	}
@@ -376,6 +395,7 @@
 	if w := b.waiting[id]; w != nil {
 		b.dequeue(w)
 		delete(b.waiting, id)
+		b.returnQuota(w.PlacementRequest, now)
 		return
 	}
 	if l := b.releasePermit(id); l != nil {
@@ -435,6 +455,7 @@
 		if id.vm == vm {
 			b.dequeue(w)
 			delete(b.waiting, id)
+			b.returnQuota(w.PlacementRequest, now)
 		}
 	}
 	for id := range b.permits {
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -56,7 +56,7 @@
 			}
 			latency, reason := ps.forecast(w, position)
 			if latency > w.deadline.Sub(now) {
-				b.resolve(w, ps.refusal(latency, reason))
+				b.refuseAdmitted(w, ps.refusal(latency, reason), now)
 				continue
 			}
 			position++
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -172,6 +172,10 @@
 	ReasonTargetsBlocked Reason = "targets-blocked"
 	// ReasonTargetLimit means that the rate limits of all candidates are used up.
 	ReasonTargetLimit Reason = "target-limit"
+	// ReasonQuota means that the quota of the request's organisation is used up.
+	ReasonQuota Reason = "quota"
+	// ReasonNoShare means that this VM may use no part of the quotas, whatever is left of them.
+	ReasonNoShare Reason = "no-quota-share"
 )
 
 // Balancer selects targets for the requests of one VM. It is safe for concurrent use.
--- /dev/null
+++ b/pkg/placing/quota.go
@@ -0,0 +1,144 @@
+package placing
+
+import (
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
+
+// An organisation may have a quota that holds for the requests of all VMs together. The load pattern is a steady demand near or above
+// it, at VMs that differ widely, while VMs and brokers come and go. sharedrate decides which part of the quotas this broker may use; the
+// broker counts each request once when it is admitted, so that it is refused early, and once when it is sent, since requests that were
+// admitted over several seconds may be sent together after a stall.
+
+// quotaWaitShare is the part of its remaining time for which an admitted request may wait until the quota permits to send it.
+const quotaWaitShare = 0.5
+
+// StartQuotas makes the broker use the quotas under a new ledger, because its VM has become the coordinator.
+func (b *Broker) StartQuotas(o sharedrate.GranterOptions, now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.quotas = sharedrate.NewGranter(o, now)
+}
+
+// SetQuotaAuthority sets until when this VM is certainly the coordinator, and whether it may grant shares of the quotas to other VMs.
+func (b *Broker) SetQuotaAuthority(until clock.Instant, mayGrant bool, now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.quotas != nil {
+		b.quotas.SetAuthority(until, mayGrant, now)
+	}
+}
+
+// QuotaOffer returns what a connected VM is sent about its share of the quotas, nil if this VM isn't the coordinator.
+func (b *Broker) QuotaOffer(vm string, now clock.Instant) *sharedrate.Offer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.quotas == nil {
+		return nil
+	}
+	o := b.quotas.Offer(vm, now)
+	return &o
+}
+
+// QuotaAnswer records what a connected VM has sent about its share of the quotas.
+func (b *Broker) QuotaAnswer(vm string, a sharedrate.Answer, now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.quotas != nil {
+		b.quotas.Answer(vm, a, now)
+	}
+}
+
+// QuotaState returns the state of the ledger with at most count organisations, nil if this VM isn't the coordinator.
+func (b *Broker) QuotaState(count int, now clock.Instant) *sharedrate.GranterState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.quotas == nil {
+		return nil
+	}
+	s := b.quotas.State(count, now)
+	return &s
+}
+
+// QuotaLedgerIdle reports whether no VM can hold a share of the quotas.
+func (b *Broker) QuotaLedgerIdle(now clock.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.quotas == nil || b.quotas.Idle(now)
+}
+
+// quotaOf returns the quota of an organisation, and whether it has one.
+func (b *Broker) quotaOf(organisation string) (sharedrate.Limit, bool) {
+	if organisation == "" {
+		return sharedrate.Limit{}, false
+	}
+	o := b.snapshot.Configuration.Organisations[organisation]
+	if o == nil {
+		return sharedrate.Limit{}, false
+	}
+	l := sharedrate.Limit{Rate: o.Rate, Burst: o.Burst}
+	return l, l.Limited()
+}
+
+// admitQuota takes the token of a request from its organisation's quota. It returns the reason for a refusal, or "" if the request is
+// admitted.
+func (b *Broker) admitQuota(a PlacementRequest, now clock.Instant) (Reason, time.Duration) {
+	l, limited := b.quotaOf(a.Organisation)
+	if !limited {
+		return "", 0
+	}
+	if b.quotas == nil {
+		return ReasonNoShare, 0
+	}
+	verdict, wait := b.quotas.Admit(a.Organisation, l, a.Retry, now)
+	return QuotaReason(verdict), wait
+}
+
+// returnQuota gives back the token of a request that was admitted and will not be sent.
+func (b *Broker) returnQuota(a PlacementRequest, now clock.Instant) {
+	if b.quotas == nil || b.snapshot == nil || b.snapshot.Configuration == nil {
+		return
+	}
+	if l, limited := b.quotaOf(a.Organisation); limited {
+		b.quotas.Return(a.Organisation, l, now)
+	}
+}
+
+// sendQuota counts a request that is about to be sent. If the quota doesn't permit it yet, it returns the time until it does.
+func (b *Broker) sendQuota(w *waiter, now clock.Instant) (wait time.Duration, ok bool) {
+	l, limited := b.quotaOf(w.Organisation)
+	if !limited || b.quotas == nil {
+		return 0, !limited
+	}
+	ok, wait = b.quotas.Send(w.Organisation, l, w.Retry, now)
+	return wait, ok
+}
+
+// deferForQuota handles a request that the quota doesn't permit to send yet. It reports whether the request was refused.
+func (b *Broker) deferForQuota(w *waiter, wait time.Duration, now clock.Instant) bool {
+	if wait <= time.Duration(quotaWaitShare*float64(w.deadline.Sub(now))) {
+		return false
+	}
+	b.refuseAdmitted(w, Decision{Reason: ReasonQuota, Expected: wait}, now)
+	return true
+}
+
+// refuseAdmitted refuses a waiting request and gives its token back.
+func (b *Broker) refuseAdmitted(w *waiter, d Decision, now clock.Instant) {
+	b.returnQuota(w.PlacementRequest, now)
+	b.resolve(w, d)
+}
+
+// QuotaReason returns the reason for the refusal of a token, "" if it was granted.
+func QuotaReason(v sharedrate.Verdict) Reason {
+	switch v {
+	case sharedrate.OverLimit:
+		return ReasonQuota
+	case sharedrate.NoShare:
+		return ReasonNoShare
+	default:
+		return ""
+	}
+}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -9,6 +9,7 @@
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 // Update is a message from the coordinator or a distributor to another VM. It carries what has changed, and also serves as a
@@ -37,6 +38,8 @@
 	Leaving []inventory.Incarnation `msgpack:"g,omitempty"`
 	// Limits are the changed rate limits of targets.
 	Limits []ratelimit.Record `msgpack:"m,omitempty"`
+	// Quota is about the receiver's share of the organisations' quotas. It is sent only if any of them has one.
+	Quota *sharedrate.Offer `msgpack:"b,omitempty"`
 	// Index is the number of the receiver among the connected VMs, starting at 1; only earlier versions use it. Count is the number of
 	// VMs including the coordinator.
 	Index int `msgpack:"i"`
@@ -91,6 +94,8 @@
 	Removed []Removal `msgpack:"x,omitempty"`
 	// Keys are the keys, by pool, that were requested without the coordinator's knowledge since the last report.
 	Keys map[string][]uint16 `msgpack:"k,omitempty"`
+	// Quota is about the VM's share of the organisations' quotas.
+	Quota *sharedrate.Answer `msgpack:"b,omitempty"`
 }
 
 // PlaceRequest asks the coordinator for a target for a request. Its encoding is described in place_request.go.
