Test the quotas at the broker and the exchange of shares

Cause: the integration of the quotas had no tests of its own.

Change: tests of admission, of tokens of unsent requests, of a stalled pool, of a VM that loses its coordinator, and of messages without quotas.

Ruled out: sleeping tests; all run on virtual clocks.

--- /dev/null
+++ b/pkg/entry/quotas_test.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/replica"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
+
+func quotaControl(t *testing.T, vm string, now *manualClock, rate float64) *Control {
+	c := clockedControl(t, vm, now)
+	cfg := inventory.NewConfiguration(1, inventory.Limits{}, nil, nil)
+	cfg.Organisations = map[string]*inventory.Organisation{"o": {Name: "o", Rate: rate, Burst: 40}}
+	c.snapshot = inventory.NewSnapshot(cfg, nil, nil)
+	c.quota = sharedrate.NewHolder(int64(now.now), sharedrate.DefaultAllowance, now.now)
+	return c
+}
+
+// exchangeQuotas passes an offer and the answer between a coordinator and a VM, as broadcast and sendReport do.
+func exchangeQuotas(coordinator, vm *Control, l *replica.Link) {
+	f := &replica.Follower{VM: vm.settings.VM}
+	vm.applyQuotaOffer(l, replica.Update{Quota: coordinator.quotaOffer(f, coordinator.clock.Now())}, vm.clock.Now())
+	coordinator.recordQuotaAnswer(f, replica.Report{Quota: vm.quotaAnswer(vm.clock.Now())})
+}
+
+// Guards against a VM that has no share after it was connected, one that uses its share while it is lent, and one that uses it after the
+// grant has ended.
+func TestVMUsesItsShareWhileDisconnected(t *testing.T) {
+	now := &manualClock{clock.Instant(time.Hour)}
+	coordinator, vm := quotaControl(t, "a", now, 40), quotaControl(t, "b", now, 40)
+	coordinator.placer.broker.StartQuotas(sharedrate.GranterOptions{Coordinator: 1, Allowance: sharedrate.DefaultAllowance}, now.now)
+	coordinator.placer.broker.SetQuotaAuthority(now.now.Add(time.Hour), true, now.now)
+	if s := coordinator.placer.broker.QuotaState(0, now.now); s.Usable != 1 {
+		t.Errorf("the first coordinator may use %v of the quotas, want all", s.Usable)
+	}
+	l := silentLink(t)
+	for range 4 {
+		exchangeQuotas(coordinator, vm, l)
+		now.now = now.now.Add(heartbeatInterval)
+	}
+	take := func() sharedrate.Verdict {
+		v, _ := vm.quota.Take("o", sharedrate.Limit{Rate: 40, Burst: 40}, now.now)
+		return v
+	}
+	vm.unfollow()
+	if v := take(); v != sharedrate.NoShare {
+		t.Errorf("the VM uses a share that it has lent: %v", v)
+	}
+	now.now = now.now.Add(2 * time.Second)
+	if v := take(); v != sharedrate.Granted {
+		t.Errorf("the VM may not use its own share: %v", v)
+	}
+	now.now = now.now.Add(sharedrate.GrantTime)
+	if v := take(); v != sharedrate.NoShare {
+		t.Errorf("the VM uses its share after the grant's end: %v", v)
+	}
+}
+
+// Guards against messages about quotas in deployments that have none.
+func TestNothingIsSentWithoutQuotas(t *testing.T) {
+	now := &manualClock{clock.Instant(time.Hour)}
+	coordinator, vm := quotaControl(t, "a", now, 0), quotaControl(t, "b", now, 0)
+	coordinator.startQuotas(now.now, false)
+	if o := coordinator.quotaOffer(&replica.Follower{VM: "b"}, now.now); o != nil {
+		t.Errorf("the coordinator sends %+v", o)
+	}
+	if a := vm.quotaAnswer(now.now); a != nil {
+		t.Errorf("the VM sends %+v", a)
+	}
+	if coordinator.sharesPossible(now.now) {
+		t.Error("the coordinator's row tells of shares")
+	}
+}
--- /dev/null
+++ b/pkg/placing/quota_test.go
@@ -0,0 +1,104 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
+
+// quotaHarness returns a harness whose organisation "limited" has a quota, and whose broker has had the quotas for a minute.
+func quotaHarness(t *testing.T, targets, slots int, rate, burst float64) *harness {
+	h := newHarness(t, targets, slots)
+	h.cfg.Organisations = map[string]*inventory.Organisation{"limited": {Name: "limited", Rate: rate, Burst: burst}, "free": {Name: "free"}}
+	h.b.StartQuotas(sharedrate.GranterOptions{Coordinator: 1, Allowance: sharedrate.DefaultAllowance}, h.now)
+	h.b.SetQuotaAuthority(h.now.Add(time.Hour), true, h.now)
+	h.now = h.now.Add(time.Minute)
+	return h
+}
+
+// Guards against requests above a quota that are sent, requests below it that are refused, and refusals without a time that spreads the
+// returns over the tokens to come.
+func TestBrokerAdmitsByQuota(t *testing.T) {
+	h := quotaHarness(t, 50, 2, 10, 20)
+	for i := range 20 {
+		if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Target == "" {
+			t.Fatalf("request %d within the burst got %v", i, v)
+		}
+	}
+	for i := 1; i <= 3; i++ {
+		_, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+		if want := time.Duration(i) * 100 * time.Millisecond; v == nil || v.Reason != ReasonQuota || (v.Expected-want).Abs() > time.Millisecond {
+			t.Errorf("refusal %d above the quota is %v, want a return in %v", i, v, want)
+		}
+	}
+	for _, organisation := range []string{"free", ""} {
+		if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: organisation}); v == nil || v.Target == "" {
+			t.Errorf("a request of %q without a quota got %v", organisation, v)
+		}
+	}
+	if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited", Retry: true}); v == nil || v.Target == "" {
+		t.Errorf("the second attempt of an admitted request got %v", v)
+	}
+}
+
+// Guards against tokens that are lost with requests that were never sent, and are then missing below the quota.
+func TestUnsentRequestsReturnTheirTokens(t *testing.T) {
+	h := quotaHarness(t, 1, 1, 1, 4)
+	h.place(PlacementRequest{Pool: "plain"})
+	id, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+	if v != nil {
+		t.Fatalf("the request doesn't wait: %v", v)
+	}
+	h.b.Cancel("vm", id, h.now)
+	if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited", TimeLeft: time.Millisecond}); v == nil || v.Target != "" {
+		t.Fatalf("a request without time got %v", v)
+	}
+	h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+	h.b.RemoveVM("vm", h.now)
+	if s := h.b.QuotaState(1, h.now); len(s.Uses) != 1 || s.Uses[0].Tokens != 4 {
+		t.Errorf("tokens left are %+v, want all 4", s.Uses)
+	}
+}
+
+// Guards against requests that were admitted over several seconds while a pool was stalled, and are then sent within one window.
+func TestStalledRequestsAreNotSentTogether(t *testing.T) {
+	h := quotaHarness(t, 40, 1, 4, 4)
+	var blockers []uint64
+	for range 40 {
+		id, _ := h.place(PlacementRequest{Pool: "plain", TimeLeft: time.Minute})
+		blockers = append(blockers, id)
+	}
+	sent := 0
+	for range 40 {
+		h.seq++
+		a := PlacementRequest{VM: "vm", Seq: h.seq, Pool: "plain", Organisation: "limited", TimeLeft: time.Minute, Objective: time.Minute}
+		h.b.Place(a, func(v Decision) {
+			if v.Target != "" {
+				sent++
+			}
+		}, h.now)
+		h.now = h.now.Add(250 * time.Millisecond)
+	}
+	for _, id := range blockers {
+		h.b.Done("vm", id, time.Second, Answered, nil, h.now)
+	}
+	start := h.now
+	for ; h.now.Sub(start) < 4*time.Second; h.now = h.now.Add(50 * time.Millisecond) {
+		h.b.Tick(h.now)
+	}
+	if sent < 16 || sent > 20 {
+		t.Errorf("%d requests were sent within 4 s after the stall, want 4 at once and 4 a second", sent)
+	}
+}
+
+// Guards against a broker without a ledger or with nothing but unknown shares that takes itself for the owner of all quotas.
+func TestBrokerWithoutShareRefuses(t *testing.T) {
+	h := quotaHarness(t, 1, 1, 1, 4)
+	h.b.StartQuotas(sharedrate.GranterOptions{Coordinator: 2, Allowance: sharedrate.DefaultAllowance, Inherited: true}, h.now)
+	h.b.SetQuotaAuthority(h.now.Add(time.Hour), true, h.now)
+	if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Reason != ReasonNoShare || v.Expected <= 0 {
+		t.Errorf("a request without a share got %v", v)
+	}
+}
