--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -150,6 +150,9 @@
 	// coordinatorFreshAt is the same for the tables that the coordinator has.
 	coordinatorFreshAt clock.Instant
 	storeDown          bool
+	// configurationSeen is when the newest information about the configuration that this VM has was current, as a clock.Instant.
+	// Only the control goroutine writes it.
+	configurationSeen atomic.Int64
 
 	followers map[*replica.Follower]bool
 	// sortedFollowers are the followers ordered by name as of the last heartbeat, nil after one has left.
@@ -292,7 +295,10 @@
 
 // Run works until the context is done, then closes the relay listener.
 func (c *Control) Run(ctx context.Context, relay net.Listener) {
-	c.ctx, c.startedAt = ctx, c.clock.Now()
+	if c.ctx == nil {
+		c.ctx = ctx
+	}
+	c.startedAt = c.clock.Now()
 	c.nextRead[coordinator.Table] = c.startedAt.Add(firstReadDelay(c.baseElectionDelay()))
 	go c.serveRelay(relay)
 	defer func() { _ = relay.Close() }()
