Show the quotas in the dump and metrics, and set their allowance

Cause: operators need to see which part of the quotas a VM may use, and a deployment may state another allowance.

Ruled out: counters by organisation, since their number isn't bounded.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -248,7 +248,7 @@
 		o.LocalBudget = placing.NewLocalBudget(0, 0, time.Second)
 	}
 	if o.Quota == nil {
-		o.Quota = sharedrate.NewHolder(1, sharedrate.DefaultAllowance, o.Clock.Now())
+		o.Quota = sharedrate.NewHolder(1, o.Settings.quotaAllowance(), o.Clock.Now())
 	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -26,6 +26,8 @@
 	DomainsOut    map[string]bool                `json:"domains_out"`
 	Routes        map[string][]coordinator.Route `json:"routes"`
 	RoutesAgeMs   int64                          `json:"routes_age_ms"`
+	// Quotas is the state of the organisations' quotas, with the organisations that have used the most of theirs.
+	Quotas *quotaDump `json:"quotas,omitempty"`
 	// Suspects are the requests that may crash targets, or are refused because they do. Their IDs are derived from the
 	// requests.
 	Suspects []quarantine.Record `json:"suspects"`
@@ -46,6 +48,10 @@
 		}
 		if s.Configuration != nil {
 			d.Configuration = s.Configuration.Version
+			if hasQuotas(s.Configuration) {
+				q := p.control.quotaDump(dumpedOrganisations)
+				d.Quotas = &q
+			}
 			for _, name := range slices.Sorted(maps.Keys(s.Configuration.Organisations)) {
 				d.Organisations = append(d.Organisations, s.Configuration.Organisations[name])
 			}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -80,6 +80,7 @@
 	handler  *ingress.Handler
 	callers  *http.Server
 	idle     idleConns
+	quotas   quotaMetrics
 	stopping chan struct{}
 }
 
@@ -123,8 +124,8 @@
 	localBudget := placing.NewLocalBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	balancer.UseLimits(limits, o.Settings.VM)
-	quota := sharedrate.NewHolder(time.Now().UnixNano(), sharedrate.DefaultAllowance, clock.Boottime{}.Now())
-	p := &process{Options: o, stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
+	quota := sharedrate.NewHolder(time.Now().UnixNano(), o.Settings.quotaAllowance(), clock.Boottime{}.Now())
+	p := &process{Options: o, stopping: make(chan struct{}), quotas: newQuotaMetrics(registry.Scope()), idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
@@ -232,6 +233,7 @@
 		case <-p.Reload:
 			p.reload()
 		case <-ticker.C:
+			p.quotas.record(p.control.quotaDump(0))
 			if s := p.control.Current().Snapshot; s != nil && s.Configuration != nil && s.Configuration.Limits.IdleTimeout > 0 {
 				p.idle.sweep(s.Configuration.Limits.IdleTimeout + idleTimeoutSlack)
 			}
--- a/pkg/entry/placer.go
+++ b/pkg/entry/placer.go
@@ -83,7 +83,7 @@
 func (p *placer) placeOnOwnBroker(ctx context.Context, a placing.PlacementRequest) (ingress.Placement, placing.Decision, bool) {
 	decision := make(chan placing.Decision, 1)
 	p.broker.Place(a, func(v placing.Decision) {
-		v.SendBy = sendBy(a.Limited, p.clock.Now())
+		v.SendBy = p.settings.sendBy(a.Limited, p.clock.Now())
 		decision <- v
 	}, p.clock.Now())
 	placement := &brokerPlacement{placer: p, seq: a.Seq}
@@ -131,7 +131,7 @@
 		p.recordDelay(p.clock.Now().Sub(request.sent) - time.Duration(v.WaitedMs)*time.Millisecond)
 		waited := time.Duration(v.WaitedMs) * time.Millisecond
 		request.decision <- placing.Decision{Target: v.Target, Reason: v.Reason, Expected: time.Duration(v.ExpectedMs) * time.Millisecond,
-			SendBy: sendBy(request.limited, request.sent.Add(waited))}
+			SendBy: p.settings.sendBy(request.limited, request.sent.Add(waited))}
 	}
 }
 
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
@@ -23,17 +25,14 @@
 	}
 	cfg, e := c.snapshot.Configuration, &c.quotaEvents
 	if e.checked != cfg {
-		e.checked, e.configured = cfg, false
-		for _, o := range cfg.Organisations {
-			e.configured = e.configured || o.Rate > 0
-		}
+		e.checked, e.configured = cfg, hasQuotas(cfg)
 	}
 	return e.configured
 }
 
 // startQuotas starts the ledger of this VM as the coordinator. inherited tells whether VMs may hold shares that a predecessor granted.
 func (c *Control) startQuotas(now clock.Instant, inherited bool) {
-	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: sharedrate.DefaultAllowance, Inherited: inherited}
+	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited}
 	o.Own, o.OwnLentUntil = c.quota.Surrender(now)
 	c.placer.broker.StartQuotas(o, now)
 	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), inherited, now)
@@ -111,10 +110,53 @@
 	return nil
 }
 
-// sendBy returns until when a request with a quota may be sent that got its token at a time, 0 if it has none.
-func sendBy(limited bool, at clock.Instant) clock.Instant {
-	if !limited {
-		return 0
+// dumpedOrganisations bounds the organisations that the dump lists with their use.
+const dumpedOrganisations = 20
+
+// quotaDump is the state of the quotas as shown to operators.
+type quotaDump struct {
+	Share sharedrate.HolderState `json:"share"`
+	// Ledger is the coordinator's.
+	Ledger *sharedrate.GranterState `json:"ledger,omitempty"`
+}
+
+// hasQuotas reports whether any organisation of a configuration has a quota.
+func hasQuotas(cfg *inventory.Configuration) bool {
+	for _, o := range cfg.Organisations {
+		if o.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// quotaDump returns the state of the quotas. It may be called on any goroutine.
+func (c *Control) quotaDump(organisations int) quotaDump {
+	now := c.clock.Now()
+	return quotaDump{Share: c.quota.State(organisations, now), Ledger: c.placer.broker.QuotaState(organisations, now)}
+}
+
+// quotaMetrics are the fractions of the quotas that this VM may use, without any label.
+type quotaMetrics struct {
+	share, usable, unknown tally.Gauge
+}
+
+func newQuotaMetrics(scope tally.Scope) quotaMetrics {
+	s := scope.SubScope("quotas")
+	return quotaMetrics{share: s.Gauge("share"), usable: s.Gauge("usable"), unknown: s.Gauge("unknown")}
+}
+
+// record updates the metrics. usable and unknown are 0 on VMs that aren't the coordinator.
+func (m quotaMetrics) record(d quotaDump) {
+	share := d.Share.Share
+	if d.Share.GrantLeftMs == 0 {
+		share = 0
+	}
+	m.share.Update(share)
+	ledger := sharedrate.GranterState{}
+	if d.Ledger != nil {
+		ledger = *d.Ledger
 	}
-	return at.Add(sharedrate.DefaultAllowance.MaxSendDelay())
+	m.usable.Update(ledger.Usable)
+	m.unknown.Update(ledger.Unknown)
 }
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -2,7 +2,12 @@
 // targets.
 package entry
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
 
 // Settings holds the settings of a process. They are fixed while it runs.
 type Settings struct {
@@ -32,6 +37,8 @@
 	RetryRatio  float64
 	RetryExtra  float64
 	RetryWindow time.Duration
+	// Quota is by how much the requests of an organisation within a window may exceed its quota.
+	Quota sharedrate.Allowance
 	// MaxConfigApplyTime is the longest time until a change that the store has acknowledged must be in force on every
 	// VM.
 	MaxConfigApplyTime time.Duration
@@ -39,3 +46,19 @@
 	// that need a credential, since the credential may have been removed. Zero sets no limit.
 	MaxConfigurationAge time.Duration
 }
+
+// quotaAllowance returns Quota, or the platform's default if it isn't set.
+func (s Settings) quotaAllowance() sharedrate.Allowance {
+	if s.Quota.Window == 0 {
+		return sharedrate.DefaultAllowance
+	}
+	return s.Quota
+}
+
+// sendBy returns until when a request with a quota may be sent that got its token at a time, 0 if it has none.
+func (s Settings) sendBy(limited bool, at clock.Instant) clock.Instant {
+	if !limited {
+		return 0
+	}
+	return at.Add(s.quotaAllowance().MaxSendDelay())
+}
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -26,7 +26,7 @@
 	for {
 		c.sendBy = 0
 		target, err := c.place(ctx, retry)
-		if err != nil || c.sendBy == 0 || c.Clock.Now() <= c.sendBy {
+		if err != nil || !c.tokenExpired() {
 			return target, err
 		}
 		c.withdraw(target)
@@ -36,6 +36,11 @@
 	}
 }
 
+// tokenExpired reports whether the token of the current attempt is too old.
+func (c *call) tokenExpired() bool {
+	return c.sendBy != 0 && c.Clock.Now() > c.sendBy
+}
+
 // withdraw gives back the place of an attempt that isn't made.
 func (c *call) withdraw(target *inventory.Target) {
 	if c.placement != nil {
@@ -66,7 +71,7 @@
 	if reason := placing.QuotaReason(verdict); reason != "" {
 		return c.placementError(placing.Choice{Reason: reason, Expected: wait})
 	}
-	c.sendBy = now.Add(sharedrate.DefaultAllowance.MaxSendDelay())
+	c.sendBy = now.Add(c.Quota.MaxSendDelay())
 	return nil
 }
 
--- /dev/null
+++ b/pkg/ingress/quota_test.go
@@ -0,0 +1,65 @@
+package ingress
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
+)
+
+// Guards against requests above a quota that reach a target, against a refusal for another reason that looks like the quota's, and against
+// organisations without a quota that are refused. The VM has no broker.
+func TestQuotaIsEnforcedWithoutABroker(t *testing.T) {
+	target := newScriptedTarget(t, func(_ int, r *http.Request, conn net.Conn) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Signed: 1\r\nT-Id: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("T-Id"))
+	})
+	s := newTestServer(t, target)
+	o := s.organise(t).Organisations["org-1"]
+	o.Rate, o.Burst = 2, 3
+	now := clock.Boottime{}.Now()
+	s.handler.Quota = sharedrate.NewHolder(1, sharedrate.Allowance{Window: 5 * time.Second, Over: 0.1}, now)
+	get := func(credential string) (int, float64) {
+		r := s.send(t, "GET", "/read/a", "", "T-Credential", credential)
+		retryAfter, _ := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		return r.status, retryAfter
+	}
+	if status, retryAfter := get(testCredential); status != 503 || retryAfter < 0.5 || target.count() != 0 {
+		t.Errorf("without a share: got %d with Retry-After %v", status, retryAfter)
+	}
+	// The VM got its share a minute ago by its clock, so that it has all of the burst.
+	s.handler.Quota = sharedrate.NewHolder(1, sharedrate.Allowance{Window: 5 * time.Second, Over: 0.1}, now.Add(-20*time.Second))
+	s.handler.Quota.Offer(sharedrate.Offer{Coordinator: 1, Stamp: 1, Process: 1, Echo: int64(now), Serial: 1, Fraction: 1}, now.Add(-20*time.Second))
+	for range 3 {
+		if status, _ := get(testCredential); status != 200 {
+			t.Errorf("within the burst: got %d", status)
+		}
+	}
+	status, retryAfter := get(testCredential)
+	if status != 429 || retryAfter < 0.05 || retryAfter > 0.6 || target.count() != 3 {
+		t.Errorf("above the quota: got %d with Retry-After %v, and the target %d requests", status, retryAfter, target.count())
+	}
+	if status, _ := get("other"); status != 200 {
+		t.Errorf("without a quota: got %d", status)
+	}
+}
+
+// Guards against an attempt whose token was taken before the VM was suspended: it would count in another window.
+func TestOldTokenIsNotUsed(t *testing.T) {
+	s := newTestServer(t, newScriptedTarget(t, nil))
+	c := &call{Handler: s.handler, sendBy: s.handler.Clock.Now().Add(-time.Millisecond)}
+	if !c.tokenExpired() {
+		t.Error("a token is used after its time")
+	}
+	if c.sendBy = 0; c.tokenExpired() {
+		t.Error("a request without a quota has a token")
+	}
+	if got := quotaRetryAfter(placing.RetryAfterLimit(0)); got < minQuotaRetryAfter {
+		t.Errorf("Retry-After is %v", got)
+	}
+}
--- a/pkg/sharedrate/holder.go
+++ b/pkg/sharedrate/holder.go
@@ -152,6 +152,11 @@
 	return Granted, 0
 }
 
+// MaxSendDelay is the longest time between taking a token and sending the request.
+func (h *Holder) MaxSendDelay() time.Duration {
+	return h.allowance.MaxSendDelay()
+}
+
 // noShareTime returns when a caller should return that was refused because this VM can use no share.
 func (h *Holder) noShareTime(now clock.Instant) time.Duration {
 	if left := h.lentUntil.Sub(now); left > 0 && now < h.grantEnd {
--- a/pkg/sharedrate/sharedrate.go
+++ b/pkg/sharedrate/sharedrate.go
@@ -22,6 +22,8 @@
 	// LendTime is how long the coordinator uses a share after it has sent the timestamp that the VM returned. Timestamps are sent
 	// every 300 ms and returned every 250 ms, so that one lost in a row doesn't interrupt it.
 	LendTime = 1200 * time.Millisecond
+	// minSendDelay is the least MaxSendDelay, whatever the allowance: the broker's decision takes up to 70 ms to another region.
+	minSendDelay = 100 * time.Millisecond
 	// maxPromiseTime bounds how far ahead refused callers are told to return. Callers wait a few seconds.
 	maxPromiseTime = 10 * time.Second
 	// minRetryTime is the minimum time after which a refused caller should return.
@@ -66,7 +68,7 @@
 // MaxSendDelay is the longest time between taking a token and sending the request. A request that is held up longer needs another
 // token.
 func (a Allowance) MaxSendDelay() time.Duration {
-	return time.Duration(float64(a.Window) * a.Over / 2)
+	return max(minSendDelay, time.Duration(float64(a.Window)*a.Over/2))
 }
 
 // initialTokens is what a new coordinator may use at once, and the least size of its buckets: its predecessor may have used the whole
