Divide overloaded pools among organisations

Cause: an organisation that sends 8 times its usual load took a third of what the others get of the pool.

Change: start-time fair queueing over organisations within one priority and lateness class, in pkg/placing/fair.go; the forecast of an organisation whose requests are overtaken follows its part of the last requests placed. Only if the configuration has organisations. It counts requests placed, not slots in use as planned, since the ranks by slots change with each end of a request.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -119,6 +119,8 @@
 	onKeyUsed     func(pool string, key int)
 	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
 	quotas *sharedrate.Granter
+	// fair divides queues among organisations.
+	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -130,7 +132,7 @@
 	return &Broker{
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
-		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{},
+		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, fair: fairQueues{},
 	}
 }
 
@@ -157,6 +159,7 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
+	b.fair = fairQueues{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
@@ -201,6 +204,7 @@
 	ps := b.stateFor(w, now)
 	latency, reason := b.admissionForecast(w, ps, now)
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
+		b.returnStep(w)
 		b.dequeue(w)
 		b.returnQuota(a, now)
 		b.noteLimitRefusal(w.queue, reason, now)
@@ -377,6 +381,7 @@
 	l.inFlight++
 	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
+	b.noteServed(w)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: l.expectedLatency(now)})
 }
 
@@ -393,6 +398,7 @@
 	defer b.mu.Unlock()
 	id := requestID{vm, seq}
 	if w := b.waiting[id]; w != nil {
+		b.returnStep(w)
 		b.dequeue(w)
 		delete(b.waiting, id)
 		b.returnQuota(w.PlacementRequest, now)
@@ -453,6 +459,7 @@
 	defer b.mu.Unlock()
 	for id, w := range b.waiting {
 		if id.vm == vm {
+			b.returnStep(w)
 			b.dequeue(w)
 			delete(b.waiting, id)
 			b.returnQuota(w.PlacementRequest, now)
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -10,7 +10,7 @@
 
 // forecastWithMargin is the forecast for a request at its position in the queue, with a safety margin.
 func (b *Broker) forecastWithMargin(w *waiter, ps *poolState) (time.Duration, Reason) {
-	latency, reason := ps.forecast(w, slices.Index(b.queues[w.queue], w))
+	latency, reason := ps.forecast(w, b.expectedAhead(w, slices.Index(b.queues[w.queue], w)))
 	if latency == infinite {
 		return latency, reason
 	}
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -33,11 +33,16 @@
 	vmID string
 	// backedOff reports whether any target asks the VM to send nothing.
 	backedOff bool
+	// step is the request's turn among organisations, if hasStep is set, in stepQueue; 0 without organisations.
+	step      int64
+	hasStep   bool
+	stepQueue queueID
 	// regionsKey identifies the set of regions that may serve the request.
 	regionsKey string
 }
 
-// before orders waiting requests: by priority, then those that can still meet their objective, then by deadline. Under overload,
+// before orders waiting requests: by priority, then those that can still meet their objective, then by the steps of organisations, then by
+// deadline. Under overload,
 // serving late requests first would make all others late in turn.
 func (w *waiter) before(other *waiter) bool {
 	if w.Priority != other.Priority {
@@ -46,6 +51,9 @@
 	if w.late != other.late {
 		return other.late
 	}
+	if w.step != other.step {
+		return w.step < other.step
+	}
 	return w.order < other.order
 }
 
@@ -73,9 +81,11 @@
 			w.queue.owner = w.owner.Target
 		}
 	}
+	b.takeStep(w)
 	q := b.queues[w.queue]
 	i := sort.Search(len(q), func(i int) bool { return w.before(q[i]) })
 	b.queues[w.queue] = slices.Insert(q, i, w)
+	b.orderOwn(w)
 }
 
 // requeue moves a request to its present place after its order, its target's owner or the state of being late has changed.
@@ -91,6 +101,7 @@
 	}
 	if len(q) == 0 {
 		delete(b.queues, w.queue)
+		delete(b.fair, w.queue)
 		return
 	}
 	b.queues[w.queue] = q
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -128,6 +128,7 @@
 // refuseAdmitted refuses a waiting request and gives its token back.
 func (b *Broker) refuseAdmitted(w *waiter, d Decision, now clock.Instant) {
 	b.returnQuota(w.PlacementRequest, now)
+	b.returnStep(w)
 	b.resolve(w, d)
 }
 
