Name the VMs that may hold shares in the coordinator's row

Cause: after all processes were replaced at once, a new coordinator would have left all quotas unused for 32 s, since it couldn't know that the shares are gone.

Change: the row has a 4-byte hash for each VM that may hold a share, and the largest share; nothing is granted that the stored row doesn't cover. A VM that connects settles its part. The row that counts as stored after a write is the one that was written, no longer the newest one.

Ruled out: a flag that shares exist, which can't tell when all are heard of; the shares themselves, since they change more often.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -226,7 +226,7 @@
 	case err == nil:
 		c.pending = nil
 		c.version, c.readVersion, c.versionSeenAt = version, version, now
-		c.row = Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && len(c.calls) == 0, Fleet: c.fleet}
+		c.row = Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && len(c.calls) == 0, Fleet: p.fleet}
 		c.commitSucceeded(p, now)
 	case errors.Is(err, rowstore.ErrRefused) && !p.ambiguous:
 		c.pending = nil
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -63,9 +63,10 @@
 	VMs int `msgpack:"vms,omitempty"`
 	// Distributors maps each failure domain to the address of the VM that relays the tables in it.
 	Distributors map[string]string `msgpack:"dist,omitempty"`
-	// Shares is set if VMs may hold shares of the organisations' quotas. A coordinator stores it before it grants the first one, so
-	// that its successor knows whether to wait for their end.
-	Shares bool `msgpack:"shares,omitempty"`
+	// ShareHolders are the VMs that may hold shares of the organisations' quotas, as 4 bytes each, and MaxShare is the largest one that
+	// any of them may hold. A coordinator stores them before it grants shares, so that its successor knows when it has heard of all.
+	ShareHolders []byte  `msgpack:"holders,omitempty"`
+	MaxShare     float64 `msgpack:"share,omitempty"`
 }
 
 // Identity identifies a process that may become the coordinator.
@@ -79,7 +80,9 @@
 type pendingCommit struct {
 	tx      rowstore.Transaction
 	renewal uint64
-	sent    clock.Instant
+	// fleet is what the transaction writes about the VMs.
+	fleet Fleet
+	sent  clock.Instant
 	// inFlight is set until the call has ended.
 	inFlight bool
 	// ambiguous is set if an attempt without a response may have taken effect or may still do so.
@@ -195,7 +198,7 @@
 		Expected: []rowstore.Expectation{{Table: Table, Key: KeyLeader, Version: l.version}},
 		Puts:     append([]rowstore.Row{{Table: Table, Key: KeyLeader, Value: value}}, puts...),
 	}
-	return &pendingCommit{tx: tx, renewal: next.Renewal, release: release}, nil
+	return &pendingCommit{tx: tx, renewal: next.Renewal, fleet: next.Fleet, release: release}, nil
 }
 
 // pendingOutcome returns whether the pending write took effect according to the newest row, and whether that is certain.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -411,7 +411,8 @@
 	if !c.wasLeading || now.Sub(c.leadingSince) < fleetSettleTime {
 		return row.Fleet
 	}
-	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors(), Shares: c.sharesPossible(now)}
+	holders, share := c.shareHolders(now)
+	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors(), ShareHolders: holders, MaxShare: share}
 }
 
 // runEffects carries out effects of the coordinator's state machine.
@@ -507,7 +508,7 @@
 		c.distribution = replica.NewDistribution(c.settings.Region)
 		row, _ := c.coordinator.Leader()
 		c.distribution.Expect(row.Distributors, c.leadingSince)
-		c.startQuotas(c.leadingSince, row.Shares)
+		c.startQuotas(c.leadingSince, row.Fleet)
 		c.setBackend(true, nil)
 		c.updateBroker()
 		return
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"encoding/binary"
+
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/replica"
@@ -30,13 +33,14 @@
 	return e.configured
 }
 
-// startQuotas starts the ledger of this VM as the coordinator. inherited tells whether VMs may hold shares that a predecessor granted.
-func (c *Control) startQuotas(now clock.Instant, inherited bool) {
-	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited}
+// startQuotas starts the ledger of this VM as the coordinator. stored is what the predecessor stored about the VMs.
+func (c *Control) startQuotas(now clock.Instant, stored coordinator.Fleet) {
+	inherited := holdersOf(stored)
+	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM}
 	o.Own, o.OwnLentUntil = c.quota.Surrender(now)
 	c.placer.broker.StartQuotas(o, now)
 	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), inherited, now)
-	if inherited && c.quotasConfigured() {
+	if len(inherited.Names) > 0 && c.quotasConfigured() {
 		c.log.Emit(event.QuotaPartUnknown, "for_ms", sharedrate.GrantTime.Milliseconds())
 	}
 }
@@ -48,7 +52,7 @@
 		return
 	}
 	row, _ := c.coordinator.Leader()
-	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), row.Shares, now)
+	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), holdersOf(row.Fleet), now)
 }
 
 // logQuotaShare logs a new share, and whether this VM has begun to use it itself.
@@ -70,9 +74,26 @@
 	e.share, e.local = share, local
 }
 
-// sharesPossible reports whether VMs may hold shares of the quotas, now or soon.
-func (c *Control) sharesPossible(now clock.Instant) bool {
-	return c.quotasConfigured() || !c.placer.broker.QuotaLedgerIdle(now)
+// shareHolders returns what the coordinator stores about the VMs that may hold shares.
+func (c *Control) shareHolders(now clock.Instant) (names []byte, maxShare float64) {
+	h := c.placer.broker.QuotaHolders(c.quotasConfigured(), now)
+	return packNames(h.Names), h.MaxShare
+}
+
+func packNames(names []uint32) []byte {
+	var packed []byte
+	for _, n := range names {
+		packed = binary.BigEndian.AppendUint32(packed, n)
+	}
+	return packed
+}
+
+func holdersOf(f coordinator.Fleet) sharedrate.Holders {
+	h := sharedrate.Holders{MaxShare: f.MaxShare}
+	for packed := f.ShareHolders; len(packed) >= 4; packed = packed[4:] {
+		h.Names = append(h.Names, binary.BigEndian.Uint32(packed))
+	}
+	return h
 }
 
 // quotaOffer returns what a VM is sent about its share of the quotas, nil if no organisation has one.
--- a/pkg/entry/quotas_test.go
+++ b/pkg/entry/quotas_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
@@ -32,7 +35,8 @@
 	now := &manualClock{clock.Instant(time.Hour)}
 	coordinator, vm := quotaControl(t, "a", now, 40), quotaControl(t, "b", now, 40)
 	coordinator.placer.broker.StartQuotas(sharedrate.GranterOptions{Coordinator: 1, Allowance: sharedrate.DefaultAllowance}, now.now)
-	coordinator.placer.broker.SetQuotaAuthority(now.now.Add(time.Hour), true, now.now)
+	stored := sharedrate.Holders{Names: []uint32{sharedrate.HashName("b")}, MaxShare: 1}
+	coordinator.placer.broker.SetQuotaAuthority(now.now.Add(time.Hour), stored, now.now)
 	if s := coordinator.placer.broker.QuotaState(0, now.now); s.Usable != 1 {
 		t.Errorf("the first coordinator may use %v of the quotas, want all", s.Usable)
 	}
@@ -62,15 +66,24 @@
 // Guards against messages about quotas in deployments that have none.
 func TestNothingIsSentWithoutQuotas(t *testing.T) {
 	now := &manualClock{clock.Instant(time.Hour)}
-	coordinator, vm := quotaControl(t, "a", now, 0), quotaControl(t, "b", now, 0)
-	coordinator.startQuotas(now.now, false)
-	if o := coordinator.quotaOffer(&replica.Follower{VM: "b"}, now.now); o != nil {
+	leader, vm := quotaControl(t, "a", now, 0), quotaControl(t, "b", now, 0)
+	leader.startQuotas(now.now, coordinator.Fleet{})
+	if o := leader.quotaOffer(&replica.Follower{VM: "b"}, now.now); o != nil {
 		t.Errorf("the coordinator sends %+v", o)
 	}
 	if a := vm.quotaAnswer(now.now); a != nil {
 		t.Errorf("the VM sends %+v", a)
 	}
-	if coordinator.sharesPossible(now.now) {
-		t.Error("the coordinator's row tells of shares")
+	if names, share := leader.shareHolders(now.now); names != nil || share != 0 {
+		t.Errorf("the coordinator's row has share holders %v, %v", names, share)
+	}
+}
+
+// Guards against holders of shares that are lost between a coordinator's row and its successor.
+func TestShareHoldersAreStored(t *testing.T) {
+	h := sharedrate.Holders{Names: []uint32{1, 1 << 30, math.MaxUint32}, MaxShare: 0.25}
+	f := coordinator.Fleet{ShareHolders: packNames(h.Names), MaxShare: h.MaxShare}
+	if got := holdersOf(f); !slices.Equal(got.Names, h.Names) || got.MaxShare != h.MaxShare {
+		t.Errorf("%+v became %+v", h, got)
 	}
 }
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -22,12 +22,12 @@
 	b.quotas = sharedrate.NewGranter(o, now)
 }
 
-// SetQuotaAuthority sets until when this VM is certainly the coordinator, and whether it may grant shares of the quotas to other VMs.
-func (b *Broker) SetQuotaAuthority(until clock.Instant, mayGrant bool, now clock.Instant) {
+// SetQuotaAuthority sets until when this VM is certainly the coordinator, and the VMs that it has stored as possible holders of shares.
+func (b *Broker) SetQuotaAuthority(until clock.Instant, stored sharedrate.Holders, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.quotas != nil {
-		b.quotas.SetAuthority(until, mayGrant, now)
+		b.quotas.SetAuthority(until, stored, now)
 	}
 }
 
@@ -62,11 +62,15 @@
 	return &s
 }
 
-// QuotaLedgerIdle reports whether no VM can hold a share of the quotas.
-func (b *Broker) QuotaLedgerIdle(now clock.Instant) bool {
+// QuotaHolders returns the VMs to store as possible holders of shares of the quotas. Unless any organisation has a quota, these are only
+// those that may still hold one.
+func (b *Broker) QuotaHolders(configured bool, now clock.Instant) sharedrate.Holders {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.quotas == nil || b.quotas.Idle(now)
+	if b.quotas == nil || !configured && b.quotas.Idle(now) {
+		return sharedrate.Holders{}
+	}
+	return b.quotas.Holders(now)
 }
 
 // quotaOf returns the quota of an organisation, and whether it has one.
--- a/pkg/placing/quota_test.go
+++ b/pkg/placing/quota_test.go
@@ -13,7 +13,7 @@
 	h := newHarness(t, targets, slots)
 	h.cfg.Organisations = map[string]*inventory.Organisation{"limited": {Name: "limited", Rate: rate, Burst: burst}, "free": {Name: "free"}}
 	h.b.StartQuotas(sharedrate.GranterOptions{Coordinator: 1, Allowance: sharedrate.DefaultAllowance}, h.now)
-	h.b.SetQuotaAuthority(h.now.Add(time.Hour), true, h.now)
+	h.b.SetQuotaAuthority(h.now.Add(time.Hour), sharedrate.Holders{}, h.now)
 	h.now = h.now.Add(time.Minute)
 	return h
 }
@@ -96,8 +96,8 @@
 // Guards against a broker without a ledger or with nothing but unknown shares that takes itself for the owner of all quotas.
 func TestBrokerWithoutShareRefuses(t *testing.T) {
 	h := quotaHarness(t, 1, 1, 1, 4)
-	h.b.StartQuotas(sharedrate.GranterOptions{Coordinator: 2, Allowance: sharedrate.DefaultAllowance, Inherited: true}, h.now)
-	h.b.SetQuotaAuthority(h.now.Add(time.Hour), true, h.now)
+	h.b.StartQuotas(sharedrate.GranterOptions{Coordinator: 2, Allowance: sharedrate.DefaultAllowance, Inherited: sharedrate.Holders{Names: []uint32{1, 2}, MaxShare: 0.5}}, h.now)
+	h.b.SetQuotaAuthority(h.now.Add(time.Hour), sharedrate.Holders{}, h.now)
 	if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Reason != ReasonNoShare || v.Expected <= 0 {
 		t.Errorf("a request without a share got %v", v)
 	}
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -1,7 +1,10 @@
 package sharedrate
 
 import (
+	"hash/fnv"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
@@ -19,13 +22,28 @@
 	// Coordinator identifies this term of the coordinator among all of all VMs; it isn't 0.
 	Coordinator uint64
 	Allowance   Allowance
-	// Inherited is set if a predecessor may have granted shares that this coordinator doesn't know.
-	Inherited bool
-	// Own is the share that the coordinator's VM has surrendered. The predecessor may use it until OwnLentUntil.
+	// Inherited are the VMs that may hold shares of predecessors.
+	Inherited Holders
+	// VM is the coordinator's own name. Own is the share that the coordinator's VM has surrendered. The predecessor may use it until OwnLentUntil.
+	VM           string
 	Own          float64
 	OwnLentUntil clock.Instant
 }
 
+// Holders are the VMs that may hold shares, as a coordinator stores them before it grants any.
+type Holders struct {
+	// Names are HashName of the VMs' names, in order. MaxShare is the largest fraction that one of them may hold.
+	Names    []uint32
+	MaxShare float64
+}
+
+// HashName returns the 32-bit FNV-1a hash of a VM's name. Two of 300 VMs have the same one with a probability of 0.00001.
+func HashName(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum32()
+}
+
 // Granter is the coordinator's side: the ledger of the shares, and the token buckets for the requests that the broker places. It
 // isn't safe for concurrent use.
 //
@@ -35,9 +53,13 @@
 	options GranterOptions
 	// authority is until when this VM is certainly the coordinator; afterwards it uses nothing.
 	authority clock.Instant
-	// mayGrant is set once it is stored that this coordinator grants shares.
-	mayGrant bool
-	// unknown is the fraction that the predecessors may have granted to VMs that haven't connected, until unknownEnd.
+	// stored are the VMs that the store has as holders, and storedShare the share that they may hold at most.
+	stored      map[uint32]bool
+	storedShare float64
+	// missing are the VMs that may hold shares of predecessors and haven't connected, until unknownEnd. Each holds maxShare at
+	// most, and all together unknown.
+	missing    map[uint32]bool
+	maxShare   float64
 	unknown    float64
 	unknownEnd clock.Instant
 	members    map[string]*member
@@ -85,11 +107,12 @@
 
 // NewGranter returns the ledger of a new coordinator.
 func NewGranter(o GranterOptions, now clock.Instant) *Granter {
-	g := &Granter{options: o, members: map[string]*member{}, supply: newSupply(now), dirty: true}
-	if o.Inherited {
-		g.unknown, g.unknownEnd = 1-o.Own, now.Add(clock.WithDrift(GrantTime)+overlapTime)
-		g.leftovers = append(g.leftovers, leftover{o.Own, o.OwnLentUntil})
+	g := &Granter{options: o, members: map[string]*member{}, missing: map[uint32]bool{}, supply: newSupply(now), dirty: true}
+	for _, name := range o.Inherited.Names {
+		g.missing[name] = true
 	}
+	g.maxShare, g.unknownEnd = o.Inherited.MaxShare, now.Add(clock.WithDrift(GrantTime)+overlapTime)
+	g.inheritRest(now)
 	capacity := func(l Limit, level float64) float64 {
 		if level <= fractionError {
 			return 0
@@ -101,13 +124,62 @@
 	return g
 }
 
-// SetAuthority sets until when this VM is certainly the coordinator, and whether it may grant shares.
-func (g *Granter) SetAuthority(until clock.Instant, mayGrant bool, now clock.Instant) {
+// SetAuthority sets until when this VM is certainly the coordinator, and the holders that it has stored. It grants shares to these
+// only.
+func (g *Granter) SetAuthority(until clock.Instant, stored Holders, now clock.Instant) {
 	g.advance(now)
 	if until != g.authority {
 		g.authority, g.dirty = until, true
 	}
-	g.mayGrant = mayGrant
+	if len(stored.Names) != len(g.stored) || slices.ContainsFunc(stored.Names, func(n uint32) bool { return !g.stored[n] }) {
+		g.stored = make(map[uint32]bool, len(stored.Names))
+		for _, name := range stored.Names {
+			g.stored[name] = true
+		}
+	}
+	g.storedShare = stored.MaxShare
+}
+
+// Holders returns the VMs that hold shares or are about to get one, for the store.
+func (g *Granter) Holders(now clock.Instant) Holders {
+	g.advance(now)
+	h := Holders{MaxShare: g.target()}
+	if len(g.missing) > 0 {
+		h.MaxShare = max(h.MaxShare, g.maxShare)
+	}
+	names := maps.Clone(g.missing)
+	for name, m := range g.members {
+		names[HashName(name)] = true
+		h.MaxShare = max(h.MaxShare, m.charge())
+	}
+	h.Names = slices.Sorted(maps.Keys(names))
+	return h
+}
+
+// inheritRest keeps unused for a while what the predecessor hadn't granted, as a margin for a predecessor that still acts. The own share is
+// known.
+func (g *Granter) inheritRest(now clock.Instant) {
+	o := g.options
+	g.noteSeen(o.VM, o.Own, now)
+	g.leftovers = append(g.leftovers, leftover{o.Own, o.OwnLentUntil})
+	if o.Inherited.MaxShare > 0 {
+		rest := 1 - o.Own - float64(len(g.missing))*g.maxShare
+		g.leftovers = append(g.leftovers, leftover{max(0, rest), now.Add(clock.WithDrift(LendTime))})
+	}
+}
+
+// noteSeen records that a VM that was missing has been seen, with the share that it holds. The rest of what it may have held is free, but
+// a predecessor may still use what it has borrowed from an earlier process.
+func (g *Granter) noteSeen(vm string, held float64, now clock.Instant) {
+	name := HashName(vm)
+	if !g.missing[name] {
+		return
+	}
+	delete(g.missing, name)
+	g.dirty = true
+	if rest := g.maxShare - held; rest > fractionError {
+		g.leftovers = append(g.leftovers, leftover{rest, now.Add(clock.WithDrift(LendTime))})
+	}
 }
 
 // advance accounts for the time until now.
@@ -128,7 +200,7 @@
 	now := g.supply.at
 	g.dirty, g.next = false, clock.Instant(math.MaxInt64)
 	g.charged = 0
-	unlent := g.expireUnknown(now) + g.expireLeftovers(now)
+	unlent := g.expireLeftovers(now)
 	for name, m := range g.members {
 		if now >= m.end {
 			delete(g.members, name)
@@ -143,7 +215,8 @@
 			unlent += charge
 		}
 	}
-	level := max(0, 1-unlent)
+	g.updateUnknown(now)
+	level := max(0, 1-unlent-g.unknown)
 	if level < fractionError || now >= g.authority {
 		level = 0
 	} else {
@@ -152,13 +225,14 @@
 	g.supply.set(level)
 }
 
-func (g *Granter) expireUnknown(now clock.Instant) float64 {
+// updateUnknown computes what the missing VMs may hold.
+func (g *Granter) updateUnknown(now clock.Instant) {
 	if now >= g.unknownEnd {
-		g.unknown = 0
-		return 0
+		clear(g.missing)
+	} else if len(g.missing) > 0 {
+		g.next = min(g.next, g.unknownEnd)
 	}
-	g.next = min(g.next, g.unknownEnd)
-	return g.unknown
+	g.unknown = max(0, min(1-g.charged, float64(len(g.missing))*g.maxShare))
 }
 
 func (g *Granter) expireLeftovers(now clock.Instant) float64 {
@@ -188,7 +262,7 @@
 		m = &member{process: a.Process}
 		g.members[vm], g.dirty = m, true
 	}
-	g.noteShare(m, a)
+	g.noteShare(vm, m, a, now)
 	m.stamp = max(m.stamp, a.Stamp)
 	m.heardAt, m.end = now, now.Add(clock.WithDrift(GrantTime))
 	if a.Coordinator == g.options.Coordinator && a.Echo > 0 {
@@ -206,7 +280,8 @@
 }
 
 // noteShare records the share that a VM holds.
-func (g *Granter) noteShare(m *member, a Answer) {
+func (g *Granter) noteShare(vm string, m *member, a Answer, now clock.Instant) {
+	g.noteSeen(vm, a.Fraction, now)
 	if a.GrantedBy == g.options.Coordinator {
 		if a.Serial == m.serial && m.confirmed != m.serial {
 			m.confirmed, g.dirty = a.Serial, true
@@ -222,7 +297,6 @@
 		return
 	}
 	// The share was granted by another coordinator.
-	g.unknown = max(0, g.unknown-extra)
 	m.granted, m.previous = held, held
 	m.serial++
 	g.dirty = true
@@ -245,7 +319,7 @@
 	if m == nil {
 		return o
 	}
-	if m.confirmed == m.serial && now < m.lentUntil && now < g.authority && g.mayGrant {
+	if m.confirmed == m.serial && now < m.lentUntil && now < g.authority && g.stored[HashName(vm)] {
 		g.adjust(m, now)
 	}
 	if now < g.authority {
@@ -257,9 +331,9 @@
 
 // adjust moves the share of a VM towards an equal one.
 func (g *Granter) adjust(m *member, now clock.Instant) {
-	target := 1 / float64(roundUpVMs(len(g.members)))
+	target := g.target()
 	room := max(0, 1-g.unknown-g.charged)
-	next := min(target, m.granted+room)
+	next := min(target, m.granted+room, max(m.granted, g.storedShare))
 	if math.Abs(next-m.granted) < target/32 {
 		return
 	}
@@ -269,6 +343,11 @@
 	g.advance(now)
 }
 
+// target is the share that each VM should hold.
+func (g *Granter) target() float64 {
+	return 1 / float64(roundUpVMs(len(g.members)))
+}
+
 // roundUpVMs rounds a number of VMs up by at most an eighth, so that not each VM that joins changes all shares. What isn't granted is
 // used by the broker.
 func roundUpVMs(vms int) int {
@@ -350,5 +429,5 @@
 // Idle reports whether nobody can hold a share, so that the ledger can be dropped.
 func (g *Granter) Idle(now clock.Instant) bool {
 	g.advance(now)
-	return g.unknown == 0 && g.charged == 0
+	return len(g.missing) == 0 && g.charged == 0
 }
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -91,9 +91,11 @@
 	coordinator *modelVM
 	terms       uint64
 	leaseEnd    time.Duration
-	faults      modelFaults
-	trace       uint64
-	violations  []string
+	// row are the holders that the coordinator stored last.
+	row        Holders
+	faults     modelFaults
+	trace      uint64
+	violations []string
 }
 
 func newModel(t *testing.T, seed uint64, vms int, limits [][2]Limit, faults modelFaults) *model {
@@ -166,7 +168,8 @@
 	c := m.coordinator
 	if c != nil && m.running(c) && !m.cut[c.id] && c.granter != nil {
 		m.leaseEnd = m.now + modelLease
-		c.granter.SetAuthority(m.clock(c).Add(modelLease), true, m.clock(c))
+		m.row = c.granter.Holders(m.clock(c))
+		c.granter.SetAuthority(m.clock(c).Add(modelLease), m.row, m.clock(c))
 		return
 	}
 	early := time.Duration(0)
@@ -183,8 +186,8 @@
 	m.disconnect(v.link)
 	m.terms++
 	own, until := v.holder.Surrender(m.clock(v))
-	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.terms > 1, Own: own, OwnLentUntil: until}, m.clock(v))
-	v.granter.SetAuthority(m.clock(v).Add(modelLease), true, m.clock(v))
+	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.row, VM: fmt.Sprint(v.id), Own: own, OwnLentUntil: until}, m.clock(v))
+	v.granter.SetAuthority(m.clock(v).Add(modelLease), m.row, m.clock(v))
 	m.coordinator, m.leaseEnd = v, m.now+modelLease
 }
 
@@ -464,6 +467,23 @@
 	}
 }
 
+// TestLimitIsUsedAfterRestartOfAll guards against quotas that stay unused after all processes were replaced at once, because the new
+// coordinator knows none of the shares.
+func TestLimitIsUsedAfterRestartOfAll(t *testing.T) {
+	m := newModel(t, 5, 12, [][2]Limit{{{50, 50}, {50, 50}}}, modelFaults{})
+	m.load(2)
+	m.run(20 * time.Second)
+	for id := range m.vms {
+		m.kill(id, time.Second)
+	}
+	m.run(25 * time.Second)
+	before := m.orgs[0].total
+	m.run(35 * time.Second)
+	if served := m.orgs[0].total - before; served < 450 || len(m.violations) > 0 {
+		t.Errorf("%d requests sent in 10 s, 5 s after all processes were killed, want 450 of 500; %v", served, m.violations)
+	}
+}
+
 // TestSameSeedSameRun guards the use of the model for finding faults.
 func TestSameSeedSameRun(t *testing.T) {
 	a, _ := runRandom(t, 7, 12, 30*time.Second)
--- a/pkg/sharedrate/size_test.go
+++ b/pkg/sharedrate/size_test.go
@@ -15,10 +15,10 @@
 	now := clock.Instant(time.Hour)
 	before := heapBytes()
 	g := NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance}, now)
-	g.SetAuthority(now.Add(time.Hour), true, now)
 	for i := range vms {
 		g.Answer(fmt.Sprint("vm", i), Answer{Process: 1, Stamp: 1, Coordinator: 1, Echo: int64(now)}, now)
 	}
+	g.SetAuthority(now.Add(time.Hour), g.Holders(now), now)
 	now = now.Add(time.Second)
 	limit := Limit{Rate: 1, Burst: 2}
 	for i := range organisations {
