Test the ledger of shares step by step

Change: tests of a lost VM's share, a new process, an ended lease, a fraction that returns, and a changed limit; sums of fractions are rounded, so that the order of a map doesn't change a run.

Ruled out: a tighter rule in the model, which states the platform's.

--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -215,8 +215,9 @@
 			unlent += charge
 		}
 	}
+	g.charged = roundFraction(g.charged)
 	g.updateUnknown(now)
-	level := max(0, 1-unlent-g.unknown)
+	level := max(0, roundFraction(1-unlent-g.unknown))
 	if level < fractionError || now >= g.authority {
 		level = 0
 	} else {
@@ -225,6 +226,11 @@
 	g.supply.set(level)
 }
 
+// roundFraction removes the differences that come from the order in which members are added up.
+func roundFraction(f float64) float64 {
+	return math.Round(f/fractionError) * fractionError
+}
+
 // updateUnknown computes what the missing VMs may hold.
 func (g *Granter) updateUnknown(now clock.Instant) {
 	if now >= g.unknownEnd {
--- /dev/null
+++ b/pkg/sharedrate/granter_test.go
@@ -0,0 +1,141 @@
+package sharedrate
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
+
+// ledger is a coordinator with two VMs that hold half of everything each, and lend it.
+type ledger struct {
+	g   *Granter
+	now clock.Instant
+}
+
+func newLedger() *ledger {
+	l := &ledger{now: clock.Instant(time.Hour)}
+	l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance}, l.now)
+	stored := Holders{Names: []uint32{HashName("a"), HashName("b")}, MaxShare: 0.5}
+	l.g.SetAuthority(l.now.Add(time.Hour), stored, l.now)
+	for range 3 {
+		l.exchange("a", 1)
+		l.exchange("b", 1)
+		l.now = l.now.Add(100 * time.Millisecond)
+	}
+	return l
+}
+
+// exchange sends an offer to a VM and gets the answer.
+func (l *ledger) exchange(vm string, process int64) {
+	o := l.g.Offer(vm, l.now)
+	a := Answer{Process: process, Stamp: int64(l.now), Coordinator: 1, Echo: o.Stamp}
+	if o.Process == process {
+		a.Fraction, a.GrantedBy, a.Serial, a.LeftMs = o.Fraction, 1, o.Serial, 1000
+	}
+	l.g.Answer(vm, a, l.now)
+}
+
+// run lets time pass while VM a reports.
+func (l *ledger) run(d time.Duration) {
+	for end := l.now.Add(d); l.now < end; l.now = l.now.Add(100 * time.Millisecond) {
+		l.exchange("a", 1)
+	}
+}
+
+func (l *ledger) checkLevel(t *testing.T, when string, want float64) {
+	t.Helper()
+	if got := l.g.Level(l.now); math.Abs(got-want) > 1e-6 {
+		t.Errorf("%s, the broker may use %v, want %v", when, got, want)
+	}
+}
+
+// Guards against the share of a VM that disappeared being used before its grant has ended, or never again.
+func TestShareOfLostVMIsKept(t *testing.T) {
+	l := newLedger()
+	l.checkLevel(t, "while both VMs lend", 1)
+	l.run(1500 * time.Millisecond)
+	l.checkLevel(t, "after a VM was lost", 0.5)
+	l.run(28 * time.Second)
+	l.checkLevel(t, "before the grant's end", 0.5)
+	l.run(2 * time.Second)
+	l.checkLevel(t, "after the grant's end", 1)
+}
+
+// Guards against a share that is freed by a new process while another coordinator may still use it, and one that isn't freed.
+func TestNewProcessFreesShare(t *testing.T) {
+	l := newLedger()
+	l.exchange("b", 2)
+	l.checkLevel(t, "after a restart within the commitment", 1)
+	l = newLedger()
+	l.run(2 * time.Second)
+	l.exchange("b", 2)
+	l.checkLevel(t, "after a restart beyond the commitment", 0.5)
+	l.run(1300 * time.Millisecond)
+	l.checkLevel(t, "1.3 s later", 1)
+	if o := l.g.Offer("b", l.now); o.Process == 1 {
+		t.Error("the offer is for the ended process")
+	}
+}
+
+// Guards against a coordinator whose lease has ended and that still uses or renews shares.
+func TestEndedLeaseEndsUse(t *testing.T) {
+	l := newLedger()
+	l.g.SetAuthority(l.now.Add(time.Second), Holders{}, l.now)
+	l.now = l.now.Add(time.Second)
+	l.exchange("a", 1)
+	l.checkLevel(t, "after the lease's end", 0)
+	if o := l.g.Offer("a", l.now); o.Serial != 0 {
+		t.Errorf("the offer renews a grant: %+v", o)
+	}
+}
+
+// Guards against a burst that returns with a fraction that was away for a moment: it may have been used elsewhere.
+func TestFractionThatReturnsBringsNoTokens(t *testing.T) {
+	l, limit := newLedger(), Limit{Rate: 1, Burst: 100}
+	l.g.supply.gained += 1000
+	take := func(name string) (n int) {
+		for {
+			if v, _ := l.g.Admit(name, limit, false, l.now); v != Granted {
+				return n
+			}
+			n++
+		}
+	}
+	if n := take("early"); n != 100 {
+		t.Errorf("%d requests admitted at once, want the burst of 100", n)
+	}
+	l.g.Admit("kept", limit, false, l.now)
+	l.run(1500 * time.Millisecond)
+	l.exchange("b", 1)
+	l.checkLevel(t, "after the VM's return", 1)
+	for _, name := range []string{"kept", "new"} {
+		if n := take(name); n < 50 || n > 52 {
+			t.Errorf("%s: %d requests admitted at once, want half of the burst", name, n)
+		}
+	}
+}
+
+// Guards against a limit that is raised and at once has the tokens of the time before, and one that is lowered and keeps its tokens.
+func TestChangedLimit(t *testing.T) {
+	l := newLedger()
+	admit := func(rate, burst float64) bool {
+		v, _ := l.g.Admit("o", Limit{rate, burst}, false, l.now)
+		return v == Granted
+	}
+	for admit(1, 3) {
+	}
+	l.run(500 * time.Millisecond)
+	if admit(100, 100) {
+		t.Error("a raised limit permits a request at once")
+	}
+	l.run(time.Second)
+	n := 0
+	for admit(5, 5) {
+		n++
+	}
+	if n > 5 {
+		t.Errorf("a lowered limit permits %d requests at once, want 5", n)
+	}
+}
