Skip the list of organisations where it isn't shown

Cause: the metrics and the log read the state of the quotas each second, which sorted all organisations each time.

Ruled out: a second function for the state without the list.

Measured: tests of sharedrate, event, entry and docs pass.

--- a/pkg/sharedrate/buckets.go
+++ b/pkg/sharedrate/buckets.go
@@ -118,6 +118,9 @@
 
 // top returns the buckets with the least tokens relative to their size first, at most count.
 func (b *buckets) top(count int) []Use {
+	if count == 0 {
+		return nil
+	}
 	uses := make([]Use, 0, len(b.entries))
 	for name, e := range b.entries {
 		b.refill(e, e.limit)
