Log the use of an own share only without a coordinator

Cause: a connected VM wrote event 871 between a configuration with quotas and the coordinator's first offer.

Change: the event requires that there is no link to a coordinator.

Ruled out: a delay of the event.

Measured: seen in the log of TestQuotaIsKeptAndUsed; tests of entry and docs pass.

--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -61,7 +61,7 @@
 		return
 	}
 	s, e := c.quota.State(0, now), &c.quotaEvents
-	share, local := s.Share, s.LentLeftMs == 0
+	share, local := s.Share, s.LentLeftMs == 0 && c.link == nil
 	if s.GrantLeftMs == 0 {
 		share = 0
 	}
