--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 const (
@@ -80,6 +81,7 @@
 	hedger   *placing.Hedger
 	callers  *http.Server
 	idle     idleConns
+	quotas   quotaMetrics
 	stopping chan struct{}
 }
 
@@ -123,19 +125,22 @@
 	localBudget := placing.NewLocalBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow)
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	balancer.UseLimits(limits, o.Settings.VM)
-	p := &process{Options: o, hedger: placing.NewHedger(o.Settings.HedgeExtraShare), stopping: make(chan struct{}), idle: idleConns{since: map[net.Conn]time.Time{}}}
+	quota := sharedrate.NewHolder(time.Now().UnixNano(), o.Settings.quotaAllowance(), clock.Boottime{}.Now())
+	p := &process{Options: o, hedger: placing.NewHedger(o.Settings.HedgeExtraShare), stopping: make(chan struct{}), quotas: newQuotaMetrics(registry.Scope()),
+		idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
+		Quota:        quota,
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
 	p.control.placer.broker.RecordForecastErrors(registry.Scope())
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
-		Budget: localBudget, Suspects: suspects, Limits: limits, Hedger: p.hedger,
+		Budget: localBudget, Suspects: suspects, Limits: limits, Quota: quota, Hedger: p.hedger,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
 		ConfigurationAge:         p.control.ConfigurationAge,
 		MaxConfigurationAge:      o.Settings.MaxConfigurationAge,
@@ -231,6 +236,7 @@
 		case <-p.Reload:
 			p.reload()
 		case <-ticker.C:
+			p.quotas.record(p.control.quotaDump(0))
 			if s := p.control.Current().Snapshot; s != nil && s.Configuration != nil && s.Configuration.Limits.IdleTimeout > 0 {
 				p.idle.sweep(s.Configuration.Limits.IdleTimeout + idleTimeoutSlack)
 			}
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -66,8 +66,11 @@
 	TargetLimitWithdrawn = define(854, log.InfoLevel, "target withdrew its rate limit")
 	TargetLimitInvalid   = define(855, log.WarnLevel, "rate limit of a target can't be parsed; an earlier one remains")
 
-	PipelineMismatch = define(860, log.ErrorLevel, "a pipelined request differs from the one that was handled ahead; the result is dropped")
-	CallerStalled    = define(861, log.InfoLevel, "caller doesn't read its response; its connection is closed")
+	PipelineMismatch   = define(860, log.ErrorLevel, "a pipelined request differs from the one that was handled ahead; the result is dropped")
+	CallerStalled      = define(861, log.InfoLevel, "caller doesn't read its response; its connection is closed")
+	QuotaShareGranted  = define(870, log.InfoLevel, "share of the quotas granted to this VM")
+	QuotaSharedLocally = define(871, log.WarnLevel, "this VM uses its own share of the quotas, without a coordinator")
+	QuotaPartUnknown   = define(872, log.InfoLevel, "part of the quotas stays unused because a previous coordinator may have granted it")
 
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -17,6 +17,7 @@
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -44,7 +45,9 @@
 	// Limits holds the rate limits of the targets. If nil, an empty tracker is used.
 	Limits *ratelimit.Tracker
 	// Hedger decides which requests are sent to a second target while the first one is slow. If nil, none are.
-	Hedger  *placing.Hedger
+	Hedger *placing.Hedger
+	// Quota is this VM's share of the organisations' quotas, for requests that are placed without the broker.
+	Quota   *sharedrate.Holder
 	Clock   clock.Clock
 	Log     *event.Logger
 	Metrics *Metrics
@@ -150,6 +153,8 @@
 	asyncAttempts []*asyncAttempt
 	// hedgeDecided is set once it is decided whether and when the request may be hedged.
 	hedgeDecided bool
+	// sendBy is until when the current attempt must be sent, 0 if the organisation has no quota.
+	sendBy clock.Instant
 	// usedConns are the connections on which the request was sent.
 	usedConns []*targetconn.Conn
 	// headerWritten is set once a response header may have reached the caller.
--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -1,6 +1,10 @@
 package placing
 
-import "time"
+import (
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
 
 // onTimeServiceFactor is the part of the mean service time that must be left to the objective when a request is placed for it to count as
 // one that can be answered on time. The service times of one kind differ by about a third.
@@ -52,13 +56,13 @@
 }
 
 // makeRoom refuses the last request of a queue that is full, so that a new one ahead of it can wait.
-func (b *Broker) makeRoom(w *waiter, ps *poolState) {
+func (b *Broker) makeRoom(w *waiter, ps *poolState, now clock.Instant) {
 	queue := b.queues[w.queue]
 	if len(queue) <= maxQueueLength || !b.admitsByValue() {
 		return
 	}
 	if last := queue[len(queue)-1]; last != w {
 		latency, reason := ps.forecast(last, len(queue)-1, workAhead(queue, len(queue)-1))
-		b.resolve(last, ps.refusal(last, latency, reason))
+		b.refuseAdmitted(last, ps.refusal(last, latency, reason), now)
 	}
 }
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -8,6 +8,7 @@
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
+	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
 const (
@@ -46,6 +47,8 @@
 	Key int
 	// Organisation is the name of the organisation that sent the request, or empty if there is none.
 	Organisation string
+	// Limited reports whether the organisation has a quota according to the VM's configuration. The broker uses its own.
+	Limited bool
 	// Priority is the rank of the request, as returned by inventory.RequestPriority; 0 is the highest.
 	Priority int
 	// Objective is the remaining time within which an answer meets the latency objective.
@@ -73,6 +76,8 @@
 	Target   string
 	Reason   Reason
 	Expected time.Duration
+	// SendBy is the time on the VM's clock after which a request with a quota must not be sent any more, 0 if there is none.
+	SendBy clock.Instant
 }
 
 // Owner is the owner of a key.
@@ -123,6 +128,10 @@
 	forecastErrors *forecastErrors
 	// valueAdmission is set by SetValueAdmission.
 	valueAdmission bool
+	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
+	quotas *sharedrate.Granter
+	// fair divides queues among organisations.
+	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
@@ -135,6 +144,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
+		fair: fairQueues{},
 	}
 }
 
@@ -162,9 +172,10 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
+	b.fair = fairQueues{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
-	b.snapshot, b.coldBuckets = nil, map[string]*tokenBucket{}
+	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
 	b.loads, b.targetSets, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, kinds{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
@@ -184,10 +195,16 @@
 		reply(Decision{Reason: ReasonQuarantined, Expected: refusedFor})
 		return
 	}
+	if reason, wait := b.admitQuota(a, now); reason != "" {
+		reply(Decision{Reason: reason, Expected: wait})
+		return
+	}
 	if a.Hedge {
 		w := b.newWaiter(a, verdict, reply, now)
 		w.queue.pool = a.Pool
-		b.placeHedge(w, verdict, now)
+		if !b.placeHedge(w, verdict, now) {
+			b.returnQuota(a, now)
+		}
 		return
 	}
 	if !a.Retry {
@@ -196,6 +213,7 @@
 			b.onKeyUsed(a.Pool, a.Key)
 		}
 	} else if !b.budget.TakeRetry(a.Pool, now) {
+		b.returnQuota(a, now)
 		reply(Decision{Reason: ReasonRetryBudget})
 		return
 	}
@@ -205,10 +223,12 @@
 	b.reserve(w, ps, now)
 	latency, reason := b.admissionForecast(w, ps, now)
 	if latency <= b.maxLatency(w, ps, now) {
-		b.makeRoom(w, ps)
+		b.makeRoom(w, ps, now)
 	}
 	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
+		b.returnStep(w)
 		b.dequeue(w)
+		b.returnQuota(a, now)
 		b.noteLimitRefusal(w.queue, reason, now)
 		reply(ps.refusal(w, latency, reason))
 		return
@@ -284,14 +304,14 @@
 		w := b.queues[id][i]
 		verdict, refusedFor := b.suspects.Verdict(w.Fingerprint, now)
 		if verdict == quarantine.Quarantined {
-			b.resolve(w, Decision{Reason: ReasonQuarantined, Expected: refusedFor})
+			b.refuseAdmitted(w, Decision{Reason: ReasonQuarantined, Expected: refusedFor}, now)
 			continue
 		}
 		w.suspected = verdict == quarantine.Suspected
 		w.backedOff = b.backoffs.affects(w.vmID, now)
 		ps := cache.get(w)
 		if left := w.deadline.Sub(now); left < ps.minUsefulTime(w) {
-			b.resolve(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime(w)})
+			b.refuseAdmitted(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime(w)}, now)
 			continue
 		}
 		if !ps.available || b.yields(w, ps, now) || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
@@ -308,6 +328,12 @@
 			i++
 			continue
 		}
+		if wait, ok := b.sendQuota(w, now); !ok {
+			if !b.deferForQuota(w, wait, now) {
+				i++
+			}
+			continue
+		}
 		b.assign(w, c.load, now)
 		cache.invalidate()
 	}
@@ -387,6 +413,7 @@
 	l.inFlight++
 	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
+	b.noteServed(w)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
 }
 
@@ -403,8 +430,10 @@
 	defer b.mu.Unlock()
 	id := requestID{vm, seq}
 	if w := b.waiting[id]; w != nil {
+		b.returnStep(w)
 		b.dequeue(w)
 		delete(b.waiting, id)
+		b.returnQuota(w.PlacementRequest, now)
 		return
 	}
 	if l := b.releasePermit(id); l != nil {
@@ -464,8 +493,10 @@
 	defer b.mu.Unlock()
 	for id, w := range b.waiting {
 		if id.vm == vm {
+			b.returnStep(w)
 			b.dequeue(w)
 			delete(b.waiting, id)
+			b.returnQuota(w.PlacementRequest, now)
 		}
 	}
 	for id := range b.permits {
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -11,8 +11,9 @@
 // forecastWithMargin is the forecast for a request at its position in the queue, with a safety margin.
 func (b *Broker) forecastWithMargin(w *waiter, ps *poolState) (time.Duration, Reason) {
 	queue := b.queues[w.queue]
-	ahead := slices.Index(queue, w)
-	latency, reason := ps.forecast(w, ahead, workAhead(queue, ahead))
+	place := slices.Index(queue, w)
+	ahead := b.expectedAhead(w, place)
+	latency, reason := ps.forecast(w, ahead, workAhead(queue, place)+float64(ahead-place))
 	if latency == infinite {
 		return latency, reason
 	}
@@ -58,7 +59,7 @@
 			}
 			latency, reason := ps.forecast(w, position, work)
 			if latency > w.deadline.Sub(now) {
-				b.resolve(w, ps.refusal(w, latency, reason))
+				b.refuseAdmitted(w, ps.refusal(w, latency, reason), now)
 				continue
 			}
 			position++
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -19,27 +19,36 @@
 )
 
 // placeHedge places a hedge if it needn't wait and takes nothing that other requests need, and refuses it otherwise. It is never
-// queued. The caller holds b.mu.
-func (b *Broker) placeHedge(w *waiter, verdict quarantine.Verdict, now clock.Instant) {
-	if verdict != quarantine.Clear {
-		w.reply(Decision{Reason: ReasonSuspected})
-		return
+// queued. It reports whether the hedge was placed. The caller holds b.mu.
+func (b *Broker) placeHedge(w *waiter, verdict quarantine.Verdict, now clock.Instant) bool {
+	reason := ReasonOverload
+	var l *load
+	switch {
+	case verdict != quarantine.Clear:
+		reason = ReasonSuspected
+	case !b.keyed(w.Pool) && len(b.queues[queueID{pool: w.Pool}]) == 0:
+		l = b.hedgeTarget(w, now)
 	}
-	if b.keyed(w.Pool) || len(b.queues[queueID{pool: w.Pool}]) > 0 {
-		w.reply(Decision{Reason: ReasonOverload})
-		return
+	if l != nil {
+		// A hedge that isn't placed must not use up the budget.
+		if reason = b.admitHedge(w, now); reason == "" {
+			b.assign(w, l, now)
+			return true
+		}
 	}
-	l := b.hedgeTarget(w, now)
-	if l == nil {
-		w.reply(Decision{Reason: ReasonOverload})
-		return
+	w.reply(Decision{Reason: reason})
+	return false
+}
+
+// admitHedge takes what a hedge needs of the organisation's quota and of the retry budget. It returns the reason for a refusal, or "".
+func (b *Broker) admitHedge(w *waiter, now clock.Instant) Reason {
+	if _, ok := b.sendQuota(w, now); !ok {
+		return ReasonQuota
 	}
-	// A hedge that isn't placed must not use up the budget.
 	if !b.budget.TakeRetry(w.Pool, now) {
-		w.reply(Decision{Reason: ReasonRetryBudget})
-		return
+		return ReasonRetryBudget
 	}
-	b.assign(w, l, now)
+	return ""
 }
 
 // hedgeTarget returns the best target for a hedge, nil if there is none. A hedge doesn't run in a region where the request wasn't
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -93,7 +93,7 @@
 	// failureRate is the moving average of the share of requests that the target failed, and refusalRate of the share that it refused
 	// although it had free slots.
 	failureRate, refusalRate float64
-	limit       rateLimit
+	limit                    rateLimit
 	// cold is when Balancer last sent a request while the target was cold.
 	cold lastTurn
 }
@@ -177,6 +177,10 @@
 	ReasonTargetsBlocked Reason = "targets-blocked"
 	// ReasonTargetLimit means that the rate limits of all candidates are used up.
 	ReasonTargetLimit Reason = "target-limit"
+	// ReasonQuota means that the quota of the request's organisation is used up.
+	ReasonQuota Reason = "quota"
+	// ReasonNoShare means that this VM may use no part of the quotas, whatever is left of them.
+	ReasonNoShare Reason = "no-quota-share"
 )
 
 // Balancer selects targets for the requests of one VM. It is safe for concurrent use.
