Keep configuration, failure domains and targets through a restore

Cause: with versions that go back, a VM ignored what the operator and the targets wrote after a restore until the store's version had passed the one it knew; with versions that are ordered by era, it would have taken over the older configuration, lost entries and entries of removed targets.

Removed targets that reappear are ignored until they register again. A row with an older configuration never replaces a newer one. The coordinator stores the records of crashing requests again.

Ruled out: keeping the rows only where the store is read: a new coordinator has no memory, and its relayed tables would replace what other VMs know.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -117,7 +119,12 @@
 	snapshotDirty    bool
 	config           *inventory.Configuration
 	configRowVersion uint64
-	loadWindow       loadWindow
+	// storeEra is the newest era of the store that this VM knows of. olderRow is the newest row of a restored store whose configuration
+	// was compared with that of a known row.
+	storeEra   atomic.Uint64
+	eraGauge   tally.Gauge
+	olderRow   comparedRow
+	loadWindow loadWindow
 
 	reading map[string]bool
 	// readCounts holds the number of reads of each table.
@@ -223,6 +230,8 @@
 	BrokerBudget *placing.RetryBudget
 	LocalBudget  *placing.RetryBudget
 	Incarnation  string
+	// EraGauge shows the newest era of the store. It may be nil.
+	EraGauge tally.Gauge
 	// OnSnapshot is called with each new snapshot, from the control goroutine.
 	OnSnapshot func(*inventory.Snapshot)
 }
@@ -240,7 +249,7 @@
 	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
+		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, onSnapshot: o.OnSnapshot, eraGauge: o.EraGauge, events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loadWindow: newLoadWindow(), reading: map[string]bool{}, readCounts: map[string]int{}, nextRead: map[string]clock.Instant{}, pacers: map[string]*readPacer{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
@@ -251,6 +260,8 @@
 	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.BrokerBudget, o.Suspects, o.Limits, c.requestedKeys.add))
 	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress()})
+	c.mirror.MarkExpiring(o.Tables.Targets)
+	c.mirror.KeepNewer(o.Tables.Operator, c.hasNewerConfiguration)
 	c.view.Store(&ingress.View{Changed: make(chan struct{})})
 	return c
 }
@@ -382,7 +393,7 @@
 	return coordinator.View{
 		Snapshot: c.snapshot, ComputeTime: c.runSelfTest(now), ElectionDelay: c.electionDelay(), Capacity: c.capacity,
 		Load:  func(pool string) keyrange.Load { return c.loadWindow.load(pool, now) },
-		Fleet: c.fleet(now),
+		Fleet: c.fleet(now), Routes: c.relayedRoutes,
 	}
 }
 
--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -113,8 +113,9 @@
 	}
 	changed := false
 	for _, d := range u.Deltas {
-		changed = c.mirror.ApplyRelayed(d) || changed
+		changed = c.mirror.ApplyRelayed(d, now) || changed
 	}
+	c.noteEra(now)
 	if changed {
 		c.rebuildSnapshot()
 	}
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -25,13 +25,16 @@
 	Suspects []quarantine.Record `json:"suspects"`
 	// RateLimits are the rate limits that targets have named or withdrawn.
 	RateLimits []ratelimit.Record `json:"rate_limits"`
+	// StoreEra is how often the store was restored from an older copy.
+	StoreEra uint64 `json:"store_era"`
 }
 
 // serveDump writes the state as JSON.
 func (p *process) serveDump(w http.ResponseWriter, _ *http.Request) {
 	view := p.control.Current()
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
-		Suspects: p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now())}
+		Suspects: p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now()),
+		StoreEra: p.control.storeEra.Load()}
 	if s := view.Snapshot; s != nil {
 		d.DomainsOut = s.DomainsOut
 		for _, t := range s.Targets {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -126,6 +126,7 @@
 		Clock: clock.Boottime{}, Log: o.Log, Balancer: balancer, Suspects: suspects, Limits: limits,
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
+		EraGauge:     registry.Scope().Gauge(storeEraMetric),
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -476,7 +476,7 @@
 	if r.StoreSeen != nil {
 		c.mirror.NoteAvailable(r.StoreSeen.Before(c.clock.Now()))
 	}
-	if len(r.Removed) > 0 && c.mirror.ApplyRemovals(c.tables.Targets, r.Removed) {
+	if len(r.Removed) > 0 && c.mirror.ApplyRemovals(c.tables.Targets, r.Removed, c.clock.Now()) {
 		c.log.Emit(event.RemovalsReported, "removed", len(r.Removed))
 		c.rebuildSnapshot()
 	}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -164,7 +164,10 @@
 		return
 	}
 	c.readFreshAt = max(c.readFreshAt, started)
-	if c.mirror.ApplyChanges(table, changes, table == c.tables.Targets, c.clock.Now()) {
+	now := c.clock.Now()
+	changed := c.mirror.ApplyChanges(table, changes, table == c.tables.Targets, now)
+	c.noteEra(now)
+	if changed {
 		c.rebuildSnapshot()
 	}
 }
@@ -180,12 +183,15 @@
 	if table == coordinator.Table {
 		c.runEffects(c.coordinator.Observe(page, now.Sub(started), now))
 		c.controlReadAt = time.Now()
+		c.noteEra(now)
 		c.useStoredDistributor(now)
 		c.refreshView()
 		return
 	}
 	c.readFreshAt = max(c.readFreshAt, started)
-	if c.mirror.Replace(table, page, table == c.tables.Targets, now) {
+	changed := c.mirror.Replace(table, page, table == c.tables.Targets, now)
+	c.noteEra(now)
+	if changed {
 		c.rebuildSnapshot()
 	}
 }
--- a/pkg/entry/store_report_test.go
+++ b/pkg/entry/store_report_test.go
@@ -50,7 +50,7 @@
 		leader.handlePage("servers", rowsAt(5, "t1", "t2"), nil, now.now)
 		follower.mirror.NoteAvailable(replica.Span{From: now.now, To: now.now})
 	}
-	follower.mirror.ApplyRelayed(replica.FullDelta("servers", 5, leader.mirror.Rows("servers")))
+	follower.mirror.ApplyRelayed(replica.FullDelta("servers", 5, leader.mirror.Rows("servers")), 0)
 	lastRead := now.now
 	// The follower reads the store itself once the coordinator's tables are older than maxRelayedAge.
 	for now.now = lastRead.Add(maxRelayedAge); now.now < lastRead.Add(1900*time.Millisecond); now.now = now.now.Add(baseReadInterval) {
@@ -66,7 +66,7 @@
 	if !hasTargets(leader, "t1") {
 		t.Errorf("after the partition the coordinator has %v", leader.mirror.Rows("servers"))
 	}
-	follower.mirror.ApplyRelayed(replica.Delta{Table: "servers", Version: 9})
+	follower.mirror.ApplyRelayed(replica.Delta{Table: "servers", Version: 9}, 0)
 	if !hasTargets(follower, "t1") {
 		t.Errorf("the follower takes the target back: %v", follower.mirror.Rows("servers"))
 	}
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -26,8 +26,9 @@
 // storedSuspects holds what the coordinator knows about the stored records. The records are stored for the case that all
 // VMs are lost at once; otherwise the VMs exchange them directly.
 type storedSuspects struct {
-	// loaded reports whether the row was read since this VM became the coordinator. version is 0 if there is no row.
-	loaded       bool
+	// loaded reports whether the row was read since this VM became the coordinator.
+	loaded bool
+	// version has the era of the store in which the row was read, also if there is no row.
 	version      uint64
 	callInFlight bool
 	nextCall     clock.Instant
@@ -70,7 +71,8 @@
 	if c.storedSuspects.callInFlight || now < c.storedSuspects.nextCall {
 		return
 	}
-	if !c.storedSuspects.loaded {
+	if !c.storedSuspects.loaded || rowstore.Era(c.storedSuspects.version) < c.storeEra.Load() {
+		// The store may have lost the row.
 		c.storedSuspects.callInFlight = true
 		go c.loadSuspects()
 		return
@@ -103,6 +105,10 @@
 			return
 		}
 		c.storedSuspects.loaded, c.storedSuspects.strikes = true, map[uint64]int{}
+		c.storedSuspects.version = rowstore.Missing(page.Version)
+		if rowstore.Era(page.Version) < c.storeEra.Load() {
+			c.storedSuspects.nextCall = c.clock.Now().Add(suspectsRetryDelay)
+		}
 		for _, row := range page.Rows {
 			if row.Key == suspectsKey {
 				c.applySuspectsRow(row)
--- a/pkg/replica/mirror.go
+++ b/pkg/replica/mirror.go
@@ -41,6 +41,13 @@
 	removedKeys []string
 	// unreported are the removals seen in this VM's own reads that TakeRemovals hasn't returned.
 	unreported []Removal
+	// expiring is set if the rows expire by themselves, as their writers know.
+	expiring bool
+	// newer reports whether a row, which the store may have lost, is newer than the one that the store has now. It is nil if rows are
+	// never compared by their content.
+	newer func(known, stored rowstore.Row) bool
+	// restored holds what this VM knew when the store was restored.
+	restored restoredRows
 }
 
 // Mirror is the copy of several tables. It isn't safe for concurrent use.
@@ -56,6 +63,17 @@
 	return &Mirror{tables: map[string]*Table{}}
 }
 
+// MarkExpiring declares that the rows of a table expire by themselves unless their writers renew them.
+func (m *Mirror) MarkExpiring(table string) {
+	m.table(table).expiring = true
+}
+
+// KeepNewer sets a function that reports whether a known row is newer by its content than the one that a restored store has. The stored row
+// has no key if it is missing. Such known rows are kept.
+func (m *Mirror) KeepNewer(table string, newer func(known, stored rowstore.Row) bool) {
+	m.table(table).newer = newer
+}
+
 // Rows returns a table's rows by key. The caller must not change them.
 func (m *Mirror) Rows(table string) map[string]rowstore.Row {
 	return m.table(table).Rows
@@ -97,7 +115,8 @@
 
 // NeedsFullRead reports whether the whole table must be read to find out which rows are missing.
 func (m *Mirror) NeedsFullRead(name string, now clock.Instant) bool {
-	return m.table(name).keptMissing && !m.inGrace(now)
+	t := m.table(name)
+	return t.keptMissing && !m.inGrace(now) && !t.restored.held(now)
 }
 
 // Replace replaces a table by one read from the store. It reports whether a row has changed. expires means that the rows expire
@@ -112,10 +131,11 @@
 	for _, r := range snapshot.Rows {
 		rows[r.Key] = r
 	}
+	t.enterEra(snapshot.Version, rows, now)
 	t.keptMissing = false
 	keep := expires && m.inGrace(now)
 	for key, r := range t.Rows {
-		if _, ok := rows[key]; ok {
+		if _, ok := rows[key]; ok || t.restored.holds(key, now) {
 			continue
 		}
 		if keep && !t.isRemoved(r) {
@@ -125,7 +145,7 @@
 		m.noteOwnRemoval(t, Removal{key, snapshot.Version}, expires, now)
 	}
 	// Another VM may already have seen a later removal.
-	return t.set(snapshot.Version, t.withoutRemoved(rows))
+	return t.set(snapshot.Version, rows, now)
 }
 
 // noteRead records that this VM has read the store.
@@ -148,7 +168,7 @@
 	var removed []string
 	for _, key := range changes.Removed {
 		r, ok := t.Rows[key]
-		if keep && (!ok || !t.isRemoved(r)) {
+		if t.restored.holds(key, now) || keep && (!ok || !t.isRemoved(r)) {
 			t.keptMissing = true
 			continue
 		}
@@ -157,16 +177,16 @@
 			m.noteOwnRemoval(t, Removal{key, r.Version}, expires, now)
 		}
 	}
-	return m.Apply(Delta{Table: name, Version: changes.Version, Rows: changes.Rows, Removed: removed})
+	return m.Apply(Delta{Table: name, Version: changes.Version, Rows: changes.Rows, Removed: removed}, now)
 }
 
 // ApplyRemovals removes rows that other VMs have seen removed from the store while it was available. It reports whether there were any.
-func (m *Mirror) ApplyRemovals(name string, removals []Removal) bool {
+func (m *Mirror) ApplyRemovals(name string, removals []Removal, now clock.Instant) bool {
 	t := m.table(name)
 	for _, r := range removals {
 		t.noteRemoval(r)
 	}
-	return t.set(t.Version, t.withoutRemoved(t.Rows))
+	return t.set(t.Version, t.Rows, now)
 }
 
 // TakeRemovals returns the removals that this VM has seen in its own reads while the store was available, each once.
@@ -177,8 +197,10 @@
 	return removals
 }
 
-// set replaces the rows and the version. It reports whether a row has changed.
-func (t *Table) set(version uint64, rows map[string]rowstore.Row) bool {
+// set replaces the rows and the version. Rows that are known to have been removed are omitted, and rows that a restored store has lost are
+// kept. It reports whether a row has changed.
+func (t *Table) set(version uint64, rows map[string]rowstore.Row, now clock.Instant) bool {
+	rows = t.withoutRemoved(t.withNewer(version, t.withRestored(rows, now)))
 	changed := !sameVersions(t.Rows, rows)
 	if changed || version != t.Version {
 		t.revision++
@@ -265,17 +287,20 @@
 }
 
 // Apply applies a delta. It reports whether a row has changed. Deltas older than the copy are ignored.
-func (m *Mirror) Apply(d Delta) bool {
+func (m *Mirror) Apply(d Delta, now clock.Instant) bool {
 	t := m.table(d.Table)
 	if d.Version < t.Version {
 		return false
 	}
 	if d.Empty() {
-		t.set(d.Version, t.Rows)
+		t.enterEra(d.Version, t.Rows, now)
+		t.set(d.Version, t.Rows, now)
 		return false
 	}
+	rows := d.applyTo(t.Rows)
+	t.enterEra(d.Version, rows, now)
 	t.noteDropped(t.Rows, d.Removed)
-	t.set(d.Version, t.withoutRemoved(d.applyTo(t.Rows)))
+	t.set(d.Version, rows, now)
 	return true
 }
 
@@ -302,7 +327,7 @@
 // VM knows to have been removed: the relaying VM keeps missing rows for a while if it takes a partition between itself and the store for
 // an outage. Applying its changes to this VM's own rows instead would lose rows that were missing in this VM's read, such as
 // registrations that expired during an outage of the store and came back later.
-func (m *Mirror) ApplyRelayed(d Delta) bool {
+func (m *Mirror) ApplyRelayed(d Delta, now clock.Instant) bool {
 	t := m.table(d.Table)
 	switch {
 	case d.Full:
@@ -310,7 +335,7 @@
 	case t.relayedRows == nil && d.Empty():
 		return false
 	case t.relayedRows == nil:
-		return m.Apply(d)
+		return m.Apply(d, now)
 	case !d.Empty():
 		t.noteDropped(t.relayedRows, d.Removed)
 		t.relayedRows = d.applyTo(t.relayedRows)
@@ -318,8 +343,9 @@
 	if d.Version < t.Version {
 		return false
 	}
+	t.enterEra(d.Version, t.relayedRows, now)
 	t.relayedRows = t.withoutRemoved(t.relayedRows)
-	return t.set(d.Version, t.relayedRows)
+	return t.set(d.Version, t.relayedRows, now)
 }
 
 // applyTo returns a copy of the rows with the delta applied.
--- a/pkg/replica/mirror_test.go
+++ b/pkg/replica/mirror_test.go
@@ -27,20 +27,20 @@
 	}
 	m := NewMirror()
 	m.Replace("servers", rowstore.TableSnapshot{Version: 20, Rows: []rowstore.Row{row("a", 20)}}, true, 0)
-	if m.ApplyRelayed(Delta{Table: "servers", Version: 10, Full: true, Rows: []rowstore.Row{row("a", 5), row("b", 6)}}) || len(m.Rows("servers")) != 1 {
+	if m.ApplyRelayed(Delta{Table: "servers", Version: 10, Full: true, Rows: []rowstore.Row{row("a", 5), row("b", 6)}}, 0) || len(m.Rows("servers")) != 1 {
 		t.Errorf("older table was applied: %v", m.Rows("servers"))
 	}
-	if m.ApplyRelayed(Delta{Table: "servers", Version: 15, Rows: []rowstore.Row{row("c", 15)}}) {
+	if m.ApplyRelayed(Delta{Table: "servers", Version: 15, Rows: []rowstore.Row{row("c", 15)}}, 0) {
 		t.Error("older change was applied")
 	}
 	// The coordinator reports that it has caught up, without a change.
-	if !m.ApplyRelayed(Delta{Table: "servers", Version: 21}) || len(m.Rows("servers")) != 3 {
+	if !m.ApplyRelayed(Delta{Table: "servers", Version: 21}, 0) || len(m.Rows("servers")) != 3 {
 		t.Errorf("after catching up, rows are %v", m.Rows("servers"))
 	}
-	if m.ApplyRelayed(Delta{Table: "servers", Version: 22}) || m.Version("servers") != 22 {
+	if m.ApplyRelayed(Delta{Table: "servers", Version: 22}, 0) || m.Version("servers") != 22 {
 		t.Error("version without changes changed rows or was not recorded")
 	}
-	if !m.ApplyRelayed(Delta{Table: "servers", Version: 23, Removed: []string{"c"}}) || len(m.Rows("servers")) != 2 {
+	if !m.ApplyRelayed(Delta{Table: "servers", Version: 23, Removed: []string{"c"}}, 0) || len(m.Rows("servers")) != 2 {
 		t.Errorf("after a removal, rows are %v", m.Rows("servers"))
 	}
 }
@@ -92,10 +92,10 @@
 func TestOlderVersionsAreIgnored(t *testing.T) {
 	m, now := NewMirror(), clock.Instant(time.Second)
 	m.Replace("t", newSnapshot(5, "a"), false, now)
-	if m.Replace("t", newSnapshot(4, "a", "b"), false, now) || m.Apply(Delta{Table: "t", Version: 4, Removed: []string{"a"}}) {
+	if m.Replace("t", newSnapshot(4, "a", "b"), false, now) || m.Apply(Delta{Table: "t", Version: 4, Removed: []string{"a"}}, 0) {
 		t.Fatal("older version was applied")
 	}
-	if !m.Apply(Delta{Table: "t", Version: 6, Rows: []rowstore.Row{{Key: "b"}}, Removed: []string{"a"}}) {
+	if !m.Apply(Delta{Table: "t", Version: 6, Rows: []rowstore.Row{{Key: "b"}}, Removed: []string{"a"}}, 0) {
 		t.Fatal("newer change was ignored")
 	}
 	if _, ok := m.Rows("t")["b"]; !ok || len(m.Rows("t")) != 1 {
@@ -215,8 +215,8 @@
 			m.NoteAvailable(Span{start.Add(1100 * time.Millisecond), start.Add(1500 * time.Millisecond)})
 		}, 1},
 		{"another VM reads the store at the end", func(m *Mirror) { m.NoteAvailable(Span{healed, healed}) }, 2},
-		{"another VM has seen the removal", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 7}}) }, 1},
-		{"another VM has seen the removal of an earlier row", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 1}}) }, 2},
+		{"another VM has seen the removal", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 7}}, 0) }, 1},
+		{"another VM has seen the removal of an earlier row", func(m *Mirror) { m.ApplyRemovals("t", []Removal{{"b", 1}}, 0) }, 2},
 	} {
 		m := NewMirror()
 		m.Replace("t", before, true, start)
@@ -258,21 +258,21 @@
 	for name, remove := range map[string]func(m *Mirror){
 		"own read":    func(m *Mirror) { m.Replace("t", rowstore.TableSnapshot{Version: 7, Rows: both[:1]}, true, now) },
 		"own changes": func(m *Mirror) { m.ApplyChanges("t", rowstore.Changes{Version: 7, Removed: []string{"b"}}, true, now) },
-		"relayed":     func(m *Mirror) { m.ApplyRelayed(Delta{Table: "t", Version: 7, Removed: []string{"b"}}) },
+		"relayed":     func(m *Mirror) { m.ApplyRelayed(Delta{Table: "t", Version: 7, Removed: []string{"b"}}, 0) },
 	} {
 		m := NewMirror()
-		m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: both})
+		m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: both}, 0)
 		remove(m)
-		m.ApplyRelayed(Delta{Table: "t", Version: 8})
+		m.ApplyRelayed(Delta{Table: "t", Version: 8}, 0)
 		if _, ok := m.Rows("t")["b"]; ok {
 			t.Errorf("%s: a heartbeat restores the removed row", name)
 		}
 		m.ResetRelayed()
-		m.ApplyRelayed(Delta{Table: "t", Version: 9, Full: true, Rows: both})
+		m.ApplyRelayed(Delta{Table: "t", Version: 9, Full: true, Rows: both}, 0)
 		if _, ok := m.Rows("t")["b"]; ok || len(m.Rows("t")) != 1 {
 			t.Errorf("%s: a whole table restores the removed row: %v", name, m.Rows("t"))
 		}
-		m.ApplyRelayed(Delta{Table: "t", Version: 12, Rows: []rowstore.Row{row("b", 11)}})
+		m.ApplyRelayed(Delta{Table: "t", Version: 12, Rows: []rowstore.Row{row("b", 11)}}, 0)
 		if len(m.Rows("t")) != 2 {
 			t.Errorf("%s: the row that was written again is missing: %v", name, m.Rows("t"))
 		}
@@ -283,7 +283,7 @@
 // drop registrations that expired during it.
 func TestNewProcessReportsNoRemovals(t *testing.T) {
 	m, now := NewMirror(), clock.Instant(time.Minute)
-	m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: newSnapshot(4, "a", "b", "c").Rows})
+	m.ApplyRelayed(Delta{Table: "t", Version: 4, Full: true, Rows: newSnapshot(4, "a", "b", "c").Rows}, 0)
 	m.Replace("t", newSnapshot(5, "a", "b"), true, now)
 	if r := m.TakeRemovals("t"); len(r) != 0 {
 		t.Errorf("a new process reports %v", r)
@@ -301,7 +301,7 @@
 func TestRemovalsAreBounded(t *testing.T) {
 	m := NewMirror()
 	for i := range 3 * maxRemovals {
-		m.ApplyRemovals("t", []Removal{{fmt.Sprint(i), 1}})
+		m.ApplyRemovals("t", []Removal{{fmt.Sprint(i), 1}}, 0)
 	}
 	if table := m.table("t"); len(table.removed) != maxRemovals || len(table.removedKeys) != maxRemovals {
 		t.Errorf("%d removals of %d keys are remembered", len(table.removed), len(table.removedKeys))
