--- /dev/null
+++ b/pkg/entry/restore_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/replica"
+	"github.com/bronzelever/bronzelever/pkg/rowstore"
+)
+
+// operatorDecoder decodes a configuration that consists of its version, and failure domains whose rows bear their names.
+type operatorDecoder struct{ rowDecoder }
+
+func (operatorDecoder) Configuration(rows map[string]rowstore.Row) (*inventory.Configuration, error) {
+	row, ok := rows["config"]
+	if !ok {
+		return nil, nil
+	}
+	version, err := strconv.ParseUint(string(row.Value), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return inventory.NewConfiguration(version, inventory.Limits{}, nil, nil), nil
+}
+
+func (operatorDecoder) DomainsOut(rows map[string]rowstore.Row) map[string]bool {
+	out := map[string]bool{}
+	for key := range rows {
+		out[key] = key != "config"
+	}
+	delete(out, "config")
+	return out
+}
+
+func operatorPage(era, number uint64, config string, domainsOut ...string) rowstore.TableSnapshot {
+	version := rowstore.Version(era, number)
+	page := rowstore.TableSnapshot{Version: version}
+	if config != "" {
+		page.Rows = append(page.Rows, rowstore.Row{Table: "op", Key: "config", Value: []byte(config), Version: version})
+	}
+	for _, key := range domainsOut {
+		page.Rows = append(page.Rows, rowstore.Row{Table: "op", Key: key, Version: version})
+	}
+	return page
+}
+
+// Guards against a VM that goes back to an older configuration or returns a failure domain to service because the store was restored, on
+// its own or by relaying what the store has to a VM that starts; and against one that doesn't apply what the operator writes then.
+func TestConfigurationNeverRevertsOnRestore(t *testing.T) {
+	now := &manualClock{now: clock.Instant(time.Minute)}
+	c, starting := clockedControl(t, "a", now), clockedControl(t, "b", now)
+	c.decoder, starting.decoder = operatorDecoder{}, operatorDecoder{}
+	for _, step := range []struct {
+		name   string
+		page   rowstore.TableSnapshot
+		want   uint64
+		domain bool
+	}{
+		{"configured", operatorPage(0, 90, "8", "zone"), 8, true},
+		{"restored", operatorPage(1, 50, "7"), 8, true},
+		{"restored again, without any row", operatorPage(2, 40, ""), 8, true},
+		{"written again by the operator", operatorPage(2, 60, "8", "zone"), 8, true},
+		{"next configuration", operatorPage(2, 61, "9"), 9, false},
+	} {
+		now.now = now.now.Add(time.Second)
+		c.handlePage("op", step.page, nil, now.now)
+		if c.config.Version != step.want || c.snapshot.DomainsOut["zone"] != step.domain {
+			t.Errorf("%s: configuration %d is in force, domain out: %v", step.name, c.config.Version, c.snapshot.DomainsOut["zone"])
+		}
+		starting.mirror, starting.config, starting.configRowVersion = replica.NewMirror(), nil, 0
+		if err := starting.applyTables(replica.Update{Deltas: []replica.Delta{replica.FullDelta("op", c.mirror.Version("op"), c.mirror.Rows("op"))}}, now.now); err != nil {
+			t.Fatal(err)
+		}
+		if starting.config.Version != step.want || starting.snapshot.DomainsOut["zone"] != step.domain {
+			t.Errorf("%s: a VM that starts has configuration %d, domain out: %v", step.name, starting.config.Version, starting.snapshot.DomainsOut["zone"])
+		}
+	}
+	if c.storeEra.Load() != 2 {
+		t.Errorf("the VM knows era %d", c.storeEra.Load())
+	}
+}
+
+// Guards against records of crashing requests that are gone after the next loss of all VMs because a restore has lost them, twice.
+func TestQuarantineIsStoredAgainAfterRestore(t *testing.T) {
+	store := &singleRowStore{}
+	c := testControl(t, "a")
+	c.store = store
+	runSuspectSync(c)
+	crashThreeTimes(c.suspects, c.clock.Now())
+	runSuspectSync(c)
+	for era := range uint64(3) {
+		if era > 0 {
+			store.row, store.missing = rowstore.Row{}, rowstore.Version(era, 0)
+			c.storeEra.Store(era)
+			runSuspectSync(c)
+		}
+		if rowstore.Era(store.row.Version) != era || rowstore.Number(store.row.Version) == 0 {
+			t.Errorf("era %d: the stored row has version %d of era %d", era, rowstore.Number(store.row.Version), rowstore.Era(store.row.Version))
+		}
+	}
+}
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -15,10 +15,12 @@
 
 // singleRowStore is a store with one row. Its calls fail while down is set.
 type singleRowStore struct {
-	mu    sync.Mutex
-	row   rowstore.Row
-	down  bool
-	calls int
+	mu  sync.Mutex
+	row rowstore.Row
+	// missing is the version that stands for the missing row.
+	missing uint64
+	down    bool
+	calls   int
 }
 
 var errDown = errors.New("down")
@@ -31,7 +33,7 @@
 		return rowstore.TableSnapshot{}, errDown
 	}
 	if s.row.Version == 0 {
-		return rowstore.TableSnapshot{}, nil
+		return rowstore.TableSnapshot{Version: s.missing}, nil
 	}
 	return rowstore.TableSnapshot{Rows: []rowstore.Row{s.row}, Version: s.row.Version}, nil
 }
@@ -47,7 +49,7 @@
 	switch {
 	case s.down:
 		return 0, rowstore.ErrUnknown
-	case tx.Expected[0].Version != s.row.Version:
+	case tx.Expected[0].Version != max(s.row.Version, s.missing):
 		return 0, rowstore.ErrConflict
 	}
 	s.row = tx.Puts[0]
