--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -156,6 +156,38 @@
 	return r.deployment.PutForeignRegistration(t, kind), nil
 }}
 
+// Bounds of a restore of the store: the age of the copy, the time until the operator's rows are written again, and an outage before it.
+const (
+	maxCopyAge       = 8 * time.Second
+	maxRewriteGap    = 3 * time.Second
+	maxRestoreOutage = 4 * time.Second
+)
+
+// restoreFault restores the store from an older copy, at the end of an outage or at once, and possibly a second time before the operator has
+// written again what the first one has lost. It has a random source of its own, like targetFaults.
+var restoreFault = fault{"store restored from an older copy", func(r *run, ctx context.Context, d time.Duration) (func(), error) {
+	draw := func(limit time.Duration) time.Duration { return time.Duration(r.restoreRand.Int64N(int64(limit))) }
+	ages, gap, outage, pause, times := [2]time.Duration{draw(maxCopyAge), draw(maxCopyAge)}, draw(maxRewriteGap), draw(maxRestoreOutage), draw(d), 1+r.restoreRand.IntN(4)/3
+	if r.restoreRand.IntN(2) == 0 {
+		outage = 0
+	}
+	_, _ = fmt.Fprintf(r.Out, "seed %d: restore %d times, copies %v old, after an outage of %v, rows written again after %v\n", r.Seed, times, ages[:times], outage, gap)
+	r.restored = true
+	r.group.Go(func() {
+		if outage > 0 {
+			r.deployment.Store.SetDown(true)
+			wait(ctx, outage)
+		}
+		for i := range times {
+			r.deployment.Store.Restore(time.Now().Add(-ages[i]), gap)
+			r.deployment.Store.SetDown(false)
+			wait(ctx, pause)
+		}
+		wait(ctx, gap)
+	})
+	return nil, nil
+}}
+
 // sendCrashingRequest repeatedly sends a request that crashes its targets, each time to a random VM.
 func (r *run) sendCrashingRequest(ctx context.Context, path string, duration time.Duration, random *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -203,6 +235,11 @@
 				return err
 			}
 		}
+		if r.restoreRand.IntN(6) == 0 {
+			if err := r.begin(ctx, restoreFault, minFaultTime+time.Duration(r.restoreRand.Int64N(int64(faultTimeSpread)))); err != nil {
+				return err
+			}
+		}
 		if r.registrationFaultRand.IntN(4) == 0 {
 			if err := r.begin(ctx, registrationFault, minFaultTime+time.Duration(r.registrationFaultRand.Int64N(int64(faultTimeSpread)))); err != nil {
 				return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -19,6 +19,9 @@
 const (
 	// settleTime is the time in which a deployment must serve after its start and after the end of the last fault.
 	settleTime = 6 * time.Second
+	// restoredSettleTime is the same if the store was restored. If the coordinator is lost before it has written its tables again, its
+	// successor takes over after a lease (3.3 s) and an election (1.5 s), and grants keys after all earlier grants have expired (7.3 s).
+	restoredSettleTime = 14 * time.Second
 	// callerCount is the number of concurrent callers.
 	callerCount = 12
 	// lateRunTime is how long a refused order is watched for a late execution.
@@ -70,10 +73,14 @@
 	limitFaultRand *rand.Rand
 	// registrationFaultRand is the random source of registrationFault.
 	registrationFaultRand *rand.Rand
-	deployment            *standin.Deployment
-	supervisor            *child.Supervisor
-	vms                   []*vm
-	checker               *callerChecker
+	// restoreRand is the random source of restoreFault.
+	restoreRand *rand.Rand
+	// restored is set once the store was restored.
+	restored   bool
+	deployment *standin.Deployment
+	supervisor *child.Supervisor
+	vms        []*vm
+	checker    *callerChecker
 
 	mu sync.Mutex
 	// targetLinks lead to the targets.
@@ -87,7 +94,8 @@
 
 // Run runs one soak test and returns the violations that it found.
 func Run(ctx context.Context, o Options) ([]string, error) {
-	r := &run{Options: o, faultRand: rand.New(rand.NewPCG(o.Seed, 1)), targetFaultRand: rand.New(rand.NewPCG(o.Seed, 2)), limitFaultRand: rand.New(rand.NewPCG(o.Seed, 3)), registrationFaultRand: rand.New(rand.NewPCG(o.Seed, 4)), version: 7, faultEnds: map[int]func(){}}
+	r := &run{Options: o, faultRand: rand.New(rand.NewPCG(o.Seed, 1)), targetFaultRand: rand.New(rand.NewPCG(o.Seed, 2)), limitFaultRand: rand.New(rand.NewPCG(o.Seed, 3)), registrationFaultRand: rand.New(rand.NewPCG(o.Seed, 4)),
+		restoreRand: rand.New(rand.NewPCG(o.Seed, 5)), version: 7, faultEnds: map[int]func(){}}
 	var err error
 	if r.deployment, err = standin.Start(o.Targets, r.linkTarget); err != nil {
 		return nil, err
@@ -170,7 +178,11 @@
 	}
 	err := r.inject(ctx)
 	r.endAllFaults()
-	if err == nil && wait(ctx, settleTime) {
+	settle := settleTime
+	if r.restored {
+		settle = restoredSettleTime
+	}
+	if err == nil && wait(ctx, settle) {
 		err = r.checkRecovery(ctx)
 	}
 	stop()
