Store lost tables one by one if the store refuses them

Cause: a coordinator that writes everything again after a restore was blocked in all pools for as long as the store refused one of the tables.

Change: after a refusal the row is written alone, then one table with each attempt; only pools whose table isn't stored yet are not planned. The order of the tables in the transaction no longer depends on the order of a map.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -78,8 +78,11 @@
 	// noTablesUntil is the time before which no new table is written. It is set when the store has refused a write or a table
 	// could not be encoded.
 	noTablesUntil clock.Instant
-	// tablesLost is set while the tables may be missing from a store that was restored. Nothing is planned until they are stored.
-	tablesLost bool
+	// lostTables holds the pools whose tables a restored store may have lost. Nothing is planned for them until they are stored again.
+	// lostTablesRefused counts the refused attempts to do so, and nextLostTable is when the next one is due after a refusal.
+	lostTables        map[string]bool
+	lostTablesRefused int
+	nextLostTable     clock.Instant
 	// stopping is set while the coordinator gives up its role.
 	stopping bool
 	// calls holds the grants that may still take effect.
@@ -253,6 +256,7 @@
 		if len(p.tx.Puts) > 1 {
 			// The tables may be the cause of the refusal. The next write renews the lease without them.
 			c.noTablesUntil = now.Add(tableRetryDelay)
+			c.lostTablesRefused++
 		}
 	case errors.Is(err, rowstore.ErrConflict) && !p.ambiguous:
 		c.nextTry = now
@@ -297,7 +301,7 @@
 		c.priorGrantsEnd = now
 	}
 	c.pools = map[string]*poolState{}
-	c.calls, c.tablesLost = nil, false
+	c.calls, c.lostTables = nil, nil
 	for pool, t := range c.storedTables {
 		p := &poolState{name: pool, table: t.Clone(), grants: map[int64]*grantState{}, nextPlan: now.Add(planInterval)}
 		if c.holdRestored(p, end) {
@@ -318,7 +322,7 @@
 }
 
 func (c *Coordinator) stepDown(reason string) {
-	c.leading, c.tablesLost = false, false
+	c.leading, c.lostTables = false, nil
 	c.revision++
 	c.pools = map[string]*poolState{}
 	c.calls = nil
@@ -419,15 +423,15 @@
 	if c.settleRestored(now) {
 		return
 	}
-	if c.tablesLost && now >= c.noTablesUntil {
-		c.writeAllTables(now)
+	if len(c.lostTables) > 0 && now >= max(c.noTablesUntil, c.nextLostTable) {
+		c.writeLostTables(now)
 		return
 	}
 	var puts []rowstore.Row
 	var callbacks []func(clock.Instant)
-	if !c.tablesLost && now >= c.noTablesUntil && c.view.Snapshot != nil && c.view.Snapshot.Configuration != nil && c.leaseValid(now) {
+	if now >= c.noTablesUntil && c.view.Snapshot != nil && c.view.Snapshot.Configuration != nil && c.leaseValid(now) {
 		for _, pool := range c.view.Snapshot.Configuration.Pools {
-			if !pool.Keyed {
+			if !pool.Keyed || c.lostTables[pool.Name] {
 				continue
 			}
 			if next, moves := c.planPool(pool.Name, now); next != nil {
--- a/pkg/coordinator/restore.go
+++ b/pkg/coordinator/restore.go
@@ -1,6 +1,10 @@
 package coordinator
 
 import (
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
@@ -10,6 +14,10 @@
 // fences that targets get in an era begin at era x 2^40.
 const fencesPerEra = 1 << 32
 
+// lostTableRetryDelay is the time between attempts to store one of the tables again after the store has refused them. It leaves room for
+// plans of the other pools.
+const lostTableRetryDelay = 2 * planInterval
+
 // fenceFloor returns the lowest stored fence that may be given first in an era. It is higher than all fences of earlier eras, which the
 // store may have lost.
 func fenceFloor(era uint64) int64 {
@@ -51,42 +59,55 @@
 	c.log(event.ControlTableLost, "era", rowstore.Era(c.version), "renewal", c.ownRenewal, "restored", c.row.Renewal, "restored_vm", c.row.VM)
 	// Moves that were being written are dropped: nothing was granted for them.
 	c.clearReplacing()
-	c.tablesLost = true
-	c.writeAllTables(now)
+	c.lostTables, c.lostTablesRefused, c.nextLostTable = map[string]bool{}, 0, 0
+	for name, p := range c.pools {
+		// A held table is older than the era, and the next coordinator must recognise it by its next fence.
+		if p.table != nil && now >= p.heldUntil {
+			c.lostTables[name] = true
+		}
+	}
+	c.writeLostTables(now)
 }
 
 // settleRestored handles a restored row that was read while a write was in flight. It reports whether there was one.
 func (c *Coordinator) settleRestored(now clock.Instant) bool {
-	if !c.restored || c.tablesLost {
-		return false
+	if c.restored && now >= c.nextTry {
+		c.writeAgainOrStepDown("the store was restored", now)
 	}
-	c.writeAgainOrStepDown("the store was restored", now)
-	return true
+	return c.restored
 }
 
 // releaseIsClean reports whether a successor may take the stored tables for the whole state of the grants.
 func (c *Coordinator) releaseIsClean(now clock.Instant) bool {
-	if len(c.calls) > 0 || c.tablesLost {
+	if len(c.calls) > 0 || len(c.lostTables) > 0 {
 		return false
 	}
 	// In a later era, the tables of the grants that have yet to expire may have been lost.
 	return rowstore.Era(c.version) == 0 || now >= c.priorGrantsEnd
 }
 
-// writeAllTables writes the coordinator's row and the tables of all pools that aren't held. The row's condition is the version that was
-// read in the current era. A held table is older than the era, and the next coordinator must recognise it by its next fence.
-func (c *Coordinator) writeAllTables(now clock.Instant) {
+// writeLostTables writes the coordinator's row and the tables that the store has lost. The row's condition is the version that was read in
+// the current era. If the store refuses the tables, the next write is one of the row alone, and those after it contain one table each.
+func (c *Coordinator) writeLostTables(now clock.Instant) {
+	var names []string
+	if now >= c.noTablesUntil {
+		names = slices.Sorted(maps.Keys(c.lostTables))
+	}
+	if n := len(names); n > 0 && c.lostTablesRefused > 0 {
+		i := c.lostTablesRefused % n
+		names = names[i : i+1]
+		c.nextLostTable = now.Add(lostTableRetryDelay)
+	}
 	var puts []rowstore.Row
-	for name, p := range c.pools {
-		if p.table == nil || now < p.heldUntil {
-			continue
-		}
+	for _, name := range names {
+		p := c.pools[name]
 		c.raiseFences(p)
 		value, err := encodeTable(p.table)
 		if err != nil {
 			c.log(event.ControlRowInvalid, "key", KeySlicesPrefix+name, "error", err.Error())
+			c.lostTablesRefused++
 			c.noTablesUntil = now.Add(tableRetryDelay)
-			return
+			continue
 		}
 		puts = append(puts, rowstore.Row{Table: Table, Key: KeySlicesPrefix + name, Value: value})
 	}
@@ -95,6 +116,10 @@
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return
 	}
-	p.onApplied = func(clock.Instant) { c.tablesLost = false }
+	p.onApplied = func(clock.Instant) {
+		for _, r := range puts {
+			delete(c.lostTables, strings.TrimPrefix(r.Key, KeySlicesPrefix))
+		}
+	}
 	c.sendCommit(p, now)
 }
--- a/pkg/coordinator/restore_test.go
+++ b/pkg/coordinator/restore_test.go
@@ -253,3 +253,91 @@
 		}
 	}
 }
+
+// Guards against a coordinator that loses its lease after a restore, or doesn't store any table again, because the store refuses one of
+// the tables.
+func TestLostTablesAreStoredWithoutRefusedOne(t *testing.T) {
+	c, now := newFirstTableCoordinator()
+	c.known, c.version, c.leaseEnd, c.ownRenewal = true, 5, now.Add(LeaseTTL), 9
+	q := c.pools["p"].table.Clone()
+	c.pools["q"] = &poolState{name: "q", table: q, grants: c.pools["p"].grants}
+	stored := map[string]int{}
+	respond := func(effects []Effect) {
+		for _, e := range effects {
+			commit, ok := e.(Commit)
+			if !ok {
+				continue
+			}
+			refused := false
+			for _, r := range commit.Transaction.Puts {
+				refused = refused || r.Key == KeySlicesPrefix+"q"
+			}
+			if refused {
+				c.Committed(0, rowstore.ErrRefused, now)
+				continue
+			}
+			for _, r := range commit.Transaction.Puts {
+				stored[r.Key]++
+			}
+			c.Committed(c.version+1, nil, now)
+		}
+	}
+	respond(c.Observe(rowstore.TableSnapshot{Version: rowstore.Version(1, 3)}, 0, now))
+	for end := now.Add(2 * LeaseTTL); now < end; now = now.Add(50 * time.Millisecond) {
+		respond(c.Tick(now, c.view, false))
+	}
+	if !c.Leading(now) || stored[KeyLeader] == 0 || stored[KeySlicesPrefix+"p"] == 0 || !c.lostTables["q"] || c.lostTables["p"] {
+		t.Errorf("leading: %v, stored %v, lost tables %v", c.Leading(now), stored, c.lostTables)
+	}
+	if c.releaseIsClean(now) {
+		t.Error("the role would be released as clean")
+	}
+}
+
+// Guards against a VM that takes a write for its lease which is found in a later era: the store may have applied it after the restore, by an
+// accidental match of its condition, while another VM leads. Only a lease that is valid all the time is extended, and the rows are then
+// written again in the new era.
+func TestWriteFoundInLaterEraIsNoLease(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		leading  bool
+		leaseEnd time.Duration
+		want     bool
+	}{{"takeover", false, 0, false}, {"renewal after the lease", true, -time.Second, false}, {"renewal within the lease", true, time.Second, true}} {
+		c := New(Identity{VM: "a", Incarnation: "1"})
+		now := clock.Instant(time.Minute)
+		c.known, c.version, c.leading, c.leaseEnd = true, 5, tc.leading, now.Add(tc.leaseEnd)
+		p, err := c.newCommit(nil, false, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.takeover = !tc.leading
+		c.sendCommit(p, now)
+		c.Committed(0, rowstore.ErrUnknown, now)
+		row := rowstore.Row{Key: KeyLeader, Value: p.tx.Puts[0].Value, Version: rowstore.Version(1, 6)}
+		effects := c.Observe(rowstore.TableSnapshot{Version: rowstore.Version(1, 6), Rows: []rowstore.Row{row}}, 0, now)
+		written := uint64(0)
+		for _, e := range effects {
+			if commit, ok := e.(Commit); ok {
+				written = commit.Transaction.Expected[0].Version
+			}
+		}
+		if c.Leading(now) != tc.want || (written == rowstore.Version(1, 6)) != tc.want || c.mayTakeOver(now.Add(LeaseTTL)) {
+			t.Errorf("%s: leading %v, written on condition of %d, may take over again: %v", tc.name, c.Leading(now), written, c.mayTakeOver(now.Add(LeaseTTL)))
+		}
+	}
+}
+
+// Guards against a table of unknown owners that is written again as if it were of the new era, so that a successor wouldn't wait.
+func TestHeldTableIsNotWrittenAgain(t *testing.T) {
+	c, now := newFirstTableCoordinator()
+	c.known, c.version, c.leaseEnd = true, rowstore.Version(1, 5), now.Add(LeaseTTL)
+	if !c.holdRestored(c.pools["p"], now.Add(FinalGrantTTL)) {
+		t.Fatal("the table isn't held")
+	}
+	for _, e := range c.Observe(rowstore.TableSnapshot{Version: rowstore.Version(2, 3)}, 0, now) {
+		if commit, ok := e.(Commit); ok && len(commit.Transaction.Puts) != 1 {
+			t.Errorf("%d rows are written", len(commit.Transaction.Puts))
+		}
+	}
+}
