Keep sending to the known owners while the stored tables are restored ones

Cause: a VM without a coordinator took the owners from the tables in the store, which after a restore are older than those that the coordinator had sent it; so did a new coordinator that had led before.

Change: while the newest row is a restored one, the routes that were relayed or sent as the coordinator are used.

Measured: TestKnownOwnersOutlastRestoredTable fails without it.

--- a/pkg/coordinator/restore.go
+++ b/pkg/coordinator/restore.go
@@ -24,6 +24,12 @@
 	return int64(era) * fencesPerEra
 }
 
+// RowRestored reports whether the newest known row of the coordinator, and the tables with it, are those of a restored store. What VMs know
+// otherwise may be newer.
+func (c *Coordinator) RowRestored() bool {
+	return c.restored
+}
+
 // raiseFences raises the next fence of a pool to the floor of the current era.
 func (c *Coordinator) raiseFences(p *poolState) {
 	if p.table != nil {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -506,6 +506,10 @@
 		c.updateBroker()
 		return
 	}
+	if c.storeEra.Load() > 0 && c.lastRoutes != nil {
+		// The tables in the store may be older than the routes that this VM has sent as the coordinator.
+		c.relayedRoutes, c.relayedRoutesAt = c.lastRoutes, time.Now()
+	}
 	c.setBackend(false, nil)
 	c.placer.broker.Reset()
 	for f := range c.followers {
--- a/pkg/entry/restore_test.go
+++ b/pkg/entry/restore_test.go
@@ -5,8 +5,12 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/keyrange"
 	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
@@ -102,3 +106,30 @@
 		}
 	}
 }
+
+// Guards against a VM without a coordinator that sends requests to the owners of a restored table although it knows those that the
+// coordinator has sent since.
+func TestKnownOwnersOutlastRestoredTable(t *testing.T) {
+	now := &manualClock{now: clock.Instant(time.Minute)}
+	c := clockedControl(t, "a", now)
+	c.config = inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "p", Keyed: true}}, nil)
+	c.applyRoutes(replica.Update{AllRoutes: true, Routes: map[string][]coordinator.Route{"p": {{From: 0, To: 65535, Owner: "new"}}}})
+	for _, step := range []struct {
+		era, rowEra uint64
+		owner       string
+	}{{1, 0, "new"}, {2, 1, "new"}, {2, 2, "old"}} {
+		table := keyrange.InitialTable("p", 1, []keyrange.Member{{ID: "old", MayReceive: true}})
+		page := rowstore.TableSnapshot{Version: rowstore.Version(step.era, step.rowEra+9)}
+		for key, content := range map[string]any{coordinator.KeyLeader: coordinator.Leader{VM: "b", Address: "b:1", Era: step.rowEra}, coordinator.KeySlicesPrefix + "p": table} {
+			value, err := msgpack.Marshal(content)
+			if err != nil {
+				t.Fatal(err)
+			}
+			page.Rows = append(page.Rows, rowstore.Row{Table: coordinator.Table, Key: key, Value: value, Version: rowstore.Version(step.era, step.rowEra+9)})
+		}
+		c.handlePage(coordinator.Table, page, nil, now.now)
+		if r, ok := coordinator.FindRoute(c.Current().Routes["p"], 5); !ok || r.Owner != step.owner {
+			t.Errorf("row of era %d in era %d: the owner is %q", step.rowEra, step.era, r.Owner)
+		}
+	}
+}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -393,7 +393,7 @@
 	if c.coordinator.Leading(now) {
 		return c.coordinator.Routes(now), time.Now()
 	}
-	if c.relayedRoutes != nil && (c.link != nil || !c.controlReadAt.After(c.relayedRoutesAt)) {
+	if c.relayedRoutes != nil && (c.link != nil || !c.controlReadAt.After(c.relayedRoutesAt) || c.coordinator.RowRestored()) {
 		return c.relayedRoutes, c.relayedRoutesAt
 	}
 	return c.storedRoutes(), time.Now()
