--- a/pkg/coordinator/restore_test.go
+++ b/pkg/coordinator/restore_test.go
@@ -341,3 +341,25 @@
 		}
 	}
 }
+
+// Guards against other bytes in the store of a deployment whose store was never restored: the fields and their order must be those of
+// earlier versions.
+func TestRowsWithoutRestoreAreUnchanged(t *testing.T) {
+	c := New(Identity{VM: "a", Incarnation: "1", Address: "a:1"})
+	c.known, c.version, c.row.Renewal = true, 5, 7
+	p, err := c.newCommit(nil, true, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlier, err := msgpack.Marshal(struct {
+		VM          string `msgpack:"vm"`
+		Incarnation string `msgpack:"inc"`
+		Address     string `msgpack:"addr"`
+		Renewal     uint64 `msgpack:"n"`
+		Released    bool   `msgpack:"rel"`
+		Clean       bool   `msgpack:"clean"`
+	}{"a", "1", "a:1", 8, true, true})
+	if err != nil || string(earlier) != string(p.tx.Puts[0].Value) || p.tx.Expected[0].Version != 5 {
+		t.Errorf("row %x, want %x, %v", p.tx.Puts[0].Value, earlier, err)
+	}
+}
