--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -39,6 +39,8 @@
 	Capacity func(t *inventory.Target) float64
 	// Fleet is stored with the next renewal of the lease.
 	Fleet Fleet
+	// Routes are the routes that another coordinator has sent to this VM, by pool.
+	Routes map[string][]Route
 }
 
 // poolState is the state of a keyed pool.
@@ -55,6 +57,10 @@
 	replacing map[int64]bool
 	// needsCleanup is set if the stored table names previous owners that can no longer hold keys.
 	needsCleanup bool
+	// heldUntil is set if the table was restored with the store, so that any target may hold any key. Until then, nothing is planned or
+	// granted, and knownRoutes, if there are any, are passed on to the VMs.
+	heldUntil   clock.Instant
+	knownRoutes []Route
 }
 
 // Coordinator is the state of one candidate for the coordinator's role. It is not safe for concurrent use.
@@ -72,6 +78,11 @@
 	// noTablesUntil is the time before which no new table is written. It is set when the store has refused a write or a table
 	// could not be encoded.
 	noTablesUntil clock.Instant
+	// lostTables holds the pools whose tables a restored store may have lost. Nothing is planned for them until they are stored again.
+	// lostTablesRefused counts the refused attempts to do so, and nextLostTable is when the next one is due after a refusal.
+	lostTables        map[string]bool
+	lostTablesRefused int
+	nextLostTable     clock.Instant
 	// stopping is set while the coordinator gives up its role.
 	stopping bool
 	// calls holds the grants that may still take effect.
@@ -125,7 +136,7 @@
 
 // Leader returns the newest known row of the coordinator and whether there is a coordinator that has not released its role.
 func (c *Coordinator) Leader() (Leader, bool) {
-	return c.row, c.known && c.version != 0 && !c.row.Released
+	return c.leader, c.known && rowstore.Number(c.leaderVersion) != 0 && !c.leader.Released
 }
 
 func (c *Coordinator) emit(e Effect) {
@@ -154,8 +165,8 @@
 	if c.pending != nil && !c.pending.inFlight {
 		c.resolvePending(now)
 	}
-	if c.leading && c.pending == nil && !c.rowIsOwn() {
-		c.stepDown("another VM has taken over")
+	if c.leading && c.pending == nil && (c.restored || !c.rowIsOwn()) {
+		c.writeAgainOrStepDown("another VM has taken over", now)
 	}
 	return c.takeEffects()
 }
@@ -175,6 +186,10 @@
 			c.log(event.ControlRowInvalid, "key", row.Key, "error", err.Error())
 			continue
 		}
+		if old := c.storedTables[pool]; old != nil && t.NextFence < fenceFloor(rowstore.Era(page.Version)) && t.NextFence <= old.NextFence {
+			// The table was restored with the store, and this VM knows a newer one.
+			continue
+		}
 		c.storedTables[pool] = t
 	}
 }
@@ -193,12 +208,14 @@
 	}
 	p := c.pending
 	c.pending = nil
-	if applied {
+	if applied && c.trustsOutcome(p, now) {
 		c.commitSucceeded(p, now)
-		return
+		if !c.restored {
+			return
+		}
 	}
 	if c.leading {
-		c.stepDown("a write of the control table conflicted with another VM")
+		c.writeAgainOrStepDown("a write of the control table conflicted with another VM", now)
 	}
 }
 
@@ -222,11 +239,15 @@
 		return nil
 	}
 	p.inFlight = false
+	if err == nil && rowstore.Era(version) < rowstore.Era(c.version) {
+		// The store was restored after the write, which may be lost.
+		err = rowstore.ErrUnknown
+	}
 	switch {
 	case err == nil:
 		c.pending = nil
 		c.version, c.readVersion, c.versionSeenAt = version, version, now
-		c.row = Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && len(c.calls) == 0, Fleet: p.fleet}
+		c.setRow(Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && c.releaseIsClean(now), Era: rowstore.Era(version), Fleet: p.fleet}, version)
 		c.commitSucceeded(p, now)
 	case errors.Is(err, rowstore.ErrRefused) && !p.ambiguous:
 		c.pending = nil
@@ -235,6 +256,7 @@
 		if len(p.tx.Puts) > 1 {
 			// The tables may be the cause of the refusal. The next write renews the lease without them.
 			c.noTablesUntil = now.Add(tableRetryDelay)
+			c.lostTablesRefused++
 		}
 	case errors.Is(err, rowstore.ErrConflict) && !p.ambiguous:
 		c.nextTry = now
@@ -251,6 +273,7 @@
 
 // commitSucceeded updates the state after a write that is known to have taken effect.
 func (c *Coordinator) commitSucceeded(p *pendingCommit, now clock.Instant) {
+	c.ownRenewal = p.renewal
 	if p.release {
 		c.leading, c.stopping = false, false
 		c.log(event.LeadershipReleased)
@@ -278,9 +301,12 @@
 		c.priorGrantsEnd = now
 	}
 	c.pools = map[string]*poolState{}
-	c.calls = nil
+	c.calls, c.lostTables = nil, nil
 	for pool, t := range c.storedTables {
 		p := &poolState{name: pool, table: t.Clone(), grants: map[int64]*grantState{}, nextPlan: now.Add(planInterval)}
+		if c.holdRestored(p, end) {
+			c.priorGrantsEnd = end
+		}
 		for i := range t.Slices {
 			s := &t.Slices[i]
 			p.grants[s.Fence] = &grantState{ready: s.Previous == "", inherited: true, stale: true, end: end, previousEnd: end, nextSend: now, movedAt: now}
@@ -296,7 +322,7 @@
 }
 
 func (c *Coordinator) stepDown(reason string) {
-	c.leading = false
+	c.leading, c.lostTables = false, nil
 	c.revision++
 	c.pools = map[string]*poolState{}
 	c.calls = nil
@@ -311,7 +337,10 @@
 	if !c.leading || c.pending != nil || waitForCalls && len(c.calls) > 0 {
 		return nil
 	}
-	p, err := c.newCommit(nil, true, len(c.calls) == 0)
+	if c.settleRestored(now) {
+		return c.takeEffects()
+	}
+	p, err := c.newCommit(nil, true, c.releaseIsClean(now))
 	if err != nil {
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return c.takeEffects()
@@ -374,8 +403,8 @@
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return
 	}
-	p.takeover, p.clean = true, c.version == 0 || c.row.Released && c.row.Clean
-	c.previousLeader = c.row
+	p.takeover, p.clean = true, !c.restored && (rowstore.Number(c.version) == 0 || c.row.Released && c.row.Clean)
+	c.previousLeader = c.leader
 	c.sendCommit(p, now)
 }
 
@@ -391,11 +420,18 @@
 
 // planAndRenew plans the pools and renews the lease, in one write where possible.
 func (c *Coordinator) planAndRenew(now clock.Instant) {
+	if c.settleRestored(now) {
+		return
+	}
+	if len(c.lostTables) > 0 && now >= max(c.noTablesUntil, c.nextLostTable) {
+		c.writeLostTables(now)
+		return
+	}
 	var puts []rowstore.Row
 	var callbacks []func(clock.Instant)
 	if now >= c.noTablesUntil && c.view.Snapshot != nil && c.view.Snapshot.Configuration != nil && c.leaseValid(now) {
 		for _, pool := range c.view.Snapshot.Configuration.Pools {
-			if !pool.Keyed {
+			if !pool.Keyed || c.lostTables[pool.Name] {
 				continue
 			}
 			if next, moves := c.planPool(pool.Name, now); next != nil {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -121,7 +123,12 @@
 	snapshotDirty    bool
 	config           *inventory.Configuration
 	configRowVersion uint64
-	loadWindow       loadWindow
+	// storeEra is the newest era of the store that this VM knows of. olderRow is the newest row of a restored store whose configuration
+	// was compared with that of a known row.
+	storeEra   atomic.Uint64
+	eraGauge   tally.Gauge
+	olderRow   comparedRow
+	loadWindow loadWindow
 
 	reading map[string]bool
 	// readCounts holds the number of reads of each table.
@@ -232,6 +239,8 @@
 	// Quota is this VM's share of the organisations' quotas.
 	Quota       *sharedrate.Holder
 	Incarnation string
+	// EraGauge shows the newest era of the store. It may be nil.
+	EraGauge tally.Gauge
 	// OnSnapshot is called with each new snapshot, from the control goroutine.
 	OnSnapshot func(*inventory.Snapshot)
 }
@@ -252,7 +261,8 @@
 	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, quota: o.Quota, onSnapshot: o.OnSnapshot, events: make(chan func(), 256), mirror: replica.NewMirror(),
+		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, quota: o.Quota, onSnapshot: o.OnSnapshot, eraGauge: o.EraGauge,
+		events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loadWindow: newLoadWindow(), reading: map[string]bool{}, readCounts: map[string]int{}, nextRead: map[string]clock.Instant{}, pacers: map[string]*readPacer{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
 		distribution: replica.NewDistribution(o.Settings.Region), stopped: make(chan struct{}),
@@ -263,6 +273,8 @@
 	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.BrokerBudget, o.Suspects, o.Limits, c.requestedKeys.add))
 	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress()})
+	c.mirror.MarkExpiring(o.Tables.Targets)
+	c.mirror.KeepNewer(o.Tables.Operator, c.hasNewerConfiguration)
 	c.view.Store(&ingress.View{Changed: make(chan struct{})})
 	return c
 }
@@ -398,7 +410,7 @@
 	return coordinator.View{
 		Snapshot: c.snapshot, ComputeTime: c.runSelfTest(now), ElectionDelay: c.electionDelay(), Capacity: c.capacity,
 		Load:  func(pool string) keyrange.Load { return c.loadWindow.load(pool, now) },
-		Fleet: c.fleet(now),
+		Fleet: c.fleet(now), Routes: c.relayedRoutes,
 	}
 }
 
@@ -513,6 +525,10 @@
 		c.updateBroker()
 		return
 	}
+	if c.storeEra.Load() > 0 && c.lastRoutes != nil {
+		// The tables in the store may be older than the routes that this VM has sent as the coordinator.
+		c.relayedRoutes, c.relayedRoutesAt = c.lastRoutes, time.Now()
+	}
 	c.setBackend(false, nil)
 	c.placer.broker.Reset()
 	for f := range c.followers {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -134,6 +134,7 @@
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
 		Quota:        quota,
+		EraGauge:     registry.Scope().Gauge(storeEraMetric),
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -71,6 +71,10 @@
 	QuotaShareGranted  = define(870, log.InfoLevel, "share of the quotas granted to this VM")
 	QuotaSharedLocally = define(871, log.WarnLevel, "this VM uses its own share of the quotas, without a coordinator")
 	QuotaPartUnknown   = define(872, log.InfoLevel, "part of the quotas stays unused because a previous coordinator may have granted it")
+	StoreRestored      = define(880, log.WarnLevel, "store was restored from an older copy")
+	ControlTableLost   = define(881, log.WarnLevel, "restored store has an older control table; coordinator writes it again")
+	RestoredTableHeld  = define(882, log.WarnLevel, "table of key ranges was restored with the store; its keys are granted after all earlier grants have expired")
+	OlderConfiguration = define(883, log.WarnLevel, "restored store has an older configuration; the newer one stays in force")
 
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
