Add the severity of changes to findings, and their JSON form

Cause: a check of a configuration against the version in force has to list changes beside errors and warnings, and to mark those that can make requests fail. The JSON form of a finding was private to blctl.

Change: finding.Change is a third severity, which doesn't make an input invalid, and Finding.Risky marks changes. The view that blctl encodes moves to pkg/finding as View; its JSON is as before, since "risky" is omitted when false.

Ruled out: a type of its own for changes, since they need position, path, sorting and output like the other findings.

--- a/cmd/blctl/environment.go
+++ b/cmd/blctl/environment.go
@@ -41,33 +41,6 @@
 	return operator.New(o), nil
 }
 
-// findingView is a finding as JSON.
-type findingView struct {
-	Severity string `json:"severity"`
-	File     string `json:"file,omitempty"`
-	Line     int    `json:"line,omitempty"`
-	Column   int    `json:"column,omitempty"`
-	Path     string `json:"path"`
-	Message  string `json:"message"`
-	Allowed  string `json:"allowed,omitempty"`
-}
-
-func viewFindings(list finding.List) []findingView {
-	views := make([]findingView, 0, len(list))
-	for _, f := range list {
-		views = append(views, findingView{
-			Severity: f.Severity.String(),
-			File:     f.Position.File,
-			Line:     f.Position.Line,
-			Column:   f.Position.Column,
-			Path:     f.Path,
-			Message:  f.Message,
-			Allowed:  f.Allowed,
-		})
-	}
-	return views
-}
-
 // print writes a value as JSON, or as text.
 func (e *environment) print(value any, text func(io.Writer)) error {
 	if !e.json {
@@ -82,8 +55,8 @@
 // report prints findings.
 func (e *environment) report(list finding.List) error {
 	value := struct {
-		Findings []findingView `json:"findings"`
-	}{viewFindings(list)}
+		Findings []finding.View `json:"findings"`
+	}{list.Views()}
 	return e.print(value, func(w io.Writer) {
 		for _, f := range list {
 			_, _ = io.WriteString(w, f.String()+"\n")
@@ -128,8 +101,8 @@
 func (e *environment) finish(result operator.Result) error {
 	value := struct {
 		operator.Result
-		Findings []findingView `json:"findings,omitempty"`
-	}{result, viewFindings(result.Findings)}
+		Findings []finding.View `json:"findings,omitempty"`
+	}{result, result.Findings.Views()}
 	if err := e.print(value, result.WriteText); err != nil {
 		return err
 	}
--- a/cmd/blctl/main_test.go
+++ b/cmd/blctl/main_test.go
@@ -15,6 +15,7 @@
 	"testing"
 
 	"github.com/bronzelever/bronzelever/internal/standin/platform"
+	"github.com/bronzelever/bronzelever/pkg/finding"
 	"github.com/bronzelever/bronzelever/pkg/peer"
 	"github.com/bronzelever/bronzelever/pkg/settings"
 	"github.com/bronzelever/bronzelever/pkg/wire"
@@ -154,7 +155,7 @@
 	code, out := i.blctl(t, "--output", "json", "apply", example)
 	var result struct {
 		Outcome  string
-		Findings []findingView
+		Findings []finding.View
 		Cells    []struct{ Cell string }
 	}
 	if err := json.Unmarshal([]byte(out), &result); err != nil || code != exitOK {
--- a/pkg/finding/finding.go
+++ b/pkg/finding/finding.go
@@ -15,12 +15,17 @@
 	Error Severity = iota
 	// Warning means that the input is accepted.
 	Warning
+	// Change describes how the input differs from what is in force. It isn't a problem by itself.
+	Change
 )
 
 // String implements fmt.Stringer.
 func (s Severity) String() string {
-	if s == Warning {
+	switch s {
+	case Warning:
 		return "warning"
+	case Change:
+		return "change"
 	}
 	return "error"
 }
@@ -44,11 +49,17 @@
 	Path     string
 	Message  string
 	Allowed  string
+	// Risky marks a change that takes effect at once and can make requests fail.
+	Risky bool
 }
 
 // String implements fmt.Stringer.
 func (f Finding) String() string {
-	text := fmt.Sprintf("%s: %s: %s: %s", f.Position, f.Severity, f.Path, f.Message)
+	severity := f.Severity.String()
+	if f.Risky {
+		severity = "risky " + severity
+	}
+	text := fmt.Sprintf("%s: %s: %s: %s", f.Position, severity, f.Path, f.Message)
 	if f.Allowed != "" {
 		text += " (allowed: " + f.Allowed + ")"
 	}
