Check the platform's configuration before it is stored

Cause: a version with a typing error, a route to a missing service or a shared credential was noticed only when VMs refused it or requests failed. VMs ignore unknown fields, and keep the version in force if the decoder refuses a new one.

Change: pkg/configcheck finds errors, entries without effect, limits that contradict each other, and changes from the version in force. It works on inventory types with the paths of their items and knows no name of the platform. platform.ConfigurationReader decodes a file for it with pkg/jsonc, which reports all unknown fields, wrong types and duplicate keys with their positions, after encoding/json has accepted the syntax. The decoder of the VMs and the reader share their field types. Credentials leave the reader only as digests under a salt of the run, with their length. Unknown field names in organisations are shown only if they resemble a known one, and a credential that was also entered as a name is replaced in all texts. pkg/entry exports its bounds of request headers, which are the highest values that the limits can have an effect with.

Ruled out: running only the decoder, because it stops at the first error, gives no positions and accepts unknown fields; checking inventory.Configuration, because it merges duplicates and has no paths. A route name that is repeated on another host is a warning, not an error: VMs serve both and only mix their response times. An unknown kind is an error although VMs accept it, because they then never retry.

--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 	$(GO) test ./pkg/settings -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/config -run '^$$' -fuzz '^FuzzParse$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./platform -run '^$$' -fuzz '^FuzzReadAnswer$$' -fuzztime $(FUZZTIME)
+	$(GO) test ./platform -run '^$$' -fuzz '^FuzzConfigurationFile$$' -fuzztime $(FUZZTIME)
 	$(GO) test ./pkg/questionnaire -run '^$$' -fuzz '^FuzzGenerate$$' -fuzztime $(FUZZTIME)
 
 quickstart: build
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -34,10 +34,10 @@
 	// memoryLimitShare is the share of MemoryBytes that is set as the soft limit of the garbage collector, above which
 	// it runs more often.
 	memoryLimitShare = 0.7
-	// headerTimeout limits the time for reading request headers. No configuration permits more than a few seconds.
-	headerTimeout = 5 * time.Second
-	// maxHeaderBytes limits the size of request headers before a configuration is known.
-	maxHeaderBytes = 64 << 10
+	// HeaderTimeout limits the time for reading request headers. No configuration permits more than a few seconds.
+	HeaderTimeout = 5 * time.Second
+	// MaxHeaderBytes limits the size of request headers before a configuration is known.
+	MaxHeaderBytes = 64 << 10
 	// drainAcceptTime is how long new connections are accepted after the request to stop. The load balancer polls
 	// readiness once per second and removes a VM after two failed polls.
 	drainAcceptTime = 3 * time.Second
@@ -149,7 +149,7 @@
 		MaxBufferedResponseBytes: int64(float64(o.Settings.MemoryBytes) * responseMemoryShare),
 	})
 	p.callers = &http.Server{
-		Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: o.Log.HTTPLog(),
+		Handler: p.handler, ReadHeaderTimeout: HeaderTimeout, MaxHeaderBytes: MaxHeaderBytes, ErrorLog: o.Log.HTTPLog(),
 		ConnState: p.idle.track, ConnContext: p.handler.ConnContext,
 	}
 	return p
@@ -190,7 +190,7 @@
 	internal.HandleFunc("GET /debug/pprof/", pprof.Index)
 	internal.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	for listener, mux := range map[net.Listener]*http.ServeMux{l.ready: ready, l.metrics: internal} {
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: p.Log.HTTPLog()}
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: HeaderTimeout, MaxHeaderBytes: MaxHeaderBytes, ErrorLog: p.Log.HTTPLog()}
 		go func() {
 			if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.Log.Emit(event.MetricsFailed, "error", err.Error())
