Leave unknown shares unused after a takeover from a restored row

The coordinator's row names the VMs that may hold shares of the quotas, and nothing is granted that the row doesn't cover. A store that is restored shows an older row, which may name fewer holders or none. A VM that took over from it used and granted what others could still hold for 30 s, and its own row then passed the wrong names on.

In that case the row that is written at the takeover has a holder without a name, who may hold everything. The ledger and later coordinators treat it like any other holder: what VMs don't lend is unused until all grants have ended (32 s).

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -420,7 +420,10 @@
 // fleet returns the data about the VMs that is stored with the next renewal of the lease.
 func (c *Control) fleet(now clock.Instant) coordinator.Fleet {
 	row, _ := c.coordinator.Leader()
-	if !c.wasLeading || now.Sub(c.leadingSince) < fleetSettleTime {
+	if !c.wasLeading {
+		return c.inheritedFleet(row)
+	}
+	if now.Sub(c.leadingSince) < fleetSettleTime {
 		return row.Fleet
 	}
 	holders, share := c.shareHolders(now)
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -80,6 +80,17 @@
 	return packNames(h.Names), h.MaxShare
 }
 
+// inheritedFleet returns what this VM stores about the VMs when it takes over. If the newest row of a coordinator was restored with the
+// store, shares may have been granted under rows that the store has lost. Without any row, the deployment is taken for a new one.
+func (c *Control) inheritedFleet(row coordinator.Leader) coordinator.Fleet {
+	fleet := row.Fleet
+	if c.coordinator.RowRestored() && row.VM != "" && (fleet.MaxShare > 0 || c.quotasConfigured()) {
+		unknown := sharedrate.UnknownHolders()
+		fleet.ShareHolders, fleet.MaxShare = packNames(unknown.Names), unknown.MaxShare
+	}
+	return fleet
+}
+
 func packNames(names []uint32) []byte {
 	var packed []byte
 	for _, n := range names {
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -37,6 +37,14 @@
 	MaxShare float64
 }
 
+// unnamedHolder stands for holders whose names aren't known. No VM that runs is expected to have this hash.
+const unnamedHolder = 0
+
+// UnknownHolders returns holders of which nothing is known: any VM may hold any share.
+func UnknownHolders() Holders {
+	return Holders{Names: []uint32{unnamedHolder}, MaxShare: 1}
+}
+
 // HashName returns the 32-bit FNV-1a hash of a VM's name. Two of 300 VMs have the same one with a probability of 0.00001.
 func HashName(name string) uint32 {
 	h := fnv.New32a()
