Wait for targets and for lost grants at the same time

After a restore, a pool without a table waited until all grants that may have been lost had ended, and only then began the time that targets are given to register. The two waits now run at the same time. In era 0 nothing changes.

--- a/pkg/coordinator/pools.go
+++ b/pkg/coordinator/pools.go
@@ -86,14 +86,14 @@
 // firstTable returns the first table of a pool, or nil while its targets are still given time to register.
 func (c *Coordinator) firstTable(p *poolState, members []keyrange.Member, now clock.Instant) *keyrange.Table {
 	era := rowstore.Era(c.version)
-	if len(members) == 0 || era > 0 && now < c.priorGrantsEnd {
-		// In a later era, the pool may have had a table that the store has lost.
+	if len(members) == 0 {
 		return nil
 	}
 	if p.firstTarget == 0 {
 		p.firstTarget = now
 	}
-	if now.Sub(p.firstTarget) < firstPlanDelay {
+	if now.Sub(p.firstTarget) < firstPlanDelay || era > 0 && now < c.priorGrantsEnd {
+		// In a later era, the pool may have had a table that the store has lost.
 		return nil
 	}
 	next := keyrange.InitialTable(p.name, max(1, fenceFloor(era)), members)
--- a/pkg/coordinator/restore_test.go
+++ b/pkg/coordinator/restore_test.go
@@ -363,3 +363,18 @@
 		t.Errorf("row %x, want %x, %v", p.tx.Puts[0].Value, earlier, err)
 	}
 }
+
+// Guards against keys that stay unserved, after all grants that a restored store has lost have ended, for the time that targets are given to
+// register: they have registered meanwhile.
+func TestLostTableIsReplacedOnceGrantsHaveEnded(t *testing.T) {
+	c, now := newFirstTableCoordinator()
+	c.version, c.pools, c.priorGrantsEnd = rowstore.Version(1, 5), map[string]*poolState{}, now.Add(FinalGrantTTL)
+	for ; now < c.priorGrantsEnd; now = now.Add(100 * time.Millisecond) {
+		if next, _ := c.planPool("p", now); next != nil {
+			t.Fatalf("keys are assigned %v before all grants have ended", c.priorGrantsEnd.Sub(now))
+		}
+	}
+	if next, _ := c.planPool("p", now); next == nil {
+		t.Error("no keys are assigned after all grants have ended")
+	}
+}
