Take a newer configuration from a VM that doesn't know the era

A VM that starts after a restore and reads the store itself gets the older configuration that the store has. If the VM that relays its tables is cut off from the store, its tables are of the earlier era and were ignored as older, with the configuration that must stay in force. Rows that are newer by their content are now taken from such tables. In era 0 nothing changes.

TestNewerConfigurationIsTakenFromEarlierEra fails without the change: rows config:v1, want config:v2.

--- a/pkg/replica/mirror.go
+++ b/pkg/replica/mirror.go
@@ -341,7 +341,7 @@
 		t.relayedRows = d.applyTo(t.relayedRows)
 	}
 	if d.Version < t.Version {
-		return false
+		return t.takeNewer(d.Version, t.relayedRows, now)
 	}
 	t.enterEra(d.Version, t.relayedRows, now)
 	t.relayedRows = t.withoutRemoved(t.relayedRows)
--- a/pkg/replica/restore.go
+++ b/pkg/replica/restore.go
@@ -95,3 +95,18 @@
 	}
 	return rows
 }
+
+// takeNewer takes those of the relayed rows, from a VM that doesn't know the current era, that are newer by their content than the known
+// ones. It reports whether there were any.
+func (t *Table) takeNewer(version uint64, relayed map[string]rowstore.Row, now clock.Instant) bool {
+	if t.newer == nil || rowstore.Era(version) >= rowstore.Era(t.Version) {
+		return false
+	}
+	rows := maps.Clone(t.Rows)
+	for key, r := range relayed {
+		if current := rows[key]; r.Version != current.Version && t.newer(r, current) {
+			rows[key] = r
+		}
+	}
+	return t.set(t.Version, rows, now)
+}
--- a/pkg/replica/restore_test.go
+++ b/pkg/replica/restore_test.go
@@ -94,6 +94,31 @@
 	checkRows(t, "after the grace period", m, map[string]string{"config": "v3"})
 }
 
+// Guards against a VM that starts after a restore, reads the older configuration, and ignores the newer one that a VM relays which is cut off
+// from the store and doesn't know the new era. Its other rows are older than those that were read.
+func TestNewerConfigurationIsTakenFromEarlierEra(t *testing.T) {
+	m := NewMirror()
+	m.KeepNewer("t", func(known, stored rowstore.Row) bool {
+		return known.Key == "config" && string(known.Value) > string(stored.Value)
+	})
+	now := clock.Instant(time.Minute)
+	m.Replace("t", eraTable(1, 10, map[string]uint64{"config": 5, "out": 6}, "v1"), false, now)
+	relayed := eraTable(0, 20, map[string]uint64{"config": 18, "out": 19, "withdrawn": 7}, "v2")
+	if !m.ApplyRelayed(Delta{Table: "t", Version: relayed.Version, Full: true, Rows: relayed.Rows}, now) {
+		t.Error("no change is reported")
+	}
+	want := map[string]string{"config": "v2", "out": "v1"}
+	checkRows(t, "relayed", m, want)
+	if m.Version("t") != rowstore.Version(1, 10) || m.ApplyRelayed(Delta{Table: "t", Version: relayed.Version}, now) {
+		t.Errorf("version %d, or a change without one", m.Version("t"))
+	}
+	m.Replace("t", eraTable(1, 11, map[string]uint64{"config": 5, "out": 6}, "v1"), false, now)
+	checkRows(t, "read again", m, want)
+	m.Replace("t", eraTable(1, 12, map[string]uint64{"config": 12, "out": 6}, "v3"), false, now)
+	m.ApplyRelayed(Delta{Table: "t", Version: relayed.Version}, now)
+	checkRows(t, "next configuration", m, map[string]string{"config": "v3", "out": "v3"})
+}
+
 // Guards against a remembered removal that hides an entry of a later era, and against one of an earlier era that is reported by another VM.
 func TestRemovalsOfEarlierErasDontApply(t *testing.T) {
 	m := NewMirror()
