Notice a newer configuration whose row isn't the newest row

The operator's rows were decoded again only if their highest version had changed. After a restore, the row of the newer configuration has a version of an earlier era. A VM that had read the older one together with a row that was written later, such as that of a failure domain, ignored the newer configuration that was relayed to it until the operator wrote something. In later eras all versions are now compared; in era 0 the comparison is the same as before.

TestNewerConfigurationIsTakenAfterOwnRead fails without the change: configuration 7 is in force, want 8.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -119,9 +119,11 @@
 	ignoredTargets map[string]bool
 	// leavingTargets are the targets that have reported in an answer that they are leaving. snapshotDirty requests a
 	// new snapshot even if no row has changed.
-	leavingTargets   leavingTargets
-	snapshotDirty    bool
-	config           *inventory.Configuration
+	leavingTargets leavingTargets
+	snapshotDirty  bool
+	config         *inventory.Configuration
+	// configRows are the operator's rows that the configuration was decoded from last, and configRowVersion the highest version of them.
+	configRows       map[string]rowstore.Row
 	configRowVersion uint64
 	// storeEra is the newest era of the store that this VM knows of. olderRow is the newest row of a restored store whose configuration
 	// was compared with that of a known row.
--- a/pkg/entry/restore_test.go
+++ b/pkg/entry/restore_test.go
@@ -87,6 +87,29 @@
 	}
 }
 
+// Guards against a VM that starts after a restore, reads the older configuration and another row that the operator wrote later, and
+// doesn't put the newer configuration into force that is relayed to it, whose row has a lower version than that other row. The relaying VM
+// knows the new era or is cut off from the store.
+func TestNewerConfigurationIsTakenAfterOwnRead(t *testing.T) {
+	for _, relayedEra := range []uint64{0, 1} {
+		now := &manualClock{now: clock.Instant(time.Minute)}
+		relaying, c := clockedControl(t, "a", now), clockedControl(t, "b", now)
+		relaying.decoder, c.decoder = operatorDecoder{}, operatorDecoder{}
+		restored := operatorPage(1, 50, "7", "zone")
+		relaying.handlePage("op", operatorPage(0, 90, "8", "zone"), nil, now.now)
+		if relayedEra == 1 {
+			relaying.handlePage("op", restored, nil, now.now)
+		}
+		c.handlePage("op", restored, nil, now.now)
+		if err := c.applyTables(replica.Update{Deltas: []replica.Delta{replica.FullDelta("op", relaying.mirror.Version("op"), relaying.mirror.Rows("op"))}}, now.now); err != nil {
+			t.Fatal(err)
+		}
+		if c.config.Version != 8 {
+			t.Errorf("relayed in era %d: configuration %d is in force", relayedEra, c.config.Version)
+		}
+	}
+}
+
 // Guards against records of crashing requests that are gone after the next loss of all VMs because a restore has lost them, twice.
 func TestQuarantineIsStoredAgainAfterRestore(t *testing.T) {
 	store := &singleRowStore{}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/ingress"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
@@ -276,10 +277,11 @@
 	for _, r := range rows {
 		version = max(version, r.Version)
 	}
-	if version == c.configRowVersion {
+	if version == c.configRowVersion && (rowstore.Era(version) == 0 || replica.SameVersions(rows, c.configRows)) {
+		// After a restore, a row of an earlier era may replace one that isn't the newest.
 		return
 	}
-	c.configRowVersion = version
+	c.configRowVersion, c.configRows = version, rows
 	next, err := c.decodeConfigurationRows(rows)
 	if err != nil {
 		c.log.Emit(event.ConfigurationInvalid, "error", err.Error())
--- a/pkg/replica/mirror.go
+++ b/pkg/replica/mirror.go
@@ -201,7 +201,7 @@
 // kept. It reports whether a row has changed.
 func (t *Table) set(version uint64, rows map[string]rowstore.Row, now clock.Instant) bool {
 	rows = t.withoutRemoved(t.withNewer(version, t.withRestored(rows, now)))
-	changed := !sameVersions(t.Rows, rows)
+	changed := !SameVersions(t.Rows, rows)
 	if changed || version != t.Version {
 		t.revision++
 	}
@@ -260,7 +260,8 @@
 	return rows
 }
 
-func sameVersions(a, b map[string]rowstore.Row) bool {
+// SameVersions reports whether two tables have the same rows in the same versions.
+func SameVersions(a, b map[string]rowstore.Row) bool {
 	if len(a) != len(b) {
 		return false
 	}
