Wait only for targets that a request would accept

Cause: a request declines a free target whose score is more than 3 times the best, if waiting for another one seems shorter. The wait was forecast with the free slots and the throughput of all targets, those that it declines included. If most targets of a pool fail a part of their requests or are slow, requests were admitted with the shortest service time as their forecast, declined the free slots, and were refused when most of their time had passed.

Change: the wait is that for the targets that are taken as soon as they have a free slot. If it exceeds the time left, a free target is taken that can answer in time. The second state is computed only where a request declines a target and the pool has such targets, and shared like the first one.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -324,7 +324,7 @@
 			ps = b.stateFor(w, now)
 			c = b.bestCandidate(w, ps, now)
 		}
-		if c.load == nil || !c.betterThanWaiting(w, ps, b.queues[id][:i]) {
+		if c.load == nil || !b.betterThanWaiting(c, w, ps, b.queues[id][:i], now) {
 			i++
 			continue
 		}
@@ -352,12 +352,18 @@
 // betterThanWaiting reports whether a request with the given others ahead of it should take the free target now. A slow
 // target is taken only by requests that would wait even longer for another one. Each request decides for itself: when the whole
 // queue waited behind a first request that declined, slow targets stayed idle.
-func (c candidate) betterThanWaiting(w *waiter, ps *poolState, ahead []*waiter) bool {
+func (b *Broker) betterThanWaiting(c candidate, w *waiter, ps *poolState, ahead []*waiter, now clock.Instant) bool {
 	if c.score <= slowTargetFactor*c.fastest {
 		return true
 	}
-	wait, _ := ps.forecast(w, len(ahead), workAhead(ahead, len(ahead)))
-	return c.score <= wait
+	preferred := b.preferredState(ps, now)
+	wait, _ := preferred.forecast(w, len(ahead), workAhead(ahead, len(ahead)))
+	if preferred == ps {
+		return c.score <= wait
+	}
+	// If waiting takes more than the time left, an attempt that may fail is better than none, but not one that ends too late.
+	left := w.deadline.Sub(now)
+	return (c.score <= wait || wait > left) && w.scaled(c.load.expectedLatency(now)) <= left
 }
 
 // bestCandidate returns the best free target for a waiting request; its load is nil if there is none.
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -120,6 +120,11 @@
 	return l.slowdown
 }
 
+// currentServiceTime estimates how long the target takes at the present speed of its machine to answer a request that doesn't queue.
+func (l *load) currentServiceTime(now clock.Instant) time.Duration {
+	return time.Duration(float64(l.serviceTime) * l.currentSlowdown(now))
+}
+
 // expectedLatency estimates how long the target would take to answer one more request.
 func (l *load) expectedLatency(now clock.Instant) time.Duration {
 	slots := float64(l.target.Slots)
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -31,6 +31,12 @@
 	// domains holds the best target of each failure domain. Besides the target's own latency, its cost for a request depends on
 	// the failure domain only.
 	domains []domainState
+	// slowest is the longest latency of a target without queueing, including its penalty.
+	slowest time.Duration
+	// view is the view with which the state was computed, and preferred the state of the targets worth waiting for. It is nil until
+	// preferredState needs it.
+	view      targetView
+	preferred *poolState
 }
 
 // domainState is the part of a poolState for one failure domain.
@@ -72,7 +78,7 @@
 func (b *Broker) computeState(candidates []*load, now clock.Instant, view targetView) *poolState {
 	b.inspectedTargets += len(candidates)
 	b.limits.refresh(b.loads, now)
-	ps := &poolState{targets: candidates, minServiceTime: infinite, fastest: infinite, limited: len(candidates) > 0, limitWait: infinite}
+	ps := &poolState{targets: candidates, minServiceTime: infinite, fastest: infinite, limited: len(candidates) > 0, limitWait: infinite, view: view}
 	for _, l := range candidates {
 		hasSlot, until := view.isFree(l), view.notBefore(l)
 		limit := &l.limit
@@ -83,10 +89,11 @@
 		ps.limited = ps.limited && limit.binds(l.target.Slots-l.busy(now))
 		hasSlot = hasSlot && !limit.spent()
 		ps.minServiceTime = min(ps.minServiceTime, l.serviceTime)
+		service := l.currentServiceTime(now)
+		ps.slowest = max(ps.slowest, service+l.penalty())
 		if now >= until && !limit.spent() && (now >= l.coldUntil || b.coldTokenAvailable(l, now)) {
 			ps.addTarget(l, l.expectedLatency(now)+l.penalty(), hasSlot)
 		}
-		service := time.Duration(float64(l.serviceTime) * l.currentSlowdown(now))
 		if now < l.coldUntil {
 			ps.throughput += limit.capRate(b.coldRate(l), b.share)
 			if b.coldTokenAvailable(l, now) && hasSlot {
@@ -109,6 +116,31 @@
 	return ps
 }
 
+// preferredState returns the state of the targets that a request takes as soon as they have a free slot: those whose own latency is at most
+// slowTargetFactor times the best. The slots of the others must not count in the forecast of a request that declines them: it would wait
+// for the few that are left as if all were free. If there are no others, it returns ps itself.
+func (b *Broker) preferredState(ps *poolState, now clock.Instant) *poolState {
+	if ps.preferred != nil {
+		return ps.preferred
+	}
+	ps.preferred = ps
+	fastest := infinite
+	for i := range ps.domains {
+		fastest = min(fastest, ps.domains[i].minLatency)
+	}
+	if ps.slowest <= slowTargetFactor*fastest {
+		return ps
+	}
+	var targets []*load
+	for _, l := range ps.targets {
+		if l.currentServiceTime(now)+l.penalty() <= slowTargetFactor*fastest {
+			targets = append(targets, l)
+		}
+	}
+	ps.preferred = b.computeState(targets, now, ps.view)
+	return ps.preferred
+}
+
 // minUsefulTime is the minimum time before its deadline at which a request is worth sending.
 func (ps *poolState) minUsefulTime(w *waiter) time.Duration {
 	if ps.minServiceTime == infinite {
