Keep the kind of a request in the priority of its hedge

Cause: a hedge has the lowest priority, so that a broker of a version that doesn't know hedges places it last. The kind of a request is the lower 8 bits of its priority: in a pool whose kinds are distinguished, all hedges were taken for one more kind, with the mean service time before its first answers. Their answers changed the service time of targets and the mean of the pool by which kinds were hedged, and the histogram of forecast errors had their whole durations, under another priority.

Change: the lower 8 bits of a hedge's priority are those of the request; it still ranks behind all others. Its forecast is that of the target that it gets.

Result: TestHedgeIsOfTheKindOfItsRequest failed before with 3 kinds instead of 2, and passes now.

--- a/pkg/placing/hedge.go
+++ b/pkg/placing/hedge.go
@@ -37,8 +37,9 @@
 	// HedgeDecisionTime bounds the wait for the broker's decision on a hedge. This broker decides at once; a broker of a version that
 	// doesn't know hedges would queue it for longer.
 	HedgeDecisionTime = 50 * time.Millisecond
-	// hedgePriority is the rank of hedges at a broker of a version that doesn't know them: behind all other requests.
-	hedgePriority = math.MaxInt32
+	// hedgePriority is the rank of hedges at a broker of a version that doesn't know them: behind all other requests. The lower bits are
+	// those of the request, since they identify its kind.
+	hedgePriority = math.MaxInt32 &^ kindRankMask
 )
 
 // HedgeReason tells why a request isn't hedged. It is empty if it is.
@@ -316,6 +317,6 @@
 // AsHedge returns the request for a hedge of a request that is in flight at the given target.
 func (a PlacementRequest) AsHedge(first string) PlacementRequest {
 	a.Avoid = append(a.Avoid[:len(a.Avoid):len(a.Avoid)], first)
-	a.Hedge, a.Retry, a.Priority = true, true, hedgePriority
+	a.Hedge, a.Retry, a.Priority = true, true, hedgePriority|a.Priority&kindRankMask
 	return a
 }
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -32,6 +32,7 @@
 	if l != nil {
 		// A hedge that isn't placed must not use up the budget.
 		if reason = b.admitHedge(w, now); reason == "" {
+			w.setForecast(time.Duration(forecastMargin * float64(w.scaled(l.expectedLatency(now)))))
 			b.assign(w, l, now)
 			return true
 		}
--- a/pkg/placing/hedge_test.go
+++ b/pkg/placing/hedge_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
 // preparedHedger returns a Hedger that knows 100 requests of route r with latencies of 1 to 100 ms.
@@ -191,6 +194,41 @@
 	}
 }
 
+// Guards against hedges that count as a kind of request of their own: their target's service time would depend on which kinds are hedged,
+// and the histogram of forecast errors would count their whole duration.
+func TestHedgeIsOfTheKindOfItsRequest(t *testing.T) {
+	h := newHarness(t, 4, 2)
+	scope := tally.NewTestScope("", nil)
+	h.b.RecordForecastErrors(scope)
+	var routes []*inventory.Route
+	for i, objective := range []time.Duration{300 * time.Millisecond, 1500 * time.Millisecond} {
+		routes = append(routes, &inventory.Route{Priority: i, Objective: objective, PoolWeights: []inventory.PoolWeight{{Pool: "plain", Weight: 1}}})
+	}
+	h.cfg = inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "plain", ColdRate: 2.5}}, routes)
+	h.update()
+	for i := range 400 {
+		h.b.recordEnd(permit{rank: kindRank(i % 2)}, h.b.loads[fmt.Sprint("t", i/2%4)], time.Duration(80+400*(i%2))*time.Millisecond, Answered, nil, h.now)
+	}
+	h.b.budget.AddAttempt("plain", h.now)
+	const long = 1 + 7<<8
+	seq, v := h.place(PlacementRequest{Pool: "plain", Priority: long}.AsHedge("t0"))
+	if v == nil || v.Target == "" {
+		t.Fatalf("%+v", v)
+	}
+	before := h.b.loads[v.Target].serviceTime
+	h.now = h.now.Add(480 * time.Millisecond)
+	h.b.Done("vm", seq, 480*time.Millisecond, Answered, nil, h.now)
+	if after := h.b.loads[v.Target].serviceTime; after > before*21/20 || len(h.b.kinds["plain"].list) != 2 {
+		t.Errorf("the service time changes from %v to %v, %d kinds are known", before, after, len(h.b.kinds["plain"].list))
+	}
+	if other, _ := errorShares(scope, "other"); other > 0 {
+		t.Error("the forecast error of a hedge is recorded as that of another kind")
+	}
+	if all, near := errorShares(scope, "1"); all != 1 || near < 1 {
+		t.Errorf("%d forecast errors of the kind, %.1f of them near", all, near)
+	}
+}
+
 // Guards against hedges of a request that may have crashed a target.
 func TestSuspectedRequestsAreNotHedged(t *testing.T) {
 	h := newHarness(t, 4, 2)
