Give a new deployment its keys at once in any era of the store

Cause: in a later era a missing row of the coordinator counts as lost, so that a new deployment on a store that was restored at some time before, or whose count of restores doesn't begin at 0, waited for a lease and the longest grant: 10.9 s until the first keys were served, 1.6 s in era 0.

Change: the platform's settings say whether the whole deployment starts for the first time. A process of such a start that finds no row at its first read takes it for one that was never written in that era. Restarted processes, and later eras, wait as before.

Ruled out: subtracting the first era that is seen, since VMs that start later wouldn't know it and would compare versions differently.

--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -76,6 +76,8 @@
 	VM          string
 	Incarnation string
 	Address     string
+	// FirstStart is set if the process was started together with all others of a new deployment.
+	FirstStart bool
 }
 
 // pendingCommit is a transaction whose outcome is not known yet.
@@ -110,6 +112,9 @@
 	// restored is set if the store was restored and row was not written since. The row may be older than one that this or another
 	// process has acted on, so it is nobody's lease.
 	restored bool
+	// unused is the era in which no process of the deployment had run yet when this one found no row, nil if it isn't known. The store may
+	// have been restored before the deployment's first start; then nothing was lost.
+	unused *uint64
 	// leader is the newest row that was not restored, and leaderVersion its version. Without one, it is the newest row.
 	leader        Leader
 	leaderVersion uint64
@@ -154,6 +159,9 @@
 	}
 	if version == 0 {
 		version = rowstore.Missing(page.Version)
+		if era := rowstore.Era(version); l.self.FirstStart && !l.known {
+			l.unused = &era
+		}
 	}
 	if l.known && version < l.version {
 		return nil
@@ -168,13 +176,18 @@
 
 // setRow records the content of the newest known row.
 func (l *leadership) setRow(row Leader, version uint64) {
-	l.row, l.restored = row, row.Era < rowstore.Era(version)
+	l.row, l.restored = row, row.Era < rowstore.Era(version) && !l.isFirst(version)
 	l.renewal = max(l.renewal, row.Renewal)
 	if !l.restored || rowstore.Number(l.leaderVersion) == 0 {
 		l.leader, l.leaderVersion = row, version
 	}
 }
 
+// isFirst reports whether the version is that of a row that no process has written yet.
+func (l *leadership) isFirst(version uint64) bool {
+	return l.unused != nil && rowstore.Number(version) == 0 && rowstore.Era(version) == *l.unused
+}
+
 // rowIsOwn reports whether the newest known row was written by this process.
 func (l *leadership) rowIsOwn() bool {
 	return rowstore.Number(l.version) != 0 && l.row.VM == l.self.VM && l.row.Incarnation == l.self.Incarnation
--- a/pkg/coordinator/restore_test.go
+++ b/pkg/coordinator/restore_test.go
@@ -254,6 +254,42 @@
 	}
 }
 
+// maxFirstWait is the time after the start of a new deployment until all keys are served. Traffic starts 8 s after the VMs.
+const maxFirstWait = 4 * time.Second
+
+// Guards against a new deployment whose keys aren't served for a lease and the longest grant because its store was restored at some time
+// before: it has lost nothing.
+func TestFirstKeysInLaterEra(t *testing.T) {
+	for seed := range uint64(40) {
+		sim := newSimulation(t, seed, 3, 6)
+		sim.store.era = 3
+		sim.runFor(maxFirstWait - time.Second)
+		if !sim.allServedSoon() {
+			t.Errorf("seed %d: only %.2f of the keys are served after %v", seed, sim.servedShare(), maxFirstWait)
+		}
+	}
+}
+
+// Guards against a row that the store has lost counting as one that was never written.
+func TestFirstStartInLaterEra(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	missing := rowstore.TableSnapshot{Version: rowstore.Version(3, 9)}
+	l := leadership{self: Identity{VM: "a", Incarnation: "1", FirstStart: true}}
+	if err := l.observeRow(missing, now); err != nil {
+		t.Fatal(err)
+	}
+	if !l.mayTakeOver(now) || l.restored {
+		t.Error("the role of a new deployment isn't taken over at once")
+	}
+	missing.Version = rowstore.Version(4, 2)
+	if err := l.observeRow(missing, now); err != nil {
+		t.Fatal(err)
+	}
+	if l.mayTakeOver(now) || !l.restored {
+		t.Error("a row that the store has lost counts as one that was never written")
+	}
+}
+
 // Guards against a coordinator that loses its lease after a restore, or doesn't store any table again, because the store refuses one of
 // the tables.
 func TestLostTablesAreStoredWithoutRefusedOne(t *testing.T) {
--- a/pkg/coordinator/simulation_test.go
+++ b/pkg/coordinator/simulation_test.go
@@ -137,7 +137,7 @@
 	n.alive, n.era = true, 0
 	n.incarnation++
 	inc := n.incarnation
-	n.c = New(Identity{VM: n.name, Incarnation: fmt.Sprint(inc), Address: n.name})
+	n.c = New(Identity{VM: n.name, Incarnation: fmt.Sprint(inc), Address: n.name, FirstStart: inc == 1})
 	s.tick(n, inc)
 	s.poll(n, inc)
 }
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -274,7 +274,7 @@
 		c.grants.OnRateLimit = c.handlePeerRateLimit
 	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.BrokerBudget, o.Suspects, o.Limits, c.requestedKeys.add))
-	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress()})
+	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress(), FirstStart: o.Settings.FirstStart})
 	c.mirror.MarkExpiring(o.Tables.Targets)
 	c.mirror.KeepNewer(o.Tables.Operator, c.hasNewerConfiguration)
 	c.view.Store(&ingress.View{Changed: make(chan struct{})})
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -30,6 +30,8 @@
 	LinkMbps float64
 	// MemoryBytes is the memory limit above which the process is killed.
 	MemoryBytes int64
+	// FirstStart is set if the whole deployment is started for the first time.
+	FirstStart bool
 	// ShutdownGrace is the time between the request to stop and the kill.
 	ShutdownGrace time.Duration
 	// RetryRatio, RetryExtra and RetryWindow limit the retries of all VMs together: within any RetryWindow there are at
