Connect admission by value to a flag of blentry

Cause: Broker.SetValueAdmission had no setting, so that only deployments whose kinds are distinguished were admitted by value.

The dump shows whether it is in force.

--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -40,6 +40,7 @@
 	LogLevel        string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
 	Advertise       string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
 	HedgeExtraShare float64          `help:"Share of extra requests, 0 to 0.1, that may be sent to a second target while the first one is slow. 0 sends none." default:"0" placeholder:"SHARE"`
+	AdmitByValue    bool             `help:"Under overload, let requests that are unlikely to be answered on time wait behind the others, in all pools."`
 	Version         kong.VersionFlag `help:"Show the version and exit."`
 }
 
@@ -65,7 +66,7 @@
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitInvalid
 	}
-	settings.HedgeExtraShare = parsed.HedgeExtraShare
+	settings.HedgeExtraShare, settings.AdmitByValue = parsed.HedgeExtraShare, parsed.AdmitByValue
 	if err := advertise(&settings, parsed.Advertise); err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
 		return exitInvalid
--- a/cmd/blentry/main_test.go
+++ b/cmd/blentry/main_test.go
@@ -8,6 +8,15 @@
 	"testing"
 )
 
+// Guards against admission by value that is on although it isn't set.
+func TestAdmitByValueIsOffUnlessSet(t *testing.T) {
+	for _, args := range [][]string{nil, {"--admit-by-value"}} {
+		if parsed, _, ok := parse(args, io.Discard, io.Discard); !ok || parsed.AdmitByValue != (len(args) > 0) {
+			t.Errorf("%v: %v", args, parsed.AdmitByValue)
+		}
+	}
+}
+
 // Guards against a share of extra requests out of range that is accepted, one in range that is refused, and a default that sends extra
 // requests.
 func TestHedgeExtraShare(t *testing.T) {
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -35,6 +35,8 @@
 	RateLimits []ratelimit.Record `json:"rate_limits"`
 	// HedgeDelaysMs is how long a request of each route is in flight before it may be sent to a second target.
 	HedgeDelaysMs map[string]int64 `json:"hedge_delays_ms,omitempty"`
+	// AdmitsByValue reports whether this VM admits requests by the value of their answers if it is the coordinator.
+	AdmitsByValue bool `json:"admits_by_value,omitempty"`
 	// StoreEra is how often the store was restored from an older copy.
 	StoreEra uint64 `json:"store_era"`
 }
@@ -45,7 +47,7 @@
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
 		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
 		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now()),
-		StoreEra: p.control.storeEra.Load()}
+		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load()}
 	for route, delay := range p.hedger.Delays(p.control.clock.Now()) {
 		if d.HedgeDelaysMs == nil {
 			d.HedgeDelaysMs = map[string]int64{}
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -48,6 +48,8 @@
 	// HedgeExtraShare is the share of extra requests that may be sent to shorten slow responses, at most
 	// placing.MaxHedgeExtraShare. Zero sends none.
 	HedgeExtraShare float64
+	// AdmitByValue makes this VM, while it is the coordinator, admit requests by the value of their answers in all pools.
+	AdmitByValue bool
 }
 
 // quotaAllowance returns Quota, or the platform's default if it isn't set.
--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -31,7 +31,14 @@
 	b.valueAdmission = on
 }
 
-// admitsByValue reports whether requests are admitted by the value of their answers.
+// AdmitsByValue reports whether requests are admitted by the value of their answers.
+func (b *Broker) AdmitsByValue() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.admitsByValue()
+}
+
+// admitsByValue is like AdmitsByValue. The caller holds b.mu.
 func (b *Broker) admitsByValue() bool {
 	if b.valueAdmission {
 		return true
