--- a/pkg/placing/budget.go
+++ b/pkg/placing/budget.go
@@ -108,3 +108,11 @@
 	t.tokens--
 	return true
 }
+
+// ReturnRetry gives back the token of a retry that wasn't sent.
+func (b *RetryBudget) ReturnRetry(pool string, now clock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.bucket(pool, now)
+	t.tokens = min(b.capacity, t.tokens+1)
+}
--- a/pkg/placing/quota_test.go
+++ b/pkg/placing/quota_test.go
@@ -43,6 +43,38 @@
 	}
 }
 
+// retryBudgetOf returns a budget of the given number of retries that isn't refilled.
+func retryBudgetOf(tokens float64) *RetryBudget {
+	return &RetryBudget{capacity: tokens, initial: tokens, window: time.Second, pools: map[string]*tokenBucket{}}
+}
+
+// Guards against hedges that use up the quota although the retry budget refuses them, and against the reverse.
+func TestRefusedHedgesUseUpNothing(t *testing.T) {
+	h := quotaHarness(t, 50, 2, 10, 20)
+	hedge := PlacementRequest{Pool: "plain", Organisation: "limited"}.AsHedge("t0")
+	h.b.budget = retryBudgetOf(0)
+	for range 30 {
+		if _, v := h.place(hedge); v == nil || v.Reason != ReasonRetryBudget {
+			t.Fatalf("a hedge without a retry budget got %v", v)
+		}
+	}
+	limit := sharedrate.Limit{Rate: 10, Burst: 20}
+	sent := 0
+	for ok := true; ok; sent++ {
+		ok, _ = h.b.quotas.Send("limited", limit, false, h.now)
+	}
+	if sent <= 20 {
+		t.Errorf("the quota permits to send %d requests of a burst of 20", sent-1)
+	}
+	h.b.budget = retryBudgetOf(1)
+	for ok := true; ok; {
+		ok, _ = h.b.quotas.Send("limited", limit, true, h.now)
+	}
+	if _, v := h.place(hedge); v == nil || v.Reason != ReasonQuota || h.b.budget.pools["plain"].tokens != 1 {
+		t.Errorf("a hedge above the quota got %v", v)
+	}
+}
+
 // Guards against tokens that are lost with requests that were never sent, and are then missing below the quota.
 func TestUnsentRequestsReturnTheirTokens(t *testing.T) {
 	h := quotaHarness(t, 1, 1, 1, 4)
