--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -10,8 +10,8 @@
 // one that can be answered on time. The service times of one kind differ by about a third.
 const onTimeServiceFactor = 1.25
 
-// ownerMaxWaitShare takes the place of maxWaitShare for owners of keys in pools whose kinds of requests are distinguished. A caller that is refused early can
-// only come back to the same owner, and forecasts by kind are accurate enough to use more of the remaining time.
+// ownerMaxWaitShare takes the place of maxWaitShare for owners of keys in pools whose kinds of requests are distinguished. A caller that is
+// refused early can only come back to the same owner, and forecasts by kind are accurate enough to use more of the remaining time.
 const ownerMaxWaitShare = 0.8
 
 // maxWaitShare returns the part of its remaining time within which a new request must be expected to be answered.
--- a/pkg/placing/admission_test.go
+++ b/pkg/placing/admission_test.go
@@ -18,6 +18,25 @@
 	}
 }
 
+// Guards against pools with one kind that aren't admitted by value, although the kinds of another pool of the deployment are distinguished,
+// and against deployments without such a pool that are.
+func TestAllPoolsAreAdmittedByValueBesideDistinguishedKinds(t *testing.T) {
+	h := newHarness(t, 2, 2)
+	if h.b.AdmitsByValue() {
+		t.Error("a deployment with one kind is admitted by value")
+	}
+	h.b.loads["t1"].serviceTime *= 2
+	w := h.b.newWaiter(PlacementRequest{Pool: "plain", TimeLeft: time.Second}, 0, nil, h.now)
+	ps := h.b.stateFor(w, h.now)
+	if latency := h.b.onTimeForecast(w, ps, time.Second); latency != time.Second {
+		t.Errorf("a deployment with one kind has the forecast %v instead of 1 s", latency)
+	}
+	h.b.kinds["keyed"] = &poolKinds{distinguished: true}
+	if latency := h.b.onTimeForecast(w, ps, time.Second); !h.b.AdmitsByValue() || latency <= time.Second {
+		t.Errorf("beside a pool whose kinds are distinguished, the forecast is %v", latency)
+	}
+}
+
 // Guards against overload in which many answers just miss their objective. The value with admission by value must be higher than without.
 func TestValueAdmissionEarnsMore(t *testing.T) {
 	overload := func(s *replaySpec) { s.rate, s.duration = bursts(4), 12*time.Second }
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -89,10 +89,10 @@
 		ps.limited = ps.limited && limit.binds(l.target.Slots-l.busy(now))
 		hasSlot = hasSlot && !limit.spent()
 		ps.minServiceTime = min(ps.minServiceTime, l.serviceTime)
-		service := l.currentServiceTime(now)
-		ps.slowest = max(ps.slowest, service+l.penalty())
+		service, penalty := l.currentServiceTime(now), l.penalty()
+		ps.slowest = max(ps.slowest, service+penalty)
 		if now >= until && !limit.spent() && (now >= l.coldUntil || b.coldTokenAvailable(l, now)) {
-			ps.addTarget(l, l.expectedLatency(now)+l.penalty(), hasSlot)
+			ps.addTarget(l, l.expectedLatency(now)+penalty, hasSlot)
 		}
 		if now < l.coldUntil {
 			ps.throughput += limit.capRate(b.coldRate(l), b.share)
