Return the quota's token of a hedge that the retry budget refuses

A hedge was counted in the bucket of sent requests before the retry budget was asked. If the budget refused it, the token was lost, and later requests of the organisation waited although the quota had room. The token is now given back.

TestRefusedHedgesReturnTheirTokens: after 19 refused hedges, the first of 19 requests within the burst waited; now all are placed at once.

--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -46,6 +46,7 @@
 		return ReasonQuota
 	}
 	if !b.budget.TakeRetry(w.Pool, now) {
+		b.returnSentQuota(w, now)
 		return ReasonRetryBudget
 	}
 	return ""
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -120,6 +120,13 @@
 	return wait, ok
 }
 
+// returnSentQuota takes back what sendQuota has counted, because the request isn't sent.
+func (b *Broker) returnSentQuota(w *waiter, now clock.Instant) {
+	if l, limited := b.quotaOf(w.Organisation); limited && b.quotas != nil {
+		b.quotas.ReturnSent(w.Organisation, l, now)
+	}
+}
+
 // deferForQuota handles a request that the quota doesn't permit to send yet. It reports whether the request was refused.
 func (b *Broker) deferForQuota(w *waiter, wait time.Duration, now clock.Instant) bool {
 	if wait <= time.Duration(quotaWaitShare*float64(w.deadline.Sub(now))) {
--- a/pkg/placing/quota_test.go
+++ b/pkg/placing/quota_test.go
@@ -102,3 +102,23 @@
 		t.Errorf("a request without a share got %v", v)
 	}
 }
+
+// Guards against hedges that the retry budget refuses, but that have used up the quota of requests that are sent.
+func TestRefusedHedgesReturnTheirTokens(t *testing.T) {
+	h := quotaHarness(t, 50, 2, 10, 20)
+	_, first := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+	for b := true; b; {
+		b = h.b.budget.TakeRetry("plain", h.now)
+	}
+	for i := range 19 {
+		hedge := PlacementRequest{Pool: "plain", Organisation: "limited", Avoid: []string{first.Target}, Hedge: true, Retry: true}
+		if _, v := h.place(hedge); v == nil || v.Reason != ReasonRetryBudget {
+			t.Fatalf("hedge %d without a retry budget got %v", i, v)
+		}
+	}
+	for i := range 19 {
+		if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Target == "" {
+			t.Fatalf("request %d within the burst got %v", i, v)
+		}
+	}
+}
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -408,6 +408,13 @@
 	return true, 0
 }
 
+// ReturnSent gives back the token of a request that Send has counted and that will not be sent.
+func (g *Granter) ReturnSent(name string, l Limit, now clock.Instant) {
+	g.advance(now)
+	e := g.sent.get(name, l)
+	e.tokens = min(e.tokens+1, g.sent.capacity(l, g.supply.level))
+}
+
 func (g *Granter) minTokens(further bool) float64 {
 	if further {
 		return 1 - g.options.Allowance.debt()
