Let the backlog of a stall end under a quota

Requests admitted while a pool stalls wait for the bucket of sent requests afterwards. Both buckets grow at the same rate, so with a demand above the quota the backlog never became shorter: each later request waited behind it for about its objective, and some were refused for overload just before their deadline.

While requests of an organisation that have a free target wait for the quota, new ones of it and hedges are now refused with 429. A request that begins to wait counts those of its organisation before it, so that it is refused at once if that takes more than half of its remaining time. Without a share, the reason is the share and not the quota. The model's caller of Send follows its new signature.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -130,6 +130,8 @@
 	valueAdmission bool
 	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
 	quotas *sharedrate.Granter
+	// deferred counts the waiting requests of each organisation that have a free target and wait until the quota permits to send them.
+	deferred map[string]int
 	// fair divides queues among organisations.
 	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
@@ -144,7 +146,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
-		fair: fairQueues{},
+		fair: fairQueues{}, deferred: map[string]int{},
 	}
 }
 
@@ -172,7 +174,7 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
-	b.fair = fairQueues{}
+	b.fair, b.deferred = fairQueues{}, map[string]int{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
@@ -315,6 +317,7 @@
 			continue
 		}
 		if !ps.available || b.yields(w, ps, now) || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
+			b.undefer(w)
 			i++
 			continue
 		}
@@ -325,11 +328,12 @@
 			c = b.bestCandidate(w, ps, now)
 		}
 		if c.load == nil || !c.betterThanWaiting(w, ps, b.queues[id][:i]) {
+			b.undefer(w)
 			i++
 			continue
 		}
-		if wait, ok := b.sendQuota(w, now); !ok {
-			if !b.deferForQuota(w, wait, now) {
+		if !b.sendQuota(w, now) {
+			if !b.deferForQuota(w, now) {
 				i++
 			}
 			continue
@@ -419,6 +423,7 @@
 
 // resolve removes a request from its queue and replies to it.
 func (b *Broker) resolve(w *waiter, v Decision) {
+	b.undefer(w)
 	b.dequeue(w)
 	delete(b.waiting, requestID{w.VM, w.Seq})
 	w.reply(v)
@@ -430,6 +435,7 @@
 	defer b.mu.Unlock()
 	id := requestID{vm, seq}
 	if w := b.waiting[id]; w != nil {
+		b.undefer(w)
 		b.returnStep(w)
 		b.dequeue(w)
 		delete(b.waiting, id)
@@ -493,6 +499,7 @@
 	defer b.mu.Unlock()
 	for id, w := range b.waiting {
 		if id.vm == vm {
+			b.undefer(w)
 			b.returnStep(w)
 			b.dequeue(w)
 			delete(b.waiting, id)
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -42,7 +42,7 @@
 
 // admitHedge takes what a hedge needs of the organisation's quota and of the retry budget. It returns the reason for a refusal, or "".
 func (b *Broker) admitHedge(w *waiter, now clock.Instant) Reason {
-	if _, ok := b.sendQuota(w, now); !ok {
+	if !b.sendQuota(w, now) {
 		return ReasonQuota
 	}
 	if !b.budget.TakeRetry(w.Pool, now) {
--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -43,6 +43,8 @@
 	step      int64
 	hasStep   bool
 	stepQueue queueID
+	// deferred reports whether the request has a free target and waits until the quota permits to send it.
+	deferred bool
 	// regionsKey identifies the set of regions that may serve the request.
 	regionsKey string
 }
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -96,6 +96,10 @@
 	if b.quotas == nil {
 		return ReasonNoShare, 0
 	}
+	if ahead := b.deferred[a.Organisation]; ahead > 0 && (a.Hedge || !a.Retry) && b.quotas.Level(now) > 0 {
+		// Otherwise the requests admitted during a stall would make all later ones wait for as long as the demand exceeds the quota.
+		return ReasonQuota, b.quotas.RefuseBehind(a.Organisation, l, ahead, now)
+	}
 	verdict, wait := b.quotas.Admit(a.Organisation, l, a.Retry, now)
 	return QuotaReason(verdict), wait
 }
@@ -110,14 +114,13 @@
 	}
 }
 
-// sendQuota counts a request that is about to be sent. If the quota doesn't permit it yet, it returns the time until it does.
-func (b *Broker) sendQuota(w *waiter, now clock.Instant) (wait time.Duration, ok bool) {
+// sendQuota counts a request that is about to be sent. It reports whether the quota permits that.
+func (b *Broker) sendQuota(w *waiter, now clock.Instant) bool {
 	l, limited := b.quotaOf(w.Organisation)
 	if !limited || b.quotas == nil {
-		return 0, !limited
+		return !limited
 	}
-	ok, wait = b.quotas.Send(w.Organisation, l, w.Retry, now)
-	return wait, ok
+	return b.quotas.Send(w.Organisation, l, w.Retry, now)
 }
 
 // returnSentQuota takes back what sendQuota has counted, because the request isn't sent.
@@ -127,13 +130,43 @@
 	}
 }
 
-// deferForQuota handles a request that the quota doesn't permit to send yet. It reports whether the request was refused.
-func (b *Broker) deferForQuota(w *waiter, wait time.Duration, now clock.Instant) bool {
-	if wait <= time.Duration(quotaWaitShare*float64(w.deadline.Sub(now))) {
+// deferForQuota handles a request that has a free target and that the quota doesn't permit to send yet. It refuses the request if that
+// would wait too long behind those of its organisation that wait for the same reason, and reports whether it did.
+func (b *Broker) deferForQuota(w *waiter, now clock.Instant) bool {
+	l, limited := b.quotaOf(w.Organisation)
+	if !limited || b.quotas == nil {
 		return false
 	}
-	b.refuseAdmitted(w, Decision{Reason: ReasonQuota, Expected: wait}, now)
-	return true
+	ahead := b.deferred[w.Organisation]
+	if w.deferred {
+		// Those ahead were counted when it began to wait.
+		ahead = 0
+	}
+	if b.quotas.SendWait(w.Organisation, l, ahead, now) > time.Duration(quotaWaitShare*float64(w.deadline.Sub(now))) {
+		b.undefer(w)
+		d := Decision{Reason: ReasonQuota, Expected: b.quotas.RefuseBehind(w.Organisation, l, b.deferred[w.Organisation], now)}
+		if b.quotas.Level(now) <= 0 {
+			d.Reason = ReasonNoShare
+		}
+		b.refuseAdmitted(w, d, now)
+		return true
+	}
+	if !w.deferred {
+		w.deferred = true
+		b.deferred[w.Organisation]++
+	}
+	return false
+}
+
+// undefer records that a request doesn't wait for the quota any more, because it is sent, leaves its queue or waits for a target.
+func (b *Broker) undefer(w *waiter) {
+	if !w.deferred {
+		return
+	}
+	w.deferred = false
+	if b.deferred[w.Organisation]--; b.deferred[w.Organisation] == 0 {
+		delete(b.deferred, w.Organisation)
+	}
 }
 
 // refuseAdmitted refuses a waiting request and gives its token back.
--- a/pkg/placing/quota_test.go
+++ b/pkg/placing/quota_test.go
@@ -93,6 +93,55 @@
 	}
 }
 
+// Guards against a stall after which all requests of an organisation wait for as long as it sends more than its quota: those admitted during
+// the stall were ahead of all later ones, and each waited for about its objective. Some were refused shortly before their deadline.
+func TestBacklogOfAStallEnds(t *testing.T) {
+	const rate, timeLeft = 40, 6 * time.Second
+	h := quotaHarness(t, 100, 4, rate, rate/2)
+	var running []uint64
+	for range 400 {
+		id, _ := h.place(PlacementRequest{Pool: "plain", TimeLeft: time.Minute})
+		running = append(running, id)
+	}
+	start, sent := h.now, 0
+	settled := start.Add(2500*time.Millisecond + timeLeft)
+	for step := 0; h.now < settled.Add(5*time.Second); step++ {
+		if stalled := h.now < start.Add(2500*time.Millisecond); !stalled && step%10 == 0 {
+			for _, id := range running {
+				h.b.Done("vm", id, 100*time.Millisecond, Answered, nil, h.now)
+			}
+			running = nil
+		}
+		h.seq++
+		arrived, seq := h.now, h.seq
+		h.b.Place(PlacementRequest{VM: "vm", Seq: seq, Pool: "plain", Organisation: "limited", TimeLeft: timeLeft, Objective: 1500 * time.Millisecond}, func(v Decision) {
+			waited := h.now.Sub(arrived)
+			switch {
+			case v.Target == "" && waited > timeLeft/2:
+				t.Errorf("a request is refused (%s) after %v", v.Reason, waited)
+			case v.Target != "" && arrived >= settled && waited > 250*time.Millisecond:
+				t.Errorf("a request is sent after %v, the stall ended %v ago", waited, h.now.Sub(start.Add(2500*time.Millisecond)))
+			}
+			if v.Target != "" {
+				running = append(running, seq)
+				if h.now >= settled {
+					sent++
+				}
+			}
+		}, h.now)
+		h.now = h.now.Add(20 * time.Millisecond)
+		if step%5 == 0 {
+			h.b.Tick(h.now)
+		}
+	}
+	if sent < 5*rate*9/10 {
+		t.Errorf("%d requests sent in 5 s, the quota permits %d", sent, 5*rate)
+	}
+	if h.b.RemoveVM("vm", h.now); len(h.b.deferred) != 0 {
+		t.Errorf("deferred requests are left of %v", h.b.deferred)
+	}
+}
+
 // Guards against a broker without a ledger or with nothing but unknown shares that takes itself for the owner of all quotas.
 func TestBrokerWithoutShareRefuses(t *testing.T) {
 	h := quotaHarness(t, 1, 1, 1, 4)
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -394,18 +394,36 @@
 	e.taken--
 }
 
-// Send reports whether an admitted request may be sent now, and counts it if so. Otherwise it returns when to ask again.
-func (g *Granter) Send(name string, l Limit, further bool, now clock.Instant) (bool, time.Duration) {
+// Send reports whether an admitted request may be sent now, and counts it if so.
+func (g *Granter) Send(name string, l Limit, further bool, now clock.Instant) bool {
 	g.advance(now)
 	if g.supply.level <= 0 {
-		return false, noShareRetryTime
+		return false
 	}
 	e := g.sent.get(name, l)
-	if lowest := g.minTokens(further); e.tokens < lowest {
-		return false, seconds((lowest - e.tokens) / (l.Rate * g.supply.level))
+	if e.tokens < g.minTokens(further) {
+		return false
 	}
 	e.tokens--
-	return true, 0
+	return true
+}
+
+// SendWait returns how long a request waits until it may be sent, behind the given number of others that wait for the same reason.
+func (g *Granter) SendWait(name string, l Limit, ahead int, now clock.Instant) time.Duration {
+	g.advance(now)
+	if g.supply.level <= 0 {
+		return noShareRetryTime
+	}
+	return seconds((1 - g.sent.get(name, l).tokens + float64(ahead)) / (l.Rate * g.supply.level))
+}
+
+// RefuseBehind returns when a caller should return that is refused because the given number of requests wait until they may be sent.
+func (g *Granter) RefuseBehind(name string, l Limit, ahead int, now clock.Instant) time.Duration {
+	g.advance(now)
+	if g.supply.level <= 0 {
+		return noShareRetryTime
+	}
+	return g.sent.refuse(g.sent.get(name, l), now) + seconds(float64(ahead)/(l.Rate*g.supply.level))
 }
 
 // ReturnSent gives back the token of a request that Send has counted and that will not be sent.
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -328,7 +328,7 @@
 		g.Return(o.name, l, now)
 		return false
 	}
-	ok, _ := g.Send(o.name, l, false, now)
+	ok := g.Send(o.name, l, false, now)
 	if !ok {
 		g.Return(o.name, l, now)
 	}
