Refuse a request after three decisions that came too late

The VM asked again until the deadline, and each time a token was lost and the slow broker got another request. After three such decisions the request is now answered with 503 and Retry-After.

--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -16,6 +16,10 @@
 	quotaRounding      = time.Millisecond
 )
 
+// maxLateDecisions is the number of placements of one attempt that may come too late for their tokens. The broker is slow then: asking it
+// more often makes it slower and uses up the quota.
+const maxLateDecisions = 3
+
 func quotaRetryAfter(wait time.Duration) time.Duration {
 	return max(wait+quotaRounding, minQuotaRetryAfter)
 }
@@ -23,14 +27,14 @@
 // placeInTime returns the target of the next attempt. A token of the quota counts for the time at which it was taken, so that a request
 // that was held up since then, for example because the VM was suspended, needs another one.
 func (c *call) placeInTime(ctx context.Context, retry bool) (*inventory.Target, error) {
-	for {
+	for late := 1; ; late++ {
 		c.sendBy = 0
 		target, err := c.place(ctx, retry)
 		if err != nil || !c.tokenExpired() {
 			return target, err
 		}
 		c.withdraw(target)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || late == maxLateDecisions {
 			return nil, c.placementError(placing.Choice{Reason: placing.ReasonOverload})
 		}
 	}
--- a/pkg/ingress/quota_test.go
+++ b/pkg/ingress/quota_test.go
@@ -1,10 +1,12 @@
 package ingress
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,3 +65,30 @@
 		t.Errorf("Retry-After is %v", got)
 	}
 }
+
+// lateBroker is a Placer whose decisions arrive when their tokens are too old.
+type lateBroker struct{ asked atomic.Int32 }
+
+func (l *lateBroker) Place(context.Context, placing.PlacementRequest) (Placement, placing.Decision, bool) {
+	l.asked.Add(1)
+	time.Sleep(time.Millisecond)
+	return l, placing.Decision{Target: "t0", SendBy: 1}, true
+}
+
+func (l *lateBroker) Done(time.Duration, placing.Result, *placing.Report) {}
+
+// Guards against requests that ask a slow broker again and again until their deadline, each time with a token of the quota that is lost.
+func TestLateDecisionsAreNotRepeatedForever(t *testing.T) {
+	target, broker := newScriptedTarget(t, nil), &lateBroker{}
+	s := newTestServer(t, target)
+	o := s.organise(t).Organisations["org-1"]
+	o.Rate, o.Burst = 1, 3
+	s.handler.Placer = broker
+	r := s.send(t, "GET", "/read/a", "", "T-Credential", testCredential)
+	if r.status != 503 || r.header.Get("Retry-After") == "" || target.count() != 0 {
+		t.Errorf("got %d with Retry-After %q, the target %d requests", r.status, r.header.Get("Retry-After"), target.count())
+	}
+	if n := broker.asked.Load(); n > maxLateDecisions {
+		t.Errorf("the broker was asked %d times", n)
+	}
+}
