Begin a request's step again with the steps of its queue

The steps of a queue end when the queue becomes empty. Later requests of all organisations then began at step 0 and were placed before it. It now loses its step, like one that finds the queue empty.

TestStepOfTheLastRequestBeginsAgain: before, 5 requests of another organisation that arrived later were placed first.

--- a/pkg/placing/fair.go
+++ b/pkg/placing/fair.go
@@ -72,10 +72,10 @@
 	return len(b.snapshot.Configuration.Organisations) > 0
 }
 
-// takeStep gives a request its step before it is put into its queue. One that was in the queue before keeps it. A request that finds the
-// queue empty needs none.
+// takeStep gives a request its step before it is put into its queue. One that was in the queue before keeps it, unless the
+// steps have ended because it was the only one. A request that finds the queue empty needs none.
 func (b *Broker) takeStep(w *waiter) {
-	if !b.sharesFairly() || w.stepQueue == w.queue && w.hasStep {
+	if !b.sharesFairly() || w.stepQueue == w.queue && w.hasStep && b.fair.class(w) != nil {
 		return
 	}
 	w.step, w.hasStep, w.stepQueue = 0, false, w.queue
--- a/pkg/placing/fair_test.go
+++ b/pkg/placing/fair_test.go
@@ -155,3 +155,43 @@
 		t.Errorf("%d queues have steps and no requests", len(h.b.fair))
 	}
 }
+
+// Guards against a request that keeps its step after the steps of its queue have begun again. All later requests of all organisations would
+// be placed before it.
+func TestStepOfTheLastRequestBeginsAgain(t *testing.T) {
+	h := fairHarness(t, true)
+	var running []uint64
+	place := func(organisation string) (decided func() bool) {
+		h.seq++
+		seq, placed := h.seq, false
+		h.b.Place(PlacementRequest{VM: "vm", Seq: seq, Pool: "plain", Organisation: organisation, TimeLeft: time.Minute, Objective: time.Minute}, func(v Decision) {
+			if v.Target != "" {
+				running, placed = append(running, seq), true
+			}
+		}, h.now)
+		return func() bool { return placed }
+	}
+	end := func() {
+		h.now = h.now.Add(time.Millisecond)
+		h.b.Done("vm", running[0], 100*time.Millisecond, Answered, nil, h.now)
+		running = running[1:]
+	}
+	var last func() bool
+	for last == nil || last() {
+		last = place("org0")
+	}
+	for range 50 {
+		last = place("org0")
+	}
+	for len(h.b.waiting) > 1 {
+		end()
+	}
+	h.update()
+	for range 5 {
+		place("org1")
+	}
+	end()
+	if !last() {
+		t.Error("a request that has waited longest is overtaken by later ones of another organisation")
+	}
+}
