Grant no share that a pending row may leave out

A share was granted if the newest acknowledged row of the coordinator named the VM. A write on its way, or one whose outcome wasn't known, could leave the name out, for example because the VM had been away for 30 s. If the coordinator was lost then, its successor took the share for free and two parties used it. A VM must now be named, with a sufficient share, by the row and by the pending write.

TestNoShareIsGrantedThatAPendingRowOmits: before, 0.5 of the quotas was granted while the name was being removed and before it was written again; now 0. go test -race of pkg/entry, pkg/sharedrate and pkg/coordinator passes.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -139,6 +139,14 @@
 	return c.leader, c.known && rowstore.Number(c.leaderVersion) != 0 && !c.leader.Released
 }
 
+// PendingFleet returns what a write whose outcome isn't known may have stored about the VMs, and whether there is such a write.
+func (c *Coordinator) PendingFleet() (Fleet, bool) {
+	if c.pending == nil {
+		return Fleet{}, false
+	}
+	return c.pending.fleet, true
+}
+
 func (c *Coordinator) emit(e Effect) {
 	c.effects = append(c.effects, e)
 }
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -51,8 +51,17 @@
 		c.logQuotaShare(now)
 		return
 	}
+	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), c.storedHolders(), now)
+}
+
+// storedHolders returns the VMs that the coordinator's row certainly names, whatever becomes of a write whose outcome isn't known.
+func (c *Control) storedHolders() sharedrate.Holders {
 	row, _ := c.coordinator.Leader()
-	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), holdersOf(row.Fleet), now)
+	h := holdersOf(row.Fleet)
+	if f, ok := c.coordinator.PendingFleet(); ok {
+		h = h.Common(holdersOf(f))
+	}
+	return h
 }
 
 // logQuotaShare logs a new share, and whether this VM has begun to use it itself.
--- a/pkg/entry/quotas_test.go
+++ b/pkg/entry/quotas_test.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/replica"
+	"github.com/bronzelever/bronzelever/pkg/rowstore"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
 
@@ -87,3 +88,59 @@
 		t.Errorf("%+v became %+v", h, got)
 	}
 }
+
+// lead makes a VM the coordinator and returns a function that writes its row, up to the call to the store.
+func (n *manualClock) lead(t *testing.T, c *Control) (write func(coordinator.Fleet)) {
+	c.coordinator.Observe(rowstore.TableSnapshot{Version: 1}, 0, n.now)
+	pending := func(effects []coordinator.Effect) bool {
+		return slices.ContainsFunc(effects, func(e coordinator.Effect) bool { _, ok := e.(coordinator.Commit); return ok })
+	}
+	write = func(f coordinator.Fleet) {
+		for range 100 {
+			if pending(c.coordinator.Tick(n.now, coordinator.View{Snapshot: c.snapshot, Fleet: f}, true)) {
+				return
+			}
+			n.now = n.now.Add(100 * time.Millisecond)
+		}
+		t.Fatal("the coordinator's row isn't written")
+	}
+	return write
+}
+
+// Guards against a share granted to a VM that the row names only until the write on its way takes effect: the successor would take the
+// share for free.
+func TestNoShareIsGrantedThatAPendingRowOmits(t *testing.T) {
+	now := &manualClock{clock.Instant(time.Hour)}
+	leader, vm, l := quotaControl(t, "a", now, 40), quotaControl(t, "b", now, 40), silentLink(t)
+	named := coordinator.Fleet{ShareHolders: packNames([]uint32{sharedrate.HashName("b")}), MaxShare: 0.5}
+	write, version := now.lead(t, leader), uint64(1)
+	written := func() {
+		version++
+		leader.coordinator.Committed(version, nil, now.now)
+	}
+	for _, f := range []coordinator.Fleet{{}, named} {
+		write(f)
+		written()
+	}
+	leader.startQuotas(now.now, coordinator.Fleet{})
+	share := func() float64 {
+		for range 2 {
+			leader.shareQuotas(now.now, true)
+			exchangeQuotas(leader, vm, l)
+		}
+		return vm.quota.State(0, now.now).Share
+	}
+	write(coordinator.Fleet{})
+	if got := share(); got != 0 {
+		t.Errorf("a share of %v is granted while the VM's name is being removed from the row", got)
+	}
+	written()
+	write(named)
+	if got := share(); got != 0 {
+		t.Errorf("a share of %v is granted before the row names the VM", got)
+	}
+	written()
+	if got := share(); got != 0.5 {
+		t.Errorf("a share of %v is granted, the row permits 0.5", got)
+	}
+}
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -148,6 +148,8 @@
 	}
 	forced := c.publishPending
 	c.publishPending = false
+	// A write of the row may have begun since the last tick.
+	c.shareQuotas(now, true)
 	c.broadcast(now, changed, deltas, heartbeat, forced)
 }
 
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -37,6 +37,17 @@
 	MaxShare float64
 }
 
+// Common returns the VMs that both name, with a share that both permit.
+func (h Holders) Common(other Holders) Holders {
+	common := Holders{MaxShare: min(h.MaxShare, other.MaxShare)}
+	for _, name := range h.Names {
+		if _, ok := slices.BinarySearch(other.Names, name); ok {
+			common.Names = append(common.Names, name)
+		}
+	}
+	return common
+}
+
 // HashName returns the 32-bit FNV-1a hash of a VM's name. Two of 300 VMs have the same one with a probability of 0.00001.
 func HashName(name string) uint32 {
 	h := fnv.New32a()
