Give the tokens of withdrawn placements back

The broker takes two tokens of a quota when it places a request. If the VM then didn't send it, because the caller had left, the decision came too late or its target was unknown to the VM, the tokens were lost and later requests below the quota were refused. Placements without a quota are released as before.

TestWithdrawnPlacementsReturnTheirTokens: before, with a burst of 20, requests were refused after 20 withdrawn ones; now 30 are withdrawn and 20 more are placed.

--- a/pkg/entry/placer.go
+++ b/pkg/entry/placer.go
@@ -166,6 +166,11 @@
 	b.placer.broker.Done(b.placer.settings.VM, b.seq, elapsed, ending, report, b.placer.clock.Now())
 }
 
+// Withdraw implements ingress.Placement.
+func (b *brokerPlacement) Withdraw() {
+	b.placer.broker.Cancel(b.placer.settings.VM, b.seq, b.placer.clock.Now())
+}
+
 // remotePlacement is a placement by the coordinator.
 type remotePlacement struct {
 	link *replica.Link
@@ -181,6 +186,11 @@
 	r.link.SendPlaceRelease(d)
 }
 
+// Withdraw implements ingress.Placement.
+func (r *remotePlacement) Withdraw() {
+	r.link.SendPlaceRelease(replica.PlaceRelease{Seq: r.seq, Cancelled: true})
+}
+
 // placeForFollower places a request of another VM.
 func (p *placer) placeForFollower(f *replica.Follower, a replica.PlaceRequest) {
 	received := p.clock.Now()
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -163,7 +163,11 @@
 			continue
 		}
 		// One of the two VMs has outdated information about the target.
-		c.releasePlacement(0, placing.Abandoned, nil)
+		if c.sendBy != 0 {
+			c.withdrawPlacement()
+		} else {
+			c.releasePlacement(0, placing.Abandoned, nil)
+		}
 		c.awaitViewChange(ctx, c.State.Current(), maxViewWait)
 		if ctx.Err() != nil {
 			return nil, c.placementError(placing.Choice{Reason: placing.ReasonNoTarget})
@@ -394,6 +398,8 @@
 	if s.placement == nil {
 		c.Suspects.End(s.run, ending.QuarantineOutcome(), c.Clock.Now())
 		c.Balancer.Done(t.ID, elapsed, ending, report, c.Clock.Now())
+	} else if errors.Is(r.cause, errTokenExpired) {
+		s.placement.Withdraw()
 	} else {
 		c.Balancer.RecordResult(t.ID, elapsed, ending, report, c.Clock.Now())
 		s.placement.Done(elapsed, ending, report)
--- a/pkg/ingress/hedge_test.go
+++ b/pkg/ingress/hedge_test.go
@@ -76,6 +76,9 @@
 	target int
 }
 
+// Withdraw implements Placement. Only requests with a quota are withdrawn.
+func (p hedgeTestPlacement) Withdraw() {}
+
 // Done implements Placement. The slot of a cancelled attempt must not be released before its connection is reset.
 func (p hedgeTestPlacement) Done(_ time.Duration, ending placing.Result, _ *placing.Report) {
 	if ending == placing.Abandoned {
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -57,13 +57,19 @@
 // withdraw gives back the place of an attempt that isn't made.
 func (c *call) withdraw(target *inventory.Target) {
 	if c.placement != nil {
-		c.releasePlacement(0, placing.Abandoned, nil)
+		c.withdrawPlacement()
 		return
 	}
 	c.Suspects.End(c.run, placing.Abandoned.QuarantineOutcome(), c.Clock.Now())
 	c.Balancer.Done(target.ID, 0, placing.Abandoned, nil, c.Clock.Now())
 }
 
+// withdrawPlacement gives back the place that the broker has reserved, and the tokens of the quota.
+func (c *call) withdrawPlacement() {
+	c.placement.Withdraw()
+	c.placement = nil
+}
+
 // quota returns the quota of the request's organisation, and whether this VM counts the request under it.
 func (c *call) quota() (sharedrate.Limit, bool) {
 	if c.organisation == nil || c.Quota == nil {
--- a/pkg/ingress/quota_test.go
+++ b/pkg/ingress/quota_test.go
@@ -104,7 +104,7 @@
 }
 
 // lateBroker is a Placer whose decisions arrive when their tokens are too old.
-type lateBroker struct{ asked atomic.Int32 }
+type lateBroker struct{ asked, withdrawn atomic.Int32 }
 
 func (l *lateBroker) Place(context.Context, placing.PlacementRequest) (Placement, placing.Decision, bool) {
 	l.asked.Add(1)
@@ -114,6 +114,8 @@
 
 func (l *lateBroker) Done(time.Duration, placing.Result, *placing.Report) {}
 
+func (l *lateBroker) Withdraw() { l.withdrawn.Add(1) }
+
 // Guards against requests that ask a slow broker again and again until their deadline, each time with a token of the quota that is lost.
 func TestLateDecisionsAreNotRepeatedForever(t *testing.T) {
 	target, broker := newScriptedTarget(t, nil), &lateBroker{}
@@ -125,7 +127,7 @@
 	if r.status != 503 || r.header.Get("Retry-After") == "" || target.count() != 0 {
 		t.Errorf("got %d with Retry-After %q, the target %d requests", r.status, r.header.Get("Retry-After"), target.count())
 	}
-	if n := broker.asked.Load(); n > maxLateDecisions {
-		t.Errorf("the broker was asked %d times", n)
+	if n := broker.asked.Load(); n > maxLateDecisions || broker.withdrawn.Load() != n {
+		t.Errorf("the broker was asked %d times, and %d requests were withdrawn", n, broker.withdrawn.Load())
 	}
 }
--- a/pkg/ingress/types.go
+++ b/pkg/ingress/types.go
@@ -91,6 +91,8 @@
 type Placement interface {
 	// Done releases the place and reports how the request ended.
 	Done(elapsed time.Duration, ending placing.Result, report *placing.Report)
+	// Withdraw releases the place of a request that was not sent and will not be sent there.
+	Withdraw()
 }
 
 // outcome is the result of an attempt at a target.
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -92,7 +92,9 @@
 type permit struct {
 	target      string
 	incarnation inventory.Incarnation
-	rank        kindRank
+	// organisation is that of the request.
+	organisation string
+	rank         kindRank
 	// forecastLeftMs is the part of the forecast at admission that remained at start.
 	forecastLeftMs int32
 	start, end     clock.Instant
@@ -415,7 +417,7 @@
 		l.limit.tokens--
 	}
 	l.inFlight++
-	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
+	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), organisation: w.Organisation, rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
 	b.noteServed(w)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
@@ -429,7 +431,7 @@
 	w.reply(v)
 }
 
-// Cancel withdraws a request and releases its permit.
+// Cancel withdraws a request that was not sent and releases its permit.
 func (b *Broker) Cancel(vm string, seq uint64, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -442,6 +444,9 @@
 		b.returnQuota(w.PlacementRequest, now)
 		return
 	}
+	if p, ok := b.permits[id]; ok {
+		b.returnPlacedQuota(p.organisation, now)
+	}
 	if l := b.releasePermit(id); l != nil {
 		b.dispatchTarget(l, now)
 	}
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -106,14 +106,27 @@
 
 // returnQuota gives back the token of a request that was admitted and will not be sent.
 func (b *Broker) returnQuota(a PlacementRequest, now clock.Instant) {
-	if b.quotas == nil || b.snapshot == nil || b.snapshot.Configuration == nil {
-		return
-	}
-	if l, limited := b.quotaOf(a.Organisation); limited {
+	if l, limited := b.countedQuota(a.Organisation); limited {
 		b.quotas.Return(a.Organisation, l, now)
 	}
 }
 
+// returnPlacedQuota gives back the tokens of a request that was placed and will not be sent.
+func (b *Broker) returnPlacedQuota(organisation string, now clock.Instant) {
+	if l, limited := b.countedQuota(organisation); limited {
+		b.quotas.Return(organisation, l, now)
+		b.quotas.ReturnSent(organisation, l, now)
+	}
+}
+
+// countedQuota returns the quota of an organisation, and whether this broker counts requests under it.
+func (b *Broker) countedQuota(organisation string) (sharedrate.Limit, bool) {
+	if b.quotas == nil || b.snapshot == nil || b.snapshot.Configuration == nil {
+		return sharedrate.Limit{}, false
+	}
+	return b.quotaOf(organisation)
+}
+
 // sendQuota counts a request that is about to be sent. It reports whether the quota permits that.
 func (b *Broker) sendQuota(w *waiter, now clock.Instant) bool {
 	l, limited := b.quotaOf(w.Organisation)
@@ -125,7 +138,7 @@
 
 // returnSentQuota takes back what sendQuota has counted, because the request isn't sent.
 func (b *Broker) returnSentQuota(w *waiter, now clock.Instant) {
-	if l, limited := b.quotaOf(w.Organisation); limited && b.quotas != nil {
+	if l, limited := b.countedQuota(w.Organisation); limited {
 		b.quotas.ReturnSent(w.Organisation, l, now)
 	}
 }
@@ -133,8 +146,8 @@
 // deferForQuota handles a request that has a free target and that the quota doesn't permit to send yet. It refuses the request if that
 // would wait too long behind those of its organisation that wait for the same reason, and reports whether it did.
 func (b *Broker) deferForQuota(w *waiter, now clock.Instant) bool {
-	l, limited := b.quotaOf(w.Organisation)
-	if !limited || b.quotas == nil {
+	l, limited := b.countedQuota(w.Organisation)
+	if !limited {
 		return false
 	}
 	ahead := b.deferred[w.Organisation]
--- a/pkg/placing/quota_test.go
+++ b/pkg/placing/quota_test.go
@@ -62,6 +62,25 @@
 	}
 }
 
+// Guards against tokens that are lost with requests that were placed and then not sent.
+func TestWithdrawnPlacementsReturnTheirTokens(t *testing.T) {
+	h := quotaHarness(t, 50, 2, 10, 20)
+	for range 30 {
+		id, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+		if v == nil || v.Target == "" {
+			t.Fatalf("a request below the quota got %v", v)
+		}
+		h.b.Cancel("vm", id, h.now)
+		h.b.Cancel("vm", id, h.now)
+	}
+	for range 20 {
+		h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+	}
+	if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Reason != ReasonQuota {
+		t.Errorf("a request above the quota got %v", v)
+	}
+}
+
 // Guards against requests that were admitted over several seconds while a pool was stalled, and are then sent within one window.
 func TestStalledRequestsAreNotSentTogether(t *testing.T) {
 	h := quotaHarness(t, 40, 1, 4, 4)
