Return the steps of requests that move to another owner

A waiting request whose key gets another owner takes a step in the new queue, but its step in the former one was kept. The next requests of its organisation there were placed after as many requests of each other organisation as had been moved.

TestMovedRequestsReturnTheirSteps: after 10 requests had moved, the organisation's next step in the former queue was 10, now 0.

--- a/pkg/placing/fair.go
+++ b/pkg/placing/fair.go
@@ -78,6 +78,9 @@
 	if !b.sharesFairly() || w.stepQueue == w.queue && w.hasStep && b.fair.class(w) != nil {
 		return
 	}
+	if c := b.fair[w.stepQueue][w.Priority]; c != nil && w.hasStep {
+		c.next[w.Organisation]--
+	}
 	w.step, w.hasStep, w.stepQueue = 0, false, w.queue
 	if len(b.queues[w.queue]) == 0 {
 		return
--- a/pkg/placing/fair_test.go
+++ b/pkg/placing/fair_test.go
@@ -195,3 +195,23 @@
 		t.Error("a request that has waited longest is overtaken by later ones of another organisation")
 	}
 }
+
+// Guards against an organisation that is placed later in a queue because its requests were moved from there to another owner.
+func TestMovedRequestsReturnTheirSteps(t *testing.T) {
+	h := fairHarness(t, true)
+	for _, organisation := range []string{"", "org0", "org1"} {
+		for range 10 {
+			key := 0
+			if organisation == "org0" {
+				key = 1
+			}
+			h.place(PlacementRequest{Pool: "keyed", Key: key, Organisation: organisation, Objective: time.Hour, TimeLeft: time.Hour})
+		}
+	}
+	ownerOf := func(_ string, key int) Owner { return Owner{Target: []string{"k0", "k1"}[key]} }
+	h.b.Update(inventory.NewSnapshot(h.cfg, h.target, map[string]bool{}), ownerOf, h.now)
+	c := h.b.fair[queueID{pool: "keyed", owner: "k0"}][0]
+	if c.next["org1"] != 10 || c.next["org0"] != 0 {
+		t.Errorf("the next steps are %v, want 10 for org1 with 10 waiting requests and 0 for org0 with none", c.next)
+	}
+}
