--- a/pkg/placing/queue.go
+++ b/pkg/placing/queue.go
@@ -50,8 +50,7 @@
 }
 
 // before orders waiting requests: by priority, then those that can still meet their objective, then by the steps of organisations, then by
-// deadline. Under overload,
-// serving late requests first would make all others late in turn.
+// deadline. Under overload, serving late requests first would make all others late in turn.
 func (w *waiter) before(other *waiter) bool {
 	if w.Priority != other.Priority {
 		return w.Priority < other.Priority
