--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -109,6 +109,10 @@
 
 // prepareRetry excludes the last target from the next attempt or, in a keyed pool, waits for a newer view.
 func (c *call) prepareRetry(ctx context.Context, target *inventory.Target, r result) {
+	if errors.Is(r.cause, errTokenExpired) {
+		// The connection to the target has been established meanwhile.
+		return
+	}
 	if !c.pool.Keyed {
 		c.avoidTarget(target)
 		return
@@ -159,7 +163,11 @@
 			continue
 		}
 		// One of the two VMs has outdated information about the target.
-		c.releasePlacement(0, placing.Abandoned, nil)
+		if c.sendBy != 0 {
+			c.withdrawPlacement()
+		} else {
+			c.releasePlacement(0, placing.Abandoned, nil)
+		}
 		c.awaitViewChange(ctx, c.State.Current(), maxViewWait)
 		if ctx.Err() != nil {
 			return nil, c.placementError(placing.Choice{Reason: placing.ReasonNoTarget})
@@ -377,6 +385,10 @@
 		ending = placing.Refused
 	case r.outcome == expired || errors.Is(r.cause, context.Canceled) || errors.Is(r.cause, context.DeadlineExceeded):
 		ending = placing.Abandoned
+	case errors.Is(r.cause, errTokenExpired):
+		// This says nothing about the target.
+		ending = placing.Abandoned
+		elapsed = 0
 	case errors.Is(r.cause, errUnsigned) || errors.Is(r.cause, errWrongRequestID) || errors.Is(r.cause, errContentEncoding) ||
 		errors.Is(r.cause, targetconn.ErrInvalidStatus):
 		// A malformed response doesn't mean that the target is down.
@@ -386,6 +398,8 @@
 	if s.placement == nil {
 		c.Suspects.End(s.run, ending.QuarantineOutcome(), c.Clock.Now())
 		c.Balancer.Done(t.ID, elapsed, ending, report, c.Clock.Now())
+	} else if errors.Is(r.cause, errTokenExpired) {
+		s.placement.Withdraw()
 	} else {
 		c.Balancer.RecordResult(t.ID, elapsed, ending, report, c.Clock.Now())
 		s.placement.Done(elapsed, ending, report)
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
@@ -16,6 +17,10 @@
 	quotaRounding      = time.Millisecond
 )
 
+// maxLateDecisions is the number of placements of one attempt that may come too late for their tokens. The broker is slow then: asking it
+// more often makes it slower and uses up the quota.
+const maxLateDecisions = 3
+
 func quotaRetryAfter(wait time.Duration) time.Duration {
 	return max(wait+quotaRounding, minQuotaRetryAfter)
 }
@@ -23,14 +28,14 @@
 // placeInTime returns the target of the next attempt. A token of the quota counts for the time at which it was taken, so that a request
 // that was held up since then, for example because the VM was suspended, needs another one.
 func (c *call) placeInTime(ctx context.Context, retry bool) (*inventory.Target, error) {
-	for {
+	for late := 1; ; late++ {
 		c.sendBy = 0
 		target, err := c.place(ctx, retry)
 		if err != nil || !c.tokenExpired() {
 			return target, err
 		}
 		c.withdraw(target)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || late == maxLateDecisions {
 			return nil, c.placementError(placing.Choice{Reason: placing.ReasonOverload})
 		}
 	}
@@ -41,16 +46,30 @@
 	return c.sendBy != 0 && c.Clock.Now() > c.sendBy
 }
 
+// beforeInstant returns a function that reports whether an attempt may still be sent whose token is valid until sendBy, nil if it has none.
+func (c *call) beforeInstant(sendBy clock.Instant) func() bool {
+	if sendBy == 0 {
+		return nil
+	}
+	return func() bool { return c.Clock.Now() <= sendBy }
+}
+
 // withdraw gives back the place of an attempt that isn't made.
 func (c *call) withdraw(target *inventory.Target) {
 	if c.placement != nil {
-		c.releasePlacement(0, placing.Abandoned, nil)
+		c.withdrawPlacement()
 		return
 	}
 	c.Suspects.End(c.run, placing.Abandoned.QuarantineOutcome(), c.Clock.Now())
 	c.Balancer.Done(target.ID, 0, placing.Abandoned, nil, c.Clock.Now())
 }
 
+// withdrawPlacement gives back the place that the broker has reserved, and the tokens of the quota.
+func (c *call) withdrawPlacement() {
+	c.placement.Withdraw()
+	c.placement = nil
+}
+
 // quota returns the quota of the request's organisation, and whether this VM counts the request under it.
 func (c *call) quota() (sharedrate.Limit, bool) {
 	if c.organisation == nil || c.Quota == nil {
--- a/pkg/placing/fair_test.go
+++ b/pkg/placing/fair_test.go
@@ -155,3 +155,63 @@
 		t.Errorf("%d queues have steps and no requests", len(h.b.fair))
 	}
 }
+
+// Guards against a request that keeps its step after the steps of its queue have begun again. All later requests of all organisations would
+// be placed before it.
+func TestStepOfTheLastRequestBeginsAgain(t *testing.T) {
+	h := fairHarness(t, true)
+	var running []uint64
+	place := func(organisation string) (decided func() bool) {
+		h.seq++
+		seq, placed := h.seq, false
+		h.b.Place(PlacementRequest{VM: "vm", Seq: seq, Pool: "plain", Organisation: organisation, TimeLeft: time.Minute, Objective: time.Minute}, func(v Decision) {
+			if v.Target != "" {
+				running, placed = append(running, seq), true
+			}
+		}, h.now)
+		return func() bool { return placed }
+	}
+	end := func() {
+		h.now = h.now.Add(time.Millisecond)
+		h.b.Done("vm", running[0], 100*time.Millisecond, Answered, nil, h.now)
+		running = running[1:]
+	}
+	var last func() bool
+	for last == nil || last() {
+		last = place("org0")
+	}
+	for range 50 {
+		last = place("org0")
+	}
+	for len(h.b.waiting) > 1 {
+		end()
+	}
+	h.update()
+	for range 5 {
+		place("org1")
+	}
+	end()
+	if !last() {
+		t.Error("a request that has waited longest is overtaken by later ones of another organisation")
+	}
+}
+
+// Guards against an organisation that is placed later in a queue because its requests were moved from there to another owner.
+func TestMovedRequestsReturnTheirSteps(t *testing.T) {
+	h := fairHarness(t, true)
+	for _, organisation := range []string{"", "org0", "org1"} {
+		for range 10 {
+			key := 0
+			if organisation == "org0" {
+				key = 1
+			}
+			h.place(PlacementRequest{Pool: "keyed", Key: key, Organisation: organisation, Objective: time.Hour, TimeLeft: time.Hour})
+		}
+	}
+	ownerOf := func(_ string, key int) Owner { return Owner{Target: []string{"k0", "k1"}[key]} }
+	h.b.Update(inventory.NewSnapshot(h.cfg, h.target, map[string]bool{}), ownerOf, h.now)
+	c := h.b.fair[queueID{pool: "keyed", owner: "k0"}][0]
+	if c.next["org1"] != 10 || c.next["org0"] != 0 {
+		t.Errorf("the next steps are %v, want 10 for org1 with 10 waiting requests and 0 for org0 with none", c.next)
+	}
+}
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -46,7 +46,7 @@
 	if !b.budget.TakeRetry(w.Pool, now) {
 		return ReasonRetryBudget
 	}
-	if _, ok := b.sendQuota(w, now); !ok {
+	if !b.sendQuota(w, now) {
 		b.budget.ReturnRetry(w.Pool, now)
 		return ReasonQuota
 	}
