--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -136,13 +136,6 @@
 	return b.quotas.Send(w.Organisation, l, w.Retry, now)
 }
 
-// returnSentQuota takes back what sendQuota has counted, because the request isn't sent.
-func (b *Broker) returnSentQuota(w *waiter, now clock.Instant) {
-	if l, limited := b.countedQuota(w.Organisation); limited {
-		b.quotas.ReturnSent(w.Organisation, l, now)
-	}
-}
-
 // deferForQuota handles a request that has a free target and that the quota doesn't permit to send yet. It refuses the request if that
 // would wait too long behind those of its organisation that wait for the same reason, and reports whether it did.
 func (b *Broker) deferForQuota(w *waiter, now clock.Instant) bool {
