Read nothing for requests from a closed connection

An idle connection on which a response was written within the last 2 s is closed by closing its sending direction and reading on. net/http still waited in a read at that time, so that the caller's next request was handled and sent to a target, although no response to it could be sent any more. This happened when a process stopped and when an idle connection was closed. Reads that end after the connection was closed now return an error, and net/http can no longer clear the deadline of the reading on.

--- a/pkg/ingress/pipeline_conn.go
+++ b/pkg/ingress/pipeline_conn.go
@@ -172,6 +172,10 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.readErr != nil {
+		// The connection was closed during the read. No response could be sent to what arrives from then on.
+		return 0, c.readErr
+	}
 	if n == 0 {
 		return 0, c.noteReadError(err)
 	}
@@ -193,6 +197,9 @@
 	n, err := c.Conn.Read(buffer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.readErr != nil {
+		return c.readErr
+	}
 	c.pending = append(c.pending, buffer[:n]...)
 	if n > 0 {
 		return nil
@@ -388,6 +395,17 @@
 	return true
 }
 
+// SetReadDeadline implements net.Conn. Once the connection is closed, only linger sets the deadline, since net/http may still be about to
+// clear it.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(c.readErr, net.ErrClosed) {
+		return c.readErr
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // SetWriteDeadline implements net.Conn. The time for a part of a response stays bounded.
 func (c *callerConn) SetWriteDeadline(t time.Time) error {
 	c.writeMu.Lock()
@@ -492,6 +510,7 @@
 	if c.readErr == nil {
 		_ = c.noteReadError(net.ErrClosed)
 	}
+	c.readErr = net.ErrClosed
 	c.closing = true
 }
 
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -511,3 +511,21 @@
 		p.expect(path, false)
 	}
 }
+
+// TestNothingIsReadAfterClose guards against a request that arrives after its idle connection was closed and that runs although no response
+// to it can be sent any more.
+func TestNothingIsReadAfterClose(t *testing.T) {
+	target, _ := newGatedTarget(t)
+	s := newTestServer(t, target)
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/order/2")
+	p.expect("/order/2", false)
+	conn := <-s.conns
+	// net/http waits for the next request when the connection is closed, as http.Server.Shutdown and the search for idle connections do.
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.Close()
+	p.get("/order/3")
+	staysAt(t, target, 1)
+	_ = p.Close()
+	s.handler.AwaitCallers(t.Context())
+}
