Send no hedge whose token of the quota is too old

A token of an organisation's quota is valid for a limited time on the VM's clock, which every other attempt checks before it is sent. Hedges didn't: after a VM had been suspended between the broker's decision and the hedge, the hedge was counted in another window than the one in which it was sent. Its place is now given back.

TestHedgeNeedsValidToken fails before the change (the hedge is sent) and passes after it.

--- a/pkg/ingress/hedge.go
+++ b/pkg/ingress/hedge.go
@@ -132,6 +132,10 @@
 		placement.Done(0, placing.Abandoned, nil)
 		return nil, placing.HedgeAnswered
 	}
+	if c.pastSendBy(decision.SendBy) {
+		placement.Done(0, placing.Abandoned, nil)
+		return nil, placing.HedgeUndecided
+	}
 	return &targetAttempt{target: t, request: request, placement: placement}, placing.HedgeSent
 }
 
--- a/pkg/ingress/hedge_test.go
+++ b/pkg/ingress/hedge_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 )
@@ -27,9 +28,11 @@
 	begun, reset, released [2]chan struct{}
 	scope                  tally.TestScope
 	refuse                 placing.Reason
-	mu                     sync.Mutex
-	asked                  []placing.PlacementRequest
-	ended                  map[string]placing.Result
+	// sendBy is until when hedges may be sent, 0 if there is no such time.
+	sendBy clock.Instant
+	mu     sync.Mutex
+	asked  []placing.PlacementRequest
+	ended  map[string]placing.Result
 }
 
 // hedgeTestDelay is the 95th percentile of the latencies that the hedger of a hedgeTest knows.
@@ -68,7 +71,7 @@
 	if h.refuse != "" {
 		return nil, placing.Decision{Reason: h.refuse}, true
 	}
-	return hedgeTestPlacement{h, 1}, placing.Decision{Target: "t1"}, true
+	return hedgeTestPlacement{h, 1}, placing.Decision{Target: "t1", SendBy: h.sendBy}, true
 }
 
 type hedgeTestPlacement struct {
@@ -220,6 +223,24 @@
 	}
 }
 
+// TestHedgeNeedsValidToken guards against a hedge that is sent although its token of the organisation's quota is too old, for example
+// because the VM was suspended.
+func TestHedgeNeedsValidToken(t *testing.T) {
+	h := newHedgeTest(t, func(h *hedgeTest, r *http.Request, c net.Conn) {
+		await(h.t, h.released[1], "place of the hedge is not given back")
+		respondOK(r, c)
+	}, answer)
+	// A hedge that is given back was never sent, so no connection is reset.
+	close(h.reset[1])
+	h.sendBy = 1
+	if r := h.send(t, "GET", "/read/a", ""); r.status != http.StatusOK {
+		t.Errorf("status %d", r.status)
+	}
+	if h.targets[1].count() != 0 || h.ended["t1"] != placing.Abandoned {
+		t.Errorf("hedge was sent %d times, its placement ended %v", h.targets[1].count(), h.ended["t1"])
+	}
+}
+
 // TestCallerDisconnectEndsBothAttempts guards against an attempt that goes on for a caller that has left.
 func TestCallerDisconnectEndsBothAttempts(t *testing.T) {
 	h := newHedgeTest(t, hang(0), hang(1))
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
@@ -38,7 +39,12 @@
 
 // tokenExpired reports whether the token of the current attempt is too old.
 func (c *call) tokenExpired() bool {
-	return c.sendBy != 0 && c.Clock.Now() > c.sendBy
+	return c.pastSendBy(c.sendBy)
+}
+
+// pastSendBy reports whether the time is over until which an attempt with a token may be sent.
+func (c *call) pastSendBy(sendBy clock.Instant) bool {
+	return sendBy != 0 && c.Clock.Now() > sendBy
 }
 
 // withdraw gives back the place of an attempt that isn't made.
