Count no hedge under the quota that the retry budget refuses

The broker counted a hedge as sent under its organisation's quota before it asked the retry budget, and nothing took that count back if the budget was used up. Further requests of the organisation were then refused below its quota. The broker now asks whether the budget has room first, and takes from it only after the quota permits the hedge.

--- a/pkg/placing/budget.go
+++ b/pkg/placing/budget.go
@@ -97,6 +97,13 @@
 	t.tokens = min(b.capacity, t.tokens+b.perRequest)
 }
 
+// permitsRetry reports whether TakeRetry would take a token.
+func (b *RetryBudget) permitsRetry(pool string, now clock.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket(pool, now).tokens >= 1
+}
+
 // TakeRetry takes a token for a retry. It returns false if there is none left.
 func (b *RetryBudget) TakeRetry(pool string, now clock.Instant) bool {
 	b.mu.Lock()
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -42,12 +42,14 @@
 
 // admitHedge takes what a hedge needs of the organisation's quota and of the retry budget. It returns the reason for a refusal, or "".
 func (b *Broker) admitHedge(w *waiter, now clock.Instant) Reason {
+	// Neither gives back what it has counted, so the budget is taken only after both permit the hedge.
+	if !b.budget.permitsRetry(w.Pool, now) {
+		return ReasonRetryBudget
+	}
 	if _, ok := b.sendQuota(w, now); !ok {
 		return ReasonQuota
 	}
-	if !b.budget.TakeRetry(w.Pool, now) {
-		return ReasonRetryBudget
-	}
+	b.budget.TakeRetry(w.Pool, now)
 	return ""
 }
 
--- a/pkg/placing/hedge_test.go
+++ b/pkg/placing/hedge_test.go
@@ -448,3 +448,22 @@
 		h.Observe("r", 123*time.Millisecond, true, now)
 	}
 }
+
+// TestRefusedHedgeTakesNoTokens guards against hedges that are refused because the retry budget is used up and nevertheless count as sent
+// under the organisation's quota, so that requests below the quota have to wait.
+func TestRefusedHedgeTakesNoTokens(t *testing.T) {
+	h := quotaHarness(t, 50, 2, 1, 20)
+	_, first := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"})
+	for h.b.budget.TakeRetry("plain", h.now) {
+	}
+	for range 10 {
+		if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}.AsHedge(first.Target)); v == nil || v.Reason != ReasonRetryBudget {
+			t.Fatalf("hedge without retry budget: %+v", v)
+		}
+	}
+	for i := range 19 {
+		if _, v := h.place(PlacementRequest{Pool: "plain", Organisation: "limited"}); v == nil || v.Target == "" {
+			t.Fatalf("request %d below the quota got %v", i+2, v)
+		}
+	}
+}
