Recognise at most 8 of the requests that are read ahead

All requests in the up to 64 KB that are read ahead on a connection were parsed and held, although at most 8 are begun. A connection with small heads held 1400 parsed requests for 58,800 bytes, which isn't counted towards any limit.

TestRecognisedRequestsAreBounded: 1400 requests held before the change, 8 after it.

--- a/pkg/ingress/pipeline_conn.go
+++ b/pkg/ingress/pipeline_conn.go
@@ -286,9 +286,9 @@
 	return n
 }
 
-// recogniseAhead recognises the requests in the bytes that were read ahead. It stops at the first that isn't a safe request.
+// recogniseAhead recognises at most maxAhead requests in the bytes that were read ahead. It stops at the first that isn't a safe request.
 func (c *callerConn) recogniseAhead() {
-	for !c.plain && c.scanned < len(c.pending) {
+	for !c.plain && len(c.queue) < maxAhead && c.scanned < len(c.pending) {
 		rest := c.pending[c.scanned:]
 		head, state := recogniseHead(rest)
 		if state == headIncomplete || state == headComplete && !head.safe {
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -529,3 +529,35 @@
 	_ = p.Close()
 	s.handler.AwaitCallers(t.Context())
 }
+
+// TestRecognisedRequestsAreBounded guards against a caller whose requests, small as they are, are all parsed and held at once.
+func TestRecognisedRequestsAreBounded(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/read/1")
+	awaitCount(t, target, 1)
+	const count, request = 1400, "GET /read/2 HTTP/1.1\r\nHost: h\r\nT-Id: 2\r\n\r\n"
+	if _, err := io.WriteString(p, strings.Repeat(request, count)); err != nil {
+		t.Fatal(err)
+	}
+	conn := <-s.conns
+	held := func() (size, requests int) {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.pending), len(conn.queue)
+	}
+	size, requests := held()
+	for deadline := time.Now().Add(5 * time.Second); size < count*len(request) && time.Now().Before(deadline); size, requests = held() {
+		time.Sleep(time.Millisecond)
+	}
+	if size != count*len(request) || requests > maxAhead {
+		t.Errorf("%d bytes and %d requests are held, want %d and at most %d", size, requests, count*len(request), maxAhead)
+	}
+	close(gate)
+	p.expect("/read/1", false)
+	for range count {
+		p.methods = append(p.methods, "GET")
+		p.expect("/read/2", false)
+	}
+}
