Bound the requests that are handled ahead by the memory for responses

Whether the memory for responses has room was decided by what is buffered when a request is begun. With slow targets, every connection began 8 requests while nothing was buffered, and each response may then take 32 KB although the limit is reached: 512 MB for 2,000 connections, on VMs with 136 to 536 MB. Each request that is handled ahead now counts with these 32 KB.

TestRequestsAheadAreBoundedByMemory: with room for 4, 9 of 9 requests were begun ahead before the change, 4 after it.

--- a/pkg/ingress/pipeline.go
+++ b/pkg/ingress/pipeline.go
@@ -36,7 +36,7 @@
 
 // beginAhead begins to handle a request that was read ahead. It returns nil if the request may not be handled ahead.
 func (h *Handler) beginAhead(ctx context.Context, conn *callerConn, r *aheadRequest) *aheadCall {
-	if h.stopping.Load() || h.sender.memory.held.Load() >= h.sender.memory.limit || !h.isIdempotent(r.request) {
+	if h.stopping.Load() || !h.hasMemoryForAhead() || !h.isIdempotent(r.request) {
 		h.Metrics.recordAhead(false)
 		return nil
 	}
@@ -48,6 +48,12 @@
 	return a
 }
 
+// hasMemoryForAhead reports whether the memory for responses has room for another request that is handled ahead. Each of them counts with
+// bufferStep besides what is buffered, since its response may take that much even once the limit is reached.
+func (h *Handler) hasMemoryForAhead() bool {
+	return h.sender.memory.held.Load()+h.aheadCalls.Load()*bufferStep < h.sender.memory.limit
+}
+
 // isIdempotent reports whether the route of a request is known and idempotent.
 func (h *Handler) isIdempotent(r *http.Request) bool {
 	view := h.State.Current()
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -561,3 +561,29 @@
 		p.expect("/read/2", false)
 	}
 }
+
+// TestRequestsAheadAreBoundedByMemory guards against requests that are all begun while no response has arrived, and whose responses then
+// take more memory than permitted: each may take bufferStep once the limit is reached.
+func TestRequestsAheadAreBoundedByMemory(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	s.handler.sender.memory.limit = 4 * bufferStep
+	var callers []*pipelinedCaller
+	for range 3 {
+		p := dialPipelined(t, s.Listener.Addr().String())
+		p.get("/read/1")
+		callers = append(callers, p)
+	}
+	awaitCount(t, target, len(callers))
+	for _, p := range callers {
+		p.get("/read/2", "/read/3", "/read/4")
+	}
+	awaitCount(t, target, len(callers)+4)
+	staysAt(t, target, len(callers)+4)
+	close(gate)
+	for _, p := range callers {
+		for i := range 4 {
+			p.expect("/read/"+strconv.Itoa(i+1), false)
+		}
+	}
+}
