Reserve the memory of a request handled ahead before it is begun

Two connections that asked at the same time whether the memory for responses has room could both begin a request in the last room. The request is now counted first.

--- a/pkg/ingress/pipeline.go
+++ b/pkg/ingress/pipeline.go
@@ -36,22 +36,26 @@
 
 // beginAhead begins to handle a request that was read ahead. It returns nil if the request may not be handled ahead.
 func (h *Handler) beginAhead(ctx context.Context, conn *callerConn, r *aheadRequest) *aheadCall {
-	if h.stopping.Load() || !h.hasMemoryForAhead() || !h.isIdempotent(r.request) {
+	if h.stopping.Load() || !h.isIdempotent(r.request) || !h.reserveAhead() {
 		h.Metrics.recordAhead(false)
 		return nil
 	}
 	h.Metrics.recordAhead(true)
 	a := &aheadCall{conn: conn, header: http.Header{}, turn: make(chan struct{}), done: make(chan struct{})}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	h.aheadCalls.Add(1)
 	go a.run(h, r)
 	return a
 }
 
-// hasMemoryForAhead reports whether the memory for responses has room for another request that is handled ahead. Each of them counts with
+// reserveAhead counts another request that is handled ahead, unless the memory for responses has no room for it. Each of them counts with
 // bufferStep besides what is buffered, since its response may take that much even once the limit is reached.
-func (h *Handler) hasMemoryForAhead() bool {
-	return h.sender.memory.held.Load()+h.aheadCalls.Load()*bufferStep < h.sender.memory.limit
+func (h *Handler) reserveAhead() bool {
+	before := h.aheadCalls.Add(1) - 1
+	if h.sender.memory.held.Load()+before*bufferStep < h.sender.memory.limit {
+		return true
+	}
+	h.aheadCalls.Add(-1)
+	return false
 }
 
 // isIdempotent reports whether the route of a request is known and idempotent.
