Count what is read ahead towards the memory for responses

Each connection could hold 64 KB that were read ahead and counted nowhere: 128 MB for 2,000 connections, as much as a small VM has. These bytes now count towards MaxBufferedResponseBytes. While that is used up, at most 8 KB are read ahead on a connection, and the rest stays with the kernel.

TestReadAheadCountsAsMemory: 0 bytes counted before the change; the limit holds, and nothing stays counted after it.

--- a/pkg/ingress/pipeline_conn.go
+++ b/pkg/ingress/pipeline_conn.go
@@ -164,7 +164,32 @@
 // withholds reports whether the bytes that follow are withheld from net/http.
 func (c *callerConn) withholds() bool {
 	recognised := !c.plain || c.current != nil || len(c.queue) > 0
-	return c.handling && c.bodyLeft == 0 && recognised && len(c.pending) < maxAheadBytes
+	return c.handling && c.bodyLeft == 0 && recognised && len(c.pending) < c.maxPending()
+}
+
+// maxPending returns the number of bytes above which nothing more is read ahead. They count towards the memory for responses. Once that is
+// used up, little is read, so that disconnects are still noticed.
+func (c *callerConn) maxPending() int {
+	if memory := &c.handler.sender.memory; memory.held.Load() >= memory.limit {
+		return aheadReadBytes
+	}
+	return maxAheadBytes
+}
+
+// keep appends bytes that were read from the network to pending.
+func (c *callerConn) keep(data []byte) {
+	if len(data) > 0 {
+		c.pending = append(c.pending, data...)
+		c.handler.sender.memory.held.Add(int64(len(data)))
+	}
+}
+
+// drop removes the first n bytes of pending.
+func (c *callerConn) drop(n int) {
+	c.handler.sender.memory.held.Add(-int64(n))
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
+	}
 }
 
 // readDirectly reads into the buffer of net/http and keeps what belongs to later requests.
@@ -180,7 +205,7 @@
 		return 0, c.noteReadError(err)
 	}
 	passed := c.accept(p[:n])
-	c.pending = append(c.pending, p[passed:n]...)
+	c.keep(p[passed:n])
 	return passed, nil
 }
 
@@ -200,7 +225,7 @@
 	if c.readErr != nil {
 		return c.readErr
 	}
-	c.pending = append(c.pending, buffer[:n]...)
+	c.keep(buffer[:n])
 	if n > 0 {
 		return nil
 	}
@@ -213,7 +238,8 @@
 		return err
 	}
 	c.readErr = err
-	c.pending, c.queue, c.scanned = nil, nil, 0
+	c.drop(len(c.pending))
+	c.queue, c.scanned = nil, 0
 	if c.cancelAhead != nil {
 		c.cancelAhead(errCallerGone)
 	}
@@ -279,10 +305,7 @@
 		n = c.accept(available)
 	}
 	copy(p, available[:n])
-	c.pending = c.pending[n:]
-	if len(c.pending) == 0 {
-		c.pending = nil
-	}
+	c.drop(n)
 	return n
 }
 
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -587,3 +587,45 @@
 		}
 	}
 }
+
+// TestReadAheadCountsAsMemory guards against connections that hold 64 KB each although the memory for responses is used up, and against bytes
+// that stay counted.
+func TestReadAheadCountsAsMemory(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	memory := &s.handler.sender.memory
+	memory.limit = 20 << 10
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/read/1")
+	awaitCount(t, target, 1)
+	const count = 150
+	for i := range count {
+		p.get("/order/" + strings.Repeat("x", 400) + strconv.Itoa(i+2) + ".")
+	}
+	for deadline := time.Now().Add(5 * time.Second); memory.held.Load() < memory.limit && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if held := memory.held.Load(); held < memory.limit || held > memory.limit+2*bufferStep {
+		t.Errorf("%d bytes are counted, want %d and at most one response more", held, memory.limit)
+	}
+	conn := <-s.conns
+	conn.mu.Lock()
+	if n := len(conn.pending); n > int(memory.limit)+aheadReadBytes {
+		t.Errorf("%d bytes are held, want %d and at most one read more", n, memory.limit)
+	}
+	conn.mu.Unlock()
+	close(gate)
+	p.expect("/read/1", false)
+	for i := range count {
+		p.expect("/order/"+strings.Repeat("x", 400)+strconv.Itoa(i+2)+".", false)
+	}
+	p.get("/read/1", "/order/2")
+	p.expect("/read/1", false)
+	_ = p.Close()
+	for deadline := time.Now().Add(5 * time.Second); memory.held.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are counted after the end of the connection", memory.held.Load())
+		}
+	}
+}
