--- a/pkg/ingress/pipeline_conn.go
+++ b/pkg/ingress/pipeline_conn.go
@@ -164,7 +164,32 @@
 // withholds reports whether the bytes that follow are withheld from net/http.
 func (c *callerConn) withholds() bool {
 	recognised := !c.plain || c.current != nil || len(c.queue) > 0
-	return c.handling && c.bodyLeft == 0 && recognised && len(c.pending) < maxAheadBytes
+	return c.handling && c.bodyLeft == 0 && recognised && len(c.pending) < c.maxPending()
+}
+
+// maxPending returns the number of bytes above which nothing more is read ahead. They count towards the memory for responses. Once that is
+// used up, little is read, so that disconnects are still noticed.
+func (c *callerConn) maxPending() int {
+	if memory := &c.handler.sender.memory; memory.held.Load() >= memory.limit {
+		return aheadReadBytes
+	}
+	return maxAheadBytes
+}
+
+// keep appends bytes that were read from the network to pending.
+func (c *callerConn) keep(data []byte) {
+	if len(data) > 0 {
+		c.pending = append(c.pending, data...)
+		c.handler.sender.memory.held.Add(int64(len(data)))
+	}
+}
+
+// drop removes the first n bytes of pending.
+func (c *callerConn) drop(n int) {
+	c.handler.sender.memory.held.Add(-int64(n))
+	if c.pending = c.pending[n:]; len(c.pending) == 0 {
+		c.pending = nil
+	}
 }
 
 // readDirectly reads into the buffer of net/http and keeps what belongs to later requests.
@@ -172,11 +197,15 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.readErr != nil {
+		// The connection was closed during the read. No response could be sent to what arrives from then on.
+		return 0, c.readErr
+	}
 	if n == 0 {
 		return 0, c.noteReadError(err)
 	}
 	passed := c.accept(p[:n])
-	c.pending = append(c.pending, p[passed:n]...)
+	c.keep(p[passed:n])
 	return passed, nil
 }
 
@@ -193,7 +222,10 @@
 	n, err := c.Conn.Read(buffer)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pending = append(c.pending, buffer[:n]...)
+	if c.readErr != nil {
+		return c.readErr
+	}
+	c.keep(buffer[:n])
 	if n > 0 {
 		return nil
 	}
@@ -206,7 +238,8 @@
 		return err
 	}
 	c.readErr = err
-	c.pending, c.queue, c.scanned = nil, nil, 0
+	c.drop(len(c.pending))
+	c.queue, c.scanned = nil, 0
 	if c.cancelAhead != nil {
 		c.cancelAhead(errCallerGone)
 	}
@@ -272,16 +305,13 @@
 		n = c.accept(available)
 	}
 	copy(p, available[:n])
-	c.pending = c.pending[n:]
-	if len(c.pending) == 0 {
-		c.pending = nil
-	}
+	c.drop(n)
 	return n
 }
 
-// recogniseAhead recognises the requests in the bytes that were read ahead. It stops at the first that isn't a safe request.
+// recogniseAhead recognises at most maxAhead requests in the bytes that were read ahead. It stops at the first that isn't a safe request.
 func (c *callerConn) recogniseAhead() {
-	for !c.plain && c.scanned < len(c.pending) {
+	for !c.plain && len(c.queue) < maxAhead && c.scanned < len(c.pending) {
 		rest := c.pending[c.scanned:]
 		head, state := recogniseHead(rest)
 		if state == headIncomplete || state == headComplete && !head.safe {
@@ -388,6 +418,17 @@
 	return true
 }
 
+// SetReadDeadline implements net.Conn. Once the connection is closed, only linger sets the deadline, since net/http may still be about to
+// clear it.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(c.readErr, net.ErrClosed) {
+		return c.readErr
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // SetWriteDeadline implements net.Conn. The time for a part of a response stays bounded.
 func (c *callerConn) SetWriteDeadline(t time.Time) error {
 	c.writeMu.Lock()
@@ -492,6 +533,7 @@
 	if c.readErr == nil {
 		_ = c.noteReadError(net.ErrClosed)
 	}
+	c.readErr = net.ErrClosed
 	c.closing = true
 }
 
--- a/pkg/ingress/pipeline_test.go
+++ b/pkg/ingress/pipeline_test.go
@@ -511,3 +511,121 @@
 		p.expect(path, false)
 	}
 }
+
+// TestNothingIsReadAfterClose guards against a request that arrives after its idle connection was closed and that runs although no response
+// to it can be sent any more.
+func TestNothingIsReadAfterClose(t *testing.T) {
+	target, _ := newGatedTarget(t)
+	s := newTestServer(t, target)
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/order/2")
+	p.expect("/order/2", false)
+	conn := <-s.conns
+	// net/http waits for the next request when the connection is closed, as http.Server.Shutdown and the search for idle connections do.
+	time.Sleep(20 * time.Millisecond)
+	_ = conn.Close()
+	p.get("/order/3")
+	staysAt(t, target, 1)
+	_ = p.Close()
+	s.handler.AwaitCallers(t.Context())
+}
+
+// TestRecognisedRequestsAreBounded guards against a caller whose requests, small as they are, are all parsed and held at once.
+func TestRecognisedRequestsAreBounded(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/read/1")
+	awaitCount(t, target, 1)
+	const count, request = 1400, "GET /read/2 HTTP/1.1\r\nHost: h\r\nT-Id: 2\r\n\r\n"
+	if _, err := io.WriteString(p, strings.Repeat(request, count)); err != nil {
+		t.Fatal(err)
+	}
+	conn := <-s.conns
+	held := func() (size, requests int) {
+		conn.mu.Lock()
+		defer conn.mu.Unlock()
+		return len(conn.pending), len(conn.queue)
+	}
+	size, requests := held()
+	for deadline := time.Now().Add(5 * time.Second); size < count*len(request) && time.Now().Before(deadline); size, requests = held() {
+		time.Sleep(time.Millisecond)
+	}
+	if size != count*len(request) || requests > maxAhead {
+		t.Errorf("%d bytes and %d requests are held, want %d and at most %d", size, requests, count*len(request), maxAhead)
+	}
+	close(gate)
+	p.expect("/read/1", false)
+	for range count {
+		p.methods = append(p.methods, "GET")
+		p.expect("/read/2", false)
+	}
+}
+
+// TestRequestsAheadAreBoundedByMemory guards against requests that are all begun while no response has arrived, and whose responses then
+// take more memory than permitted: each may take bufferStep once the limit is reached.
+func TestRequestsAheadAreBoundedByMemory(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	s.handler.sender.memory.limit = 4 * bufferStep
+	var callers []*pipelinedCaller
+	for range 3 {
+		p := dialPipelined(t, s.Listener.Addr().String())
+		p.get("/read/1")
+		callers = append(callers, p)
+	}
+	awaitCount(t, target, len(callers))
+	for _, p := range callers {
+		p.get("/read/2", "/read/3", "/read/4")
+	}
+	awaitCount(t, target, len(callers)+4)
+	staysAt(t, target, len(callers)+4)
+	close(gate)
+	for _, p := range callers {
+		for i := range 4 {
+			p.expect("/read/"+strconv.Itoa(i+1), false)
+		}
+	}
+}
+
+// TestReadAheadCountsAsMemory guards against connections that hold 64 KB each although the memory for responses is used up, and against bytes
+// that stay counted.
+func TestReadAheadCountsAsMemory(t *testing.T) {
+	target, gate := newGatedTarget(t)
+	s := newTestServer(t, target)
+	memory := &s.handler.sender.memory
+	memory.limit = 20 << 10
+	p := dialPipelined(t, s.Listener.Addr().String())
+	p.get("/read/1")
+	awaitCount(t, target, 1)
+	const count = 150
+	for i := range count {
+		p.get("/order/" + strings.Repeat("x", 400) + strconv.Itoa(i+2) + ".")
+	}
+	for deadline := time.Now().Add(5 * time.Second); memory.held.Load() < memory.limit && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if held := memory.held.Load(); held < memory.limit || held > memory.limit+2*bufferStep {
+		t.Errorf("%d bytes are counted, want %d and at most one response more", held, memory.limit)
+	}
+	conn := <-s.conns
+	conn.mu.Lock()
+	if n := len(conn.pending); n > int(memory.limit)+aheadReadBytes {
+		t.Errorf("%d bytes are held, want %d and at most one read more", n, memory.limit)
+	}
+	conn.mu.Unlock()
+	close(gate)
+	p.expect("/read/1", false)
+	for i := range count {
+		p.expect("/order/"+strings.Repeat("x", 400)+strconv.Itoa(i+2)+".", false)
+	}
+	p.get("/read/1", "/order/2")
+	p.expect("/read/1", false)
+	_ = p.Close()
+	for deadline := time.Now().Add(5 * time.Second); memory.held.Load() != 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are counted after the end of the connection", memory.held.Load())
+		}
+	}
+}
--- a/pkg/ingress/quota.go
+++ b/pkg/ingress/quota.go
@@ -43,7 +43,12 @@
 
 // tokenExpired reports whether the token of the current attempt is too old.
 func (c *call) tokenExpired() bool {
-	return c.sendBy != 0 && c.Clock.Now() > c.sendBy
+	return c.pastSendBy(c.sendBy)
+}
+
+// pastSendBy reports whether the time is over until which an attempt with a token may be sent.
+func (c *call) pastSendBy(sendBy clock.Instant) bool {
+	return sendBy != 0 && c.Clock.Now() > sendBy
 }
 
 // beforeInstant returns a function that reports whether an attempt may still be sent whose token is valid until sendBy, nil if it has none.
