Ask for a refused hedge again while the first attempt is in flight

A hedge was asked for once, at the 95th percentile. Traced beside load: the broker refused it because one slot of the region was free at that moment, as many as are kept in reserve, and the request waited for its silent target until the deadline. With two callers held like that, no other request reached the target.

Change: a hedge refused for a reason that may pass is asked for again, four times at most, each time after twice the delay before. requests.hedges_refused counts these refusals.

Ruled out: targets that look slow (scores were alike), slow decisions of the broker.

TestRefusedHedgeIsAskedForAgain got 504 before.

--- a/pkg/ingress/hedge.go
+++ b/pkg/ingress/hedge.go
@@ -40,15 +40,36 @@
 		return t, s.result
 	}
 	first := c.sendAsync(ctx, c.newAttempt(t))
-	timer := time.NewTimer(delay)
+	for asked, again := 1, true; again && !first.endsWithin(delay); asked++ {
+		var hedge *asyncAttempt
+		if hedge, reason = c.startHedge(ctx, t); hedge != nil {
+			if counts, r, ended := c.awaitBoth(first, hedge); ended {
+				return counts, r
+			}
+			reason = hedge.reason
+		}
+		if delay, again = placing.NextAsk(reason, asked, delay); again {
+			c.Metrics.recordHedgeRefused(reason)
+		}
+	}
+	<-first.done
+	if reason != placing.HedgeSent {
+		c.Metrics.recordHedgeNotSent(reason)
+	}
+	c.recordFirstEnd(first)
+	return t, first.result
+}
+
+// endsWithin waits until the attempt has ended, at most for the given time, and reports whether it has.
+func (f *asyncAttempt) endsWithin(d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-first.done:
-		c.recordFirstEnd(first)
-		return t, first.result
+	case <-f.done:
+		return true
 	case <-timer.C:
+		return false
 	}
-	return c.awaitBoth(first, c.startHedge(ctx, t))
 }
 
 // hedgeRequest describes the request with the given number of attempts in flight.
@@ -80,12 +101,11 @@
 }
 
 // startHedge has a second target selected and sends the request to it, on a goroutine of its own. The response to the first attempt
-// doesn't wait for the selection. It returns nil if no second attempt is permitted.
-func (c *call) startHedge(ctx context.Context, first *inventory.Target) *asyncAttempt {
+// doesn't wait for the selection. It returns nil and the reason if no second attempt is permitted.
+func (c *call) startHedge(ctx context.Context, first *inventory.Target) (*asyncAttempt, placing.HedgeReason) {
 	reason := c.Hedger.Admit(c.hedgeRequest(1), c.Clock.Now())
 	if reason != placing.HedgeSent {
-		c.Metrics.recordHedgeNotSent(reason)
-		return nil
+		return nil, reason
 	}
 	f := &asyncAttempt{done: make(chan struct{}), hedge: true, reason: placing.HedgeUndecided}
 	request := c.upstreamRequest()
@@ -102,7 +122,7 @@
 			f.exchange(ctx, c.Handler, c.deadline)
 		}
 	}()
-	return f
+	return f, reason
 }
 
 // placeHedge asks the broker for a second target. It runs beside the goroutine of the call and accesses only what that one leaves
@@ -141,13 +161,9 @@
 }
 
 // awaitBoth waits for two attempts and returns the one that counts: the first one that is answered, which ends the other one. An attempt
-// that fails leaves the other one to go on, as its retry or as if it had been the only one. hedge may be nil.
-func (c *call) awaitBoth(first, hedge *asyncAttempt) (*inventory.Target, result) {
-	if hedge == nil {
-		<-first.done
-		c.recordFirstEnd(first)
-		return first.target, first.result
-	}
+// that fails leaves the other one to go on, as its retry or as if it had been the only one. ended is false if the hedge wasn't sent while
+// the first attempt goes on.
+func (c *call) awaitBoth(first, hedge *asyncAttempt) (counts *inventory.Target, r result, ended bool) {
 	var winner *asyncAttempt
 	select {
 	case <-first.done:
@@ -159,6 +175,9 @@
 		<-hedge.done
 		c.recordHedgeEnd(hedge)
 	case <-hedge.done:
+		if hedge.targetAttempt == nil {
+			return nil, result{}, false
+		}
 		if c.acceptable(hedge) {
 			winner = hedge
 			c.cancelLoser(first)
@@ -169,12 +188,13 @@
 	}
 	switch {
 	case hedge.targetAttempt == nil:
-		return first.target, first.result
+		counts, r = first.target, first.result
 	case winner == hedge || winner == nil && !c.acceptable(first) && hedge.result.outcome != unsent:
-		return c.conclude(hedge, first, c.acceptable(hedge))
+		counts, r = c.conclude(hedge, first, c.acceptable(hedge))
 	default:
-		return c.conclude(first, hedge, false)
+		counts, r = c.conclude(first, hedge, false)
 	}
+	return counts, r, true
 }
 
 // acceptable reports whether an attempt that has ended was answered in a way that ends the request.
--- a/pkg/ingress/hedge_test.go
+++ b/pkg/ingress/hedge_test.go
@@ -27,7 +27,9 @@
 	// slot is released.
 	begun, reset, released [2]chan struct{}
 	scope                  tally.TestScope
-	refuse                 placing.Reason
+	// refuse is the reason for which hedges are refused, if any: all of them, or the first ones if refusals isn't 0.
+	refuse   placing.Reason
+	refusals int
 	// sendBy is until when hedges may be sent, 0 if there is no such time.
 	sendBy clock.Instant
 	mu     sync.Mutex
@@ -68,7 +70,7 @@
 	if !a.Hedge {
 		return hedgeTestPlacement{h, 0}, placing.Decision{Target: strings.Replace(a.Pool, "p", "t", 1) + "0"}, true
 	}
-	if h.refuse != "" {
+	if h.refuse != "" && (h.refusals == 0 || len(h.asked) <= 1+h.refusals) {
 		return nil, placing.Decision{Reason: h.refuse}, true
 	}
 	return hedgeTestPlacement{h, 1}, placing.Decision{Target: "t1", SendBy: h.sendBy}, true
@@ -226,6 +228,20 @@
 	}
 }
 
+// TestRefusedHedgeIsAskedForAgain guards against a request that waits for a target that has stopped responding until its deadline because
+// no slot was free at the moment when its hedge was asked for.
+func TestRefusedHedgeIsAskedForAgain(t *testing.T) {
+	h := newHedgeTest(t, hang(0), answer)
+	h.refuse, h.refusals = placing.ReasonOverload, 2
+	if r := h.send(t, "GET", "/read/a", ""); r.status != http.StatusOK {
+		t.Errorf("status %d", r.status)
+	}
+	refused := h.counted("hedges_refused+reason=" + string(placing.HedgeNoFreeSlot))
+	if len(h.asked) != 4 || refused != 2 || h.counted("hedges_won+") != 1 || h.ended["t0"] != placing.Abandoned {
+		t.Errorf("broker was asked %d times; %d refusals, attempts ended %v", len(h.asked), refused, h.ended)
+	}
+}
+
 // TestHedgeNeedsValidToken guards against a hedge that is sent although its token of the organisation's quota is too old, for example
 // because the VM was suspended.
 func TestHedgeNeedsValidToken(t *testing.T) {
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -78,6 +78,11 @@
 	m.scope.Counter("hedges_won").Inc(1)
 }
 
+// recordHedgeRefused counts a hedge that wasn't sent and will be asked for again.
+func (m *Metrics) recordHedgeRefused(reason placing.HedgeReason) {
+	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("hedges_refused").Inc(1)
+}
+
 // recordHedgeNotSent counts a request that wasn't hedged.
 func (m *Metrics) recordHedgeNotSent(reason placing.HedgeReason) {
 	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("hedges_not_sent").Inc(1)
--- a/pkg/placing/hedge.go
+++ b/pkg/placing/hedge.go
@@ -37,6 +37,9 @@
 	// HedgeDecisionTime bounds the wait for the broker's decision on a hedge. This broker decides at once; a broker of a version that
 	// doesn't know hedges would queue it for longer.
 	HedgeDecisionTime = 50 * time.Millisecond
+	// maxHedgeAsks is how often a hedge is asked for. A slot is often free a moment after a refusal. When hedges were asked for once, a
+	// request whose target had stopped responding could be held until its deadline although slots were free meanwhile.
+	maxHedgeAsks = 4
 	// hedgePriority is the rank of hedges at a broker of a version that doesn't know them: behind all other requests. The lower bits are
 	// those of the request, since they identify its kind.
 	hedgePriority = math.MaxInt32 &^ kindRankMask
@@ -78,6 +81,22 @@
 	HedgeAnswered HedgeReason = "answered"
 )
 
+// temporary reports whether a hedge that isn't sent for this reason may be sent a moment later.
+func (r HedgeReason) temporary() bool {
+	switch r {
+	case HedgeNoFreeSlot, HedgeExtraShare, HedgeRetryBudget, HedgeNoBroker, HedgeUndecided:
+		return true
+	}
+	return false
+}
+
+// NextAsk returns after which time a hedge is asked for again that has been asked for the given number of times, last after the given
+// delay, and wasn't sent for the given reason; false if it isn't asked for any more. The delay doubles: few requests take that long, so
+// that under overload, when most hedges are refused, the broker gets few additional messages.
+func NextAsk(reason HedgeReason, asked int, delay time.Duration) (time.Duration, bool) {
+	return 2 * delay, asked < maxHedgeAsks && reason.temporary()
+}
+
 // HedgeReasonFor maps the broker's reason for not placing a hedge.
 func HedgeReasonFor(r Reason) HedgeReason {
 	switch r {
--- a/pkg/placing/hedge_test.go
+++ b/pkg/placing/hedge_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// Guards against a hedge that is given up for a reason that may have passed a moment later, and against endless questions to the broker.
+func TestHedgeIsAskedForAgain(t *testing.T) {
+	for reason, want := range map[HedgeReason]int{
+		HedgeNoFreeSlot: maxHedgeAsks, HedgeExtraShare: maxHedgeAsks, HedgeUndecided: maxHedgeAsks, HedgeSuspected: 1, HedgeAnswered: 1, HedgeTimeLeft: 1,
+	} {
+		asked, total := 1, time.Millisecond
+		for delay, again := NextAsk(reason, asked, time.Millisecond); again; delay, again = NextAsk(reason, asked, delay) {
+			asked++
+			total += delay
+		}
+		if asked != want || total != time.Millisecond*(1<<want-1) {
+			t.Errorf("%s: asked %d times within %v", reason, asked, total)
+		}
+	}
+}
+
 // Guards against more extra requests than set: of 100 requests, a tenth may be hedged, whether the broker's decision is awaited or known.
 // Hedges that weren't placed don't count, and room comes back after 10 s.
 func TestExtraShareIsLimited(t *testing.T) {
