--- a/pkg/ingress/hedge.go
+++ b/pkg/ingress/hedge.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -18,9 +19,10 @@
 	cancel context.CancelFunc
 	// done is closed when the goroutine has ended. Until then, no other goroutine accesses the fields of targetAttempt.
 	done chan struct{}
-	// hedge is set for the second attempt. reason tells why it was not sent, in which case targetAttempt is nil.
-	hedge  bool
-	reason placing.HedgeReason
+	// hedge is set for the second attempt. reason tells why it was not sent, in which case targetAttempt is nil, and firstReason why it
+	// wasn't when it was asked for first, empty if that was this time.
+	hedge               bool
+	reason, firstReason placing.HedgeReason
 	// recorded is set once the end of the attempt is recorded.
 	recorded bool
 }
@@ -41,15 +43,17 @@
 	}
 	first := c.sendAsync(ctx, c.newAttempt(t))
 	for asked, again := 1, true; again && !first.endsWithin(delay); asked++ {
-		var hedge *asyncAttempt
-		if hedge, reason = c.startHedge(ctx, t); hedge != nil {
+		hedge, refusal := c.startHedge(ctx, t)
+		if hedge != nil {
+			hedge.firstReason = reason
 			if counts, r, ended := c.awaitBoth(first, hedge); ended {
 				return counts, r
 			}
-			reason = hedge.reason
+			refusal = hedge.reason
 		}
-		if delay, again = placing.NextAsk(reason, asked, delay); again {
-			c.Metrics.recordHedgeRefused(reason)
+		reason = cmp.Or(reason, refusal)
+		if delay, again = placing.NextAsk(refusal, asked, delay); again {
+			c.Metrics.recordHedgeRefused(refusal)
 		}
 	}
 	<-first.done
@@ -229,7 +233,7 @@
 // recordHedgeEnd records the end of the second attempt, if it was sent.
 func (c *call) recordHedgeEnd(f *asyncAttempt) {
 	if f.targetAttempt == nil {
-		c.Metrics.recordHedgeNotSent(f.reason)
+		c.Metrics.recordHedgeNotSent(cmp.Or(f.firstReason, f.reason))
 		return
 	}
 	_, limited := c.Limits.Rate(f.target.Incarnation())
--- a/pkg/ingress/metrics.go
+++ b/pkg/ingress/metrics.go
@@ -83,7 +83,7 @@
 	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("hedges_refused").Inc(1)
 }
 
-// recordHedgeNotSent counts a request that wasn't hedged.
+// recordHedgeNotSent counts a request that wasn't hedged, by the reason of the first refusal.
 func (m *Metrics) recordHedgeNotSent(reason placing.HedgeReason) {
 	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("hedges_not_sent").Inc(1)
 }
