--- a/pkg/placing/degraded_test.go
+++ b/pkg/placing/degraded_test.go
@@ -10,7 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
-// degradedPoolSim plays a pool of which most targets fail a part of their requests or are slow. Refused callers come back up to twice.
+// degradedPoolSim plays a pool of which most targets fail or shed a part of their requests or are slow. Refused callers come back up to twice.
 type degradedPoolSim struct {
 	*overloadSim
 	degradation
@@ -26,6 +26,8 @@
 	// failShare is the share of requests that end with an error of the target. Idempotent ones are then sent to another target.
 	failShare  float64
 	idempotent bool
+	// shedShare is the share of requests that are refused unexecuted although slots are free.
+	shedShare float64
 	// slowFactor is how many times as long as at the others a request takes.
 	slowFactor float64
 	slots      int
@@ -35,6 +37,7 @@
 const (
 	degradedWork        = 120 * time.Millisecond
 	degradedErrorTime   = 20 * time.Millisecond
+	degradedShedTime    = 4 * time.Millisecond
 	degradedObjective   = 500 * time.Millisecond
 	degradedTimeLeft    = 1500 * time.Millisecond
 	degradedRetries     = 2
@@ -77,14 +80,31 @@
 			s.execute(seq, d.Target, first, retries, avoid)
 		case len(avoid) > 0:
 			s.failed++
-		case retries == 0:
-			s.refused++
 		default:
-			s.after(retryAfter(d.Expected, left, s.random.Float64()), func() { s.send(first, retries-1, nil) })
+			s.comeBack(first, retries, d.Expected)
 		}
 	}, s.now)
 }
 
+func (s *degradedPoolSim) comeBack(first clock.Instant, retries int, expected time.Duration) {
+	if retries == 0 {
+		s.refused++
+		return
+	}
+	left := degradedTimeLeft - s.now.Sub(first)
+	s.after(retryAfter(expected, left, s.random.Float64()), func() { s.send(first, retries-1, nil) })
+}
+
+// play sends the load for 10 s and waits for the last answers.
+func (s *degradedPoolSim) play() {
+	const duration = 10 * time.Second
+	for range int(duration.Seconds()) * s.perSecond {
+		s.sent++
+		s.after(time.Duration(s.random.Int64N(int64(duration))), func() { s.send(s.now, degradedRetries, nil) })
+	}
+	s.run(duration + 2*degradedTimeLeft)
+}
+
 func (s *degradedPoolSim) execute(seq uint64, target string, first clock.Instant, retries int, avoid []string) {
 	if s.degraded[target] && s.random.Float64() < s.failShare {
 		s.after(degradedErrorTime, func() {
@@ -97,6 +117,13 @@
 		})
 		return
 	}
+	if s.degraded[target] && s.shedShare > 0 && s.random.Float64() < s.shedShare {
+		s.after(degradedShedTime, func() {
+			s.b.Done("vm", seq, degradedShedTime, Refused, nil, s.now)
+			s.comeBack(first, retries, 0)
+		})
+		return
+	}
 	work := time.Duration(float64(degradedWork) * (0.7 + 0.6*s.random.Float64()))
 	if s.degraded[target] && s.slowFactor > 0 {
 		work = time.Duration(s.slowFactor * float64(work))
@@ -132,12 +159,7 @@
 	} {
 		for seed := range uint64(3) {
 			s := newDegradedPoolSim(t, d, 40, 8, seed)
-			const duration = 10 * time.Second
-			for range int(duration.Seconds()) * d.perSecond {
-				s.sent++
-				s.after(time.Duration(s.random.Int64N(int64(duration))), func() { s.send(s.now, degradedRetries, nil) })
-			}
-			s.run(duration + 2*degradedTimeLeft)
+			s.play()
 			t.Logf("%s, seed %d: %d sent, %d on time, %d late, %d failed, %d refused, %d held until their deadline", name, seed, s.sent, s.onTime, s.late, s.failed, s.refused, s.held)
 			if s.refused > 0 || s.refusedLate > 0 || s.held > 0 {
 				t.Errorf("%s, seed %d: %d requests are refused, %d times after half of the time left, %d are held until their deadline", name, seed, s.refused, s.refusedLate, s.held)
@@ -146,6 +168,20 @@
 	}
 }
 
+// Guards against a pool that serves only what a few healthy targets can take while the slots of all others are idle: requests declined
+// those that shed a part of their load, filled the queue and waited there until their deadline. With three attempts of which 45% succeed at
+// a target that sheds, five in six requests can be served there.
+func TestTargetsThatShedAreUsedWhileOthersAreFull(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newDegradedPoolSim(t, degradation{shedShare: 0.55, slots: 2, perSecond: 280}, 40, 8, seed)
+		s.play()
+		t.Logf("seed %d: %d sent, %d on time, %d late, %d refused, %d held until their deadline", seed, s.sent, s.onTime, s.late, s.refused, s.held)
+		if served := float64(s.onTime+s.late) / float64(s.sent); served < 5.0/6 || s.held > 0 {
+			t.Errorf("seed %d: %.2f of the requests are served, %d are held until their deadline", seed, served, s.held)
+		}
+	}
+}
+
 // Guards against decisions that change, or cost more, in pools whose targets are alike.
 func TestAllTargetsOfAnEvenPoolArePreferred(t *testing.T) {
 	h := newHarness(t, 3, 2)
