--- a/internal/soak/credentials_test.go
+++ b/internal/soak/credentials_test.go
@@ -40,10 +40,10 @@
 	return response.StatusCode
 }
 
-// dump returns the state dump of a VM.
-func (r *run) dump(t *testing.T, vm int) []byte {
+// fetch returns what a VM serves to operators under a path.
+func (r *run) fetch(t *testing.T, vm int, path string) []byte {
 	t.Helper()
-	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/dump", r.FirstPort+portsPerVM*vm+peerPortOffset+1))
+	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d%s", r.FirstPort+portsPerVM*vm+peerPortOffset+1, path))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -142,7 +142,7 @@
 	changed()
 	seen := r.relayedRows(t)
 	for vm := range r.VMs {
-		seen = append(seen, r.dump(t, vm)...)
+		seen = append(seen, r.fetch(t, vm, "/dump")...)
 	}
 	r.deployment.Store.SetDown(true)
 	changed()
--- a/internal/soak/hedge_test.go
+++ b/internal/soak/hedge_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"regexp"
 	"strconv"
 	"sync"
@@ -19,21 +17,13 @@
 // hedges returns how many second copies a VM has sent and how many of them were answered first.
 func (r *run) hedges(t *testing.T, vm int) map[string]int {
 	t.Helper()
-	response, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/metrics", r.FirstPort+portsPerVM*vm+peerPortOffset+1))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
 	counts := map[string]int{}
-	for _, m := range hedgeMetric.FindAllSubmatch(text, -1) {
-		counts[string(m[1])], err = strconv.Atoi(string(m[2]))
+	for _, m := range hedgeMetric.FindAllSubmatch(r.fetch(t, vm, "/metrics"), -1) {
+		n, err := strconv.Atoi(string(m[2]))
 		if err != nil {
 			t.Fatal(err)
 		}
+		counts[string(m[1])] = n
 	}
 	return counts
 }
