Test the check of status codes between routers

Cause: the check of responses whose status isn't that of a final response had no test here.

Change: statuses 0, 100, 199, 600 and -200 give an unknown outcome and end the connection.

--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -337,6 +337,25 @@
 	}
 }
 
+// Guards against delivering a response whose status isn't that of a final response, such as 000, and against using its connection again.
+func TestInvalidStatus(t *testing.T) {
+	for _, status := range []int{0, 100, 199, 600, -200} {
+		l := serve(t, newServer(func(context.Context, *wire.Request, io.Reader) (*exchange.Response, error) {
+			r := newResponse(strings.NewReader("x"), 1)
+			r.Head.Status = status
+			return r, nil
+		}))
+		c := newClient(t)
+		_, err := c.Handler(l.Addr().String()).Handle(testContext(t), &wire.Request{ID: "a"}, nil)
+		if outcome(t, err) != problem.Unknown {
+			t.Errorf("status %d: %v", status, err)
+		}
+		if len(c.idle[l.Addr().String()]) != 0 {
+			t.Errorf("the connection with status %d is pooled", status)
+		}
+	}
+}
+
 // Guards against mistaking the late response of a cancelled exchange for the response to the next request, and against a
 // handler that keeps running after its caller has cancelled the request.
 func TestCancelClosesConnection(t *testing.T) {
