Count the bytes between regions by kind

Cause: traffic between regions is billed by volume, and nothing told what it consists of.

Change: pkg/interregion counts the bytes that a VM sends to and receives from other regions, at its connections to VMs and targets, and all bytes of store calls (the store's region isn't known). Kinds: placement, tables, reports, grants, requests_keyed, requests_homes, requests_other, store. The first update on a connection states the sender's region (field z, ignored by earlier versions); until then the bytes are kept aside. TestPanicInUpdateHandlerReturnsError passes the new argument of newSendQueue.

Ruled out: the region of the coordinator from its row, which has only its address.

--- a/cmd/blentry/main.go
+++ b/cmd/blentry/main.go
@@ -20,6 +20,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/entry"
 	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/logbuffer"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/version"
@@ -35,13 +36,14 @@
 )
 
 type arguments struct {
-	Settings        string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
-	Check           bool             `help:"Check the settings and exit."`
-	LogLevel        string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
-	Advertise       string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
-	HedgeExtraShare float64          `help:"Share of extra requests, 0 to 0.1, that may be sent to a second target while the first one is slow. 0 sends none." default:"0" placeholder:"SHARE"`
-	AdmitByValue    bool             `help:"Under overload, let requests that are unlikely to be answered on time wait behind the others, in all pools."`
-	Version         kong.VersionFlag `help:"Show the version and exit."`
+	Settings            string           `arg:"" optional:"" help:"Settings file of the platform. Default: the path in ${env}."`
+	Check               bool             `help:"Check the settings and exit."`
+	LogLevel            string           `help:"Lowest level of the log lines: debug, info, warn or error." default:"info"`
+	Advertise           string           `help:"Address (host:port) at which other VMs reach this one, if it isn't the first internal port." placeholder:"ADDRESS"`
+	HedgeExtraShare     float64          `help:"Share of extra requests, 0 to 0.1, that may be sent to a second target while the first one is slow. 0 sends none." default:"0" placeholder:"SHARE"`
+	AdmitByValue        bool             `help:"Under overload, let requests that are unlikely to be answered on time wait behind the others, in all pools."`
+	LogInterRegionBytes bool             `help:"Write a log line every 5 s with the bytes sent to and received from other regions, by kind."`
+	Version             kong.VersionFlag `help:"Show the version and exit."`
 }
 
 func main() {
@@ -67,6 +69,7 @@
 		return exitInvalid
 	}
 	settings.HedgeExtraShare, settings.AdmitByValue = parsed.HedgeExtraShare, parsed.AdmitByValue
+	settings.LogInterRegionBytes = parsed.LogInterRegionBytes
 	if err := advertise(&settings, parsed.Advertise); err != nil {
 		_, _ = fmt.Fprintln(errOut, "blentry:", err)
 		return exitInvalid
@@ -141,8 +144,10 @@
 		}
 	}()
 	logger.Emit(event.ProcessStarted, "version", version.String())
+	interRegion := &interregion.Counter{}
 	err := entry.Run(ctx, entry.Options{
-		Settings: settings, Store: platform.NewStore(settings.StoreAddress), Decoder: platform.Decoder{},
+		InterRegion: interRegion,
+		Settings:    settings, Store: platform.NewCountedStore(settings.StoreAddress, interRegion.Flow(interregion.Store)), Decoder: platform.Decoder{},
 		Tables:   entry.Tables{Operator: platform.TableOperator, Targets: platform.TableTargets},
 		Protocol: platform.Dialect{}, ReadyPath: platform.PathReady, Log: logger, Reload: reload,
 		CheckSettings: func() error {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -13,6 +13,7 @@
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/ingress"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/keygrant"
 	"github.com/bronzelever/bronzelever/pkg/keyrange"
@@ -102,6 +103,8 @@
 	quota       *sharedrate.Holder
 	quotaEvents quotaEvents
 	placer      *placer
+	// interRegion counts the bytes sent to and received from other regions. It may be nil.
+	interRegion *interregion.Counter
 	onSnapshot  func(*inventory.Snapshot)
 
 	events        chan func()
@@ -239,7 +242,9 @@
 	BrokerBudget *placing.RetryBudget
 	LocalBudget  *placing.RetryBudget
 	// Quota is this VM's share of the organisations' quotas.
-	Quota       *sharedrate.Holder
+	Quota *sharedrate.Holder
+	// InterRegion counts the bytes sent to and received from other regions. It may be nil.
+	InterRegion *interregion.Counter
 	Incarnation string
 	// EraGauge shows the newest era of the store. It may be nil.
 	EraGauge tally.Gauge
@@ -263,7 +268,7 @@
 	}
 	c := &Control{
 		settings: o.Settings, store: o.Store, decoder: o.Decoder, tables: o.Tables, grants: o.Grants, clock: o.Clock, log: o.Log,
-		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, quota: o.Quota, onSnapshot: o.OnSnapshot, eraGauge: o.EraGauge,
+		balancer: o.Balancer, suspects: o.Suspects, limits: o.Limits, localBudget: o.LocalBudget, quota: o.Quota, onSnapshot: o.OnSnapshot, eraGauge: o.EraGauge, interRegion: o.InterRegion,
 		events: make(chan func(), 256), mirror: replica.NewMirror(),
 		targets: map[string]decodedTarget{}, loadWindow: newLoadWindow(), reading: map[string]bool{}, readCounts: map[string]int{}, nextRead: map[string]clock.Instant{}, pacers: map[string]*readPacer{},
 		followers: map[*replica.Follower]bool{}, subscribers: map[*replica.Follower]bool{},
@@ -272,6 +277,7 @@
 	if c.grants != nil {
 		c.grants.OnLeaving = c.handlePeerLeaving
 		c.grants.OnRateLimit = c.handlePeerRateLimit
+		c.grants.Flow = c.grantFlow
 	}
 	c.placer = newPlacer(o.Settings, o.Clock, placing.NewBroker(o.Settings.RegionOf, o.BrokerBudget, o.Suspects, o.Limits, c.requestedKeys.add))
 	c.coordinator = coordinator.New(coordinator.Identity{VM: o.Settings.VM, Incarnation: o.Incarnation, Address: c.relayAddress(), FirstStart: o.Settings.FirstStart})
--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -43,6 +43,7 @@
 	firstReport := replica.Report{VM: c.settings.VM, Domain: c.settings.Domain, Region: c.settings.Region, TablesOnly: true}
 	go func() {
 		_, err := replica.Follow(ctx, address, firstReport, replica.Receiver{
+			Traffic:       c.relayTraffic(),
 			Connected:     func(l *replica.Link) { c.post(func() { c.distributorLinked(ctx, l) }) },
 			Update:        func(l *replica.Link, u replica.Update) { c.post(func() { c.handleDistributorUpdate(l, u) }) },
 			PlaceResponse: func(replica.PlaceResponse) {},
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
@@ -39,6 +40,8 @@
 	AdmitsByValue bool `json:"admits_by_value,omitempty"`
 	// StoreEra is how often the store was restored from an older copy.
 	StoreEra uint64 `json:"store_era"`
+	// InterRegionBytes are the bytes sent to and received from other regions since the start, by kind.
+	InterRegionBytes map[string]interregion.Volume `json:"inter_region_bytes"`
 }
 
 // serveDump writes the state as JSON.
@@ -47,7 +50,7 @@
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
 		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
 		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now()),
-		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load()}
+		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load(), InterRegionBytes: p.InterRegion.Totals()}
 	for route, delay := range p.hedger.Delays(p.control.clock.Now()) {
 		if d.HedgeDelaysMs == nil {
 			d.HedgeDelaysMs = map[string]int64{}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/ingress"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/keygrant"
 	"github.com/bronzelever/bronzelever/pkg/metric"
@@ -50,6 +51,8 @@
 	idleTimeoutSlack = time.Second
 	// idleSweepInterval is the time between searches for idle connections.
 	idleSweepInterval = time.Second
+	// interRegionLogInterval is the time between log lines with the bytes sent to and received from other regions.
+	interRegionLogInterval = 5 * time.Second
 )
 
 // Protocol is implemented by the adapter of the platform.
@@ -69,6 +72,8 @@
 	Log       *event.Logger
 	// Reload receives a value when the settings may have changed. It is nil if they can't change.
 	Reload <-chan struct{}
+	// InterRegion counts the bytes between regions. The store's client adds those of its calls. If it is nil, Run uses one of its own.
+	InterRegion *interregion.Counter
 	// CheckSettings reads the settings again and returns an error if they are invalid.
 	CheckSettings func() error
 }
@@ -76,13 +81,16 @@
 // process is the running process of an entry VM.
 type process struct {
 	Options
-	control  *Control
-	handler  *ingress.Handler
-	hedger   *placing.Hedger
-	callers  *http.Server
-	idle     idleConns
-	quotas   quotaMetrics
-	stopping chan struct{}
+	control *Control
+	handler *ingress.Handler
+	hedger  *placing.Hedger
+	callers *http.Server
+	idle    idleConns
+	quotas  quotaMetrics
+	// interRegion are the metrics of InterRegion, which was last logged at interRegionLogged.
+	interRegion       *interregion.Metrics
+	interRegionLogged time.Time
+	stopping          chan struct{}
 }
 
 // Run serves until the context is done, then shuts down gracefully.
@@ -126,7 +134,11 @@
 	balancer := placing.NewBalancer(o.Settings.Domain, o.Settings.Region, o.Settings.RegionOf)
 	balancer.UseLimits(limits, o.Settings.VM)
 	quota := sharedrate.NewHolder(time.Now().UnixNano(), o.Settings.quotaAllowance(), clock.Boottime{}.Now())
-	p := &process{Options: o, hedger: placing.NewHedger(o.Settings.HedgeExtraShare), stopping: make(chan struct{}), quotas: newQuotaMetrics(registry.Scope()),
+	if o.InterRegion == nil {
+		o.InterRegion = &interregion.Counter{}
+	}
+	p := &process{Options: o, interRegion: interregion.NewMetrics(registry.Scope(), o.InterRegion), interRegionLogged: time.Now(),
+		hedger: placing.NewHedger(o.Settings.HedgeExtraShare), stopping: make(chan struct{}), quotas: newQuotaMetrics(registry.Scope()),
 		idle: idleConns{since: map[net.Conn]time.Time{}}}
 	p.control = NewControl(ControlOptions{
 		Settings: o.Settings, Store: o.Store, Decoder: o.Decoder, Tables: o.Tables, Grants: keygrant.NewClient(o.Protocol),
@@ -134,6 +146,7 @@
 		BrokerBudget: placing.NewBrokerBudget(o.Settings.RetryRatio, o.Settings.RetryExtra, o.Settings.RetryWindow),
 		LocalBudget:  localBudget,
 		Quota:        quota,
+		InterRegion:  o.InterRegion,
 		EraGauge:     registry.Scope().Gauge(storeEraMetric),
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
@@ -144,6 +157,7 @@
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
 		Budget: localBudget, Suspects: suspects, Limits: limits, Quota: quota, Hedger: p.hedger,
 		Clock: clock.Boottime{}, Log: o.Log, Metrics: ingress.NewMetrics(registry.Scope()), RegionOf: o.Settings.RegionOf,
+		Region: o.Settings.Region, InterRegion: o.InterRegion,
 		ConfigurationAge:         p.control.ConfigurationAge,
 		MaxConfigurationAge:      o.Settings.MaxConfigurationAge,
 		MaxBufferedBodyBytes:     int64(float64(o.Settings.MemoryBytes) * requestBodyMemoryShare),
@@ -239,6 +253,7 @@
 			p.reload()
 		case <-ticker.C:
 			p.quotas.record(p.control.quotaDump(0))
+			p.recordInterRegion()
 			if s := p.control.Current().Snapshot; s != nil && s.Configuration != nil && s.Configuration.Limits.IdleTimeout > 0 {
 				p.idle.sweep(s.Configuration.Limits.IdleTimeout + idleTimeoutSlack)
 			}
@@ -246,6 +261,15 @@
 	}
 }
 
+// recordInterRegion updates the metrics of the bytes between regions, and logs them if the settings say so.
+func (p *process) recordInterRegion() {
+	p.interRegion.Record()
+	if p.Settings.LogInterRegionBytes && time.Since(p.interRegionLogged) >= interRegionLogInterval {
+		p.interRegionLogged = time.Now()
+		p.Log.Emit(event.InterRegionBytes, p.InterRegion.Fields()...)
+	}
+}
+
 // reload validates the changed settings. They take effect at the next start, because all settings are fixed while the
 // process runs.
 func (p *process) reload() {
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -21,7 +21,8 @@
 // serveRelay handles connections of other VMs, which use this one as their coordinator or distributor.
 func (c *Control) serveRelay(l net.Listener) {
 	err := replica.Serve(l, replica.Events{
-		Joined: func(f *replica.Follower) { c.post(func() { c.handleJoin(f) }) },
+		Traffic: c.relayTraffic(),
+		Joined:  func(f *replica.Follower) { c.post(func() { c.handleJoin(f) }) },
 		Report: func(f *replica.Follower, r replica.Report) {
 			// The requests of the VM that follow on the connection must be placed with these limits.
 			c.limits.Merge(r.Limits, c.clock.Now())
@@ -340,6 +341,7 @@
 	}
 	go func() {
 		link, err := replica.Follow(ctx, leader.Address, firstReport, replica.Receiver{
+			Traffic:       c.relayTraffic(),
 			Connected:     func(l *replica.Link) { c.post(func() { c.coordinatorLinked(ctx, l, leader.VM) }) },
 			Update:        func(l *replica.Link, u replica.Update) { c.post(func() { c.handleCoordinatorUpdate(l, u) }) },
 			PlaceResponse: c.placer.deliverDecision,
--- a/pkg/entry/settings.go
+++ b/pkg/entry/settings.go
@@ -52,6 +52,8 @@
 	HedgeExtraShare float64
 	// AdmitByValue makes this VM, while it is the coordinator, admit requests by the value of their answers in all pools.
 	AdmitByValue bool
+	// LogInterRegionBytes writes a log line with the bytes sent to and received from other regions every interRegionLogInterval.
+	LogInterRegionBytes bool
 }
 
 // quotaAllowance returns Quota, or the platform's default if it isn't set.
--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -76,5 +76,7 @@
 	RestoredTableHeld  = define(882, log.WarnLevel, "table of key ranges was restored with the store; its keys are granted after all earlier grants have expired")
 	OlderConfiguration = define(883, log.WarnLevel, "restored store has an older configuration; the newer one stays in force")
 
+	InterRegionBytes = define(890, log.InfoLevel, "bytes sent to and received from other regions since the process started")
+
 	PanicRecovered = define(846, log.ErrorLevel, "unexpected error; the process continues")
 )
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
@@ -57,6 +58,9 @@
 	MaxConfigurationAge time.Duration
 	// RegionOf maps failure domains to regions.
 	RegionOf map[string]string
+	// Region is this VM's region. InterRegion counts the bytes of requests that are sent to others; it may be nil.
+	Region      string
+	InterRegion *interregion.Counter
 	// MaxBufferedBodyBytes bounds the total size of the request bodies that are buffered at the same time.
 	MaxBufferedBodyBytes int64
 	// MaxBufferedResponseBytes bounds the total size of the targets' responses that are buffered at the same time. Zero means
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -45,6 +46,8 @@
 	idempotent        bool
 	// mayBegin, if not nil, reports whether the request may still be sent. It is asked once the connection is established.
 	mayBegin func() bool
+	// flow is where the bytes of the exchange are counted, nil if the target is in the VM's region.
+	flow *interregion.Flow
 	// usedConns are the connections on which earlier attempts of the request were sent. They aren't used again, because a
 	// duplicate response on one of them would carry the same request ID.
 	usedConns []*targetconn.Conn
@@ -107,6 +110,7 @@
 		pool.Put(c)
 		return result{outcome: unsent, cause: errTokenExpired}
 	}
+	c.SetFlow(r.flow)
 	c.Begin(nil)
 	r.usedConns = append(r.usedConns, c)
 	stop := context.AfterFunc(ctx, c.Abort)
--- a/pkg/ingress/target_attempt.go
+++ b/pkg/ingress/target_attempt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
@@ -31,12 +32,28 @@
 func (c *call) newAttempt(t *inventory.Target) *targetAttempt {
 	s := &targetAttempt{target: t, request: c.upstreamRequest(), placement: c.placement, run: c.run}
 	s.request.mayBegin = c.beforeInstant(c.sendBy)
+	s.request.flow = c.interRegionFlow(t)
 	c.placement, c.run = nil, quarantine.RunID{}
 	c.unfinished = append(c.unfinished, s)
 	c.lastTarget = t.ID
 	return s
 }
 
+// interRegionFlow returns where the bytes of an attempt at a target are counted, nil unless the target is in another region.
+func (c *call) interRegionFlow(t *inventory.Target) *interregion.Flow {
+	if region := c.RegionOf[t.Domain]; region == "" || c.Region == "" || region == c.Region {
+		return nil
+	}
+	switch {
+	case c.pool.Keyed:
+		return c.InterRegion.Flow(interregion.KeyedRequests)
+	case len(c.allowedRegions) > 0:
+		return c.InterRegion.Flow(interregion.HomeRequests)
+	default:
+		return c.InterRegion.Flow(interregion.OtherRequests)
+	}
+}
+
 func (c *call) upstreamRequest() *upstreamRequest {
 	header := make(http.Header, len(c.r.Header)+2)
 	copyHeaders(header, c.r.Header)
--- a/pkg/keygrant/keygrant.go
+++ b/pkg/keygrant/keygrant.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
@@ -77,6 +78,9 @@
 	// before the first call.
 	OnRateLimit func(Endpoint, ratelimit.Notice, time.Duration)
 
+	// Flow, if not nil, returns where the bytes of calls to a target are counted. It must be set before the first call.
+	Flow func(Endpoint) *interregion.Flow
+
 	dialect  Dialect
 	sessions sessions
 	// releaseClient uses a connection of its own for each release, because a release waits for the requests that are running on the
@@ -87,7 +91,7 @@
 // NewClient returns a client that uses the given dialect.
 func NewClient(dialect Dialect) *Client {
 	return &Client{dialect: dialect, releaseClient: &http.Client{Transport: targetconn.StrictTransport{Transport: &http.Transport{
-		DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dialCounted, DisableKeepAlives: true, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}}}
 }
@@ -109,6 +113,23 @@
 	return c, nil
 }
 
+// flowKey is the context key of the *interregion.Flow of a release.
+type flowKey struct{}
+
+// dialCounted is like dial and counts the bytes of the connection.
+func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
+	flow, _ := ctx.Value(flowKey{}).(*interregion.Flow)
+	return flow.Dialer(dial)(ctx, network, address)
+}
+
+// flow returns where the bytes of calls to a target are counted.
+func (c *Client) flow(to Endpoint) *interregion.Flow {
+	if c.Flow == nil {
+		return nil
+	}
+	return c.Flow(to)
+}
+
 // Endpoint is a target and its last known address.
 type Endpoint struct {
 	ID      string
@@ -137,6 +158,7 @@
 	if err != nil {
 		return 0, err
 	}
+	s.conn.SetFlow(c.flow(to))
 	started := time.Now()
 	response, err := s.exchange(ctx, r)
 	if err != nil {
@@ -153,7 +175,7 @@
 	if err != nil {
 		return "", fmt.Errorf("%w: %w", ErrUnsent, err)
 	}
-	r, err := c.newRequest(ctx, from, path, body)
+	r, err := c.newRequest(context.WithValue(ctx, flowKey{}, c.flow(from)), from, path, body)
 	if err != nil {
 		return "", err
 	}
--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -36,6 +37,7 @@
 
 // Receiver handles the messages of the coordinator or a distributor. Connected is called first, once the connection is set up.
 type Receiver struct {
+	Traffic       Traffic
 	Connected     func(*Link)
 	Update        func(*Link, Update)
 	PlaceResponse func(PlaceResponse)
@@ -70,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{sendQueue: newSendQueue(conn)}
+	link := &Link{sendQueue: newSendQueue(conn, interregion.NewPeer(receiver.Traffic.Counter))}
 	defer link.Close()
 	stopClose := context.AfterFunc(ctx, link.Close)
 	defer stopClose()
@@ -97,12 +99,15 @@
 		if err := frame.Decode(&u); err != nil {
 			return err
 		}
+		l.traffic.SetRegions(receiver.Traffic.Region, u.Region)
+		l.received(frame, u)
 		receiver.Update(l, u)
 	case wire.TypePlaceResponse:
 		var v PlaceResponse
 		if err := frame.Decode(&v); err != nil {
 			return err
 		}
+		l.received(frame, v)
 		receiver.PlaceResponse(v)
 	default:
 		// Ignore unknown messages, which a newer version may send.
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -26,6 +26,8 @@
 	// Distributor is the address of the VM from which the receiver gets the tables and routes. It is empty if they come with
 	// this update.
 	Distributor string `msgpack:"h,omitempty"`
+	// Region is the sender's region. It is sent in the first update on a connection, for the count of bytes between regions.
+	Region string `msgpack:"z,omitempty"`
 	// MinElectionDelayMs is the lowest BaseElectionDelayMs of the connected VMs and the coordinator.
 	MinElectionDelayMs int64 `msgpack:"s,omitempty"`
 	// LeaseVersion is the version of the coordinator's row.
--- a/pkg/replica/panic_test.go
+++ b/pkg/replica/panic_test.go
@@ -86,7 +86,7 @@
 	near, far := net.Pipe()
 	defer func() { _ = near.Close() }()
 	defer func() { _ = far.Close() }()
-	link := &Link{sendQueue: newSendQueue(near)}
+	link := &Link{sendQueue: newSendQueue(near, nil)}
 	defer link.Close()
 	frame, err := wire.AppendMessage(nil, wire.Version, wire.TypeRelayUpdate, Update{})
 	if err != nil {
--- a/pkg/replica/send_queue.go
+++ b/pkg/replica/send_queue.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -21,13 +22,21 @@
 // sendQueue sends messages over a connection without blocking the caller.
 type sendQueue struct {
 	conn   net.Conn
-	frames chan []byte
+	frames chan queuedFrame
 	done   chan struct{}
 	once   sync.Once
+	// traffic counts the bytes in both directions. It may be nil.
+	traffic *interregion.Peer
 }
 
-func newSendQueue(c net.Conn) *sendQueue {
-	q := &sendQueue{conn: c, frames: make(chan []byte, sendQueueSize), done: make(chan struct{})}
+// queuedFrame is an encoded message.
+type queuedFrame struct {
+	bytes []byte
+	kind  interregion.Kind
+}
+
+func newSendQueue(c net.Conn, traffic *interregion.Peer) *sendQueue {
+	q := &sendQueue{conn: c, frames: make(chan queuedFrame, sendQueueSize), done: make(chan struct{}), traffic: traffic}
 	go q.run()
 	return q
 }
@@ -42,7 +51,7 @@
 	select {
 	case <-q.done:
 		return false
-	case q.frames <- frame:
+	case q.frames <- queuedFrame{frame, kindOf(message)}:
 		return true
 	default:
 		q.Close()
@@ -56,11 +65,14 @@
 		select {
 		case <-q.done:
 			return
-		case frame := <-q.frames:
+		case first := <-q.frames:
+			frame := first.bytes
+			q.traffic.AddSent(first.kind, len(first.bytes))
 			for pending := true; pending; {
 				select {
 				case next := <-q.frames:
-					frame = append(frame, next...)
+					frame = append(frame, next.bytes...)
+					q.traffic.AddSent(next.kind, len(next.bytes))
 				default:
 					pending = false
 				}
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -41,10 +42,13 @@
 	SuspectsSent bool
 	// DistributorChanged is set if the VM hasn't been told its current distributor.
 	DistributorChanged bool
+	// ownRegion is this VM's region, which the first update to the VM states.
+	ownRegion string
 }
 
-// SendUpdate sends an update to the VM.
+// SendUpdate sends an update to the VM. It must not be called concurrently.
 func (f *Follower) SendUpdate(u Update) {
+	u.Region, f.ownRegion = f.ownRegion, ""
 	f.send(wire.TypeRelayUpdate, u)
 }
 
@@ -55,6 +59,8 @@
 
 // Events are the callbacks of a server. They are called from the goroutines of the connections.
 type Events struct {
+	// Traffic is where the bytes of the connections are counted.
+	Traffic Traffic
 	// Joined is called after the first report of a VM.
 	Joined func(*Follower)
 	// Leader is called when a new coordinator announces itself.
@@ -81,7 +87,7 @@
 func serveFollower(conn net.Conn, events Events) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
-	first, err := readFirstReport(conn, reader)
+	first, frame, err := readFirstReport(conn, reader)
 	if err != nil {
 		return
 	}
@@ -89,7 +95,9 @@
 		events.Leader(*first.Leader)
 		return
 	}
-	f := &Follower{ID: first.VM + "#" + strconv.FormatInt(lastConnection.Add(1), 10), VM: first.VM, Domain: first.Domain, Region: first.Region, Address: first.Address, TablesOnly: first.TablesOnly, BaseElectionDelay: time.Duration(first.BaseElectionDelayMs) * time.Millisecond, sendQueue: newSendQueue(conn), NeedsTables: true}
+	f := &Follower{ID: first.VM + "#" + strconv.FormatInt(lastConnection.Add(1), 10), VM: first.VM, Domain: first.Domain, Region: first.Region, Address: first.Address, TablesOnly: first.TablesOnly, BaseElectionDelay: time.Duration(first.BaseElectionDelayMs) * time.Millisecond, sendQueue: newSendQueue(conn, interregion.NewPeer(events.Traffic.Counter)), NeedsTables: true, ownRegion: events.Traffic.Region}
+	f.traffic.SetRegions(events.Traffic.Region, f.Region)
+	f.received(frame, first)
 	events.Joined(f)
 	defer func() {
 		f.Close()
@@ -108,16 +116,17 @@
 }
 
 // readFirstReport reads the report that opens a connection.
-func readFirstReport(conn net.Conn, reader *bufio.Reader) (first Report, err error) {
+func readFirstReport(conn net.Conn, reader *bufio.Reader) (first Report, frame wire.Frame, err error) {
 	defer recoverToError(&err)
-	frame, err := readFrame(conn, reader)
+	frame, err = readFrame(conn, reader)
 	switch {
 	case err != nil:
-		return first, err
+		return first, frame, err
 	case frame.Type != wire.TypeRelayReport:
-		return first, errNotReport
+		return first, frame, errNotReport
 	default:
-		return first, frame.Decode(&first)
+		err = frame.Decode(&first)
+		return first, frame, err
 	}
 }
 
@@ -130,18 +139,21 @@
 		if err := frame.Decode(&r); err != nil {
 			return err
 		}
+		f.received(frame, r)
 		events.Report(f, r)
 	case wire.TypePlaceRequest:
 		var a PlaceRequest
 		if err := frame.Decode(&a); err != nil {
 			return err
 		}
+		f.received(frame, a)
 		events.PlaceRequest(f, a)
 	case wire.TypePlaceRelease:
 		var d PlaceRelease
 		if err := frame.Decode(&d); err != nil {
 			return err
 		}
+		f.received(frame, d)
 		events.PlaceRelease(f, d)
 	default:
 		// Ignore unknown messages, which a newer version may send.
--- a/pkg/targetconn/conn.go
+++ b/pkg/targetconn/conn.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 )
 
 const (
@@ -60,6 +62,8 @@
 	exchanges int
 	// ended is closed once the target can no longer work on an exchange of this connection.
 	ended chan struct{}
+	// flow counts the bytes if the target is in another region.
+	flow atomic.Pointer[interregion.Flow]
 }
 
 // New wraps a network connection to a target.
@@ -71,6 +75,11 @@
 	return conn
 }
 
+// SetFlow sets where the bytes are counted from now on, nil for nowhere.
+func (c *Conn) SetFlow(f *interregion.Flow) {
+	c.flow.Store(f)
+}
+
 // Write implements io.Writer. The guard is called before the first byte of an exchange is written.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
@@ -89,6 +98,7 @@
 	n, err := c.Conn.Write(p)
 	c.written += int64(n)
 	c.accepted.Add(int64(n))
+	c.flow.Load().AddSent(n)
 	if err != nil {
 		c.writeErr = err
 	}
@@ -170,6 +180,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(int64(len(p)), allowed)])
 	c.readLimit.Add(-int64(n))
+	c.flow.Load().AddReceived(n)
 	if c.cancelled.Load() {
 		// The target's reaction to the cancellation may arrive before the expired deadline has woken this reader.
 		return 0, net.ErrClosed
--- a/pkg/wire/frame.go
+++ b/pkg/wire/frame.go
@@ -43,6 +43,11 @@
 	Payload []byte
 }
 
+// Size returns the number of bytes that the frame takes on the connection.
+func (f Frame) Size() int {
+	return headerBytes + len(f.Payload)
+}
+
 // WriteFrame writes a frame with the given payload in a single call of Write.
 func WriteFrame(w io.Writer, version uint8, t Type, payload []byte) error {
 	n := len(payload) + 2
