Shorten placement messages between regions

Cause: each request of a VM in another region than the coordinator costs a place request, a response and a release. msgpack took 9 bytes for each 64-bit integer, the target's report was sent with its field names, and pools, targets and organisations in full.

Change: integers are encoded as short as possible in all messages between VMs, which every version decodes. Between VMs of two regions that both state format 1 (field fm of the first report and of the first update), placement messages are sent in a short form (types 55 to 57): no absent fields, names as numbers. A name is sent in full when it is first used on the connection; both ends number the names in the order of sending, up to 1,024. The contents are the same, so decisions are.

Batching releases: a release frees a slot, so a later one delays other requests.

Tests: a VM or a coordinator of an earlier version gets only messages that it reads (TestEarlierVMGetsTheUsualMessages, TestEarlierCoordinatorGetsTheUsualMessages).

--- /dev/null
+++ b/internal/soak/interregion_test.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/interregion"
+	"github.com/bronzelever/bronzelever/platform/standin"
+)
+
+const (
+	// interRegionPeriod is how long the bytes between regions are counted, and interRegionPause the time between two requests of a caller.
+	interRegionPeriod = 8 * time.Second
+	interRegionPause  = 50 * time.Millisecond
+	interRegionSeed   = 1
+	// maxPlacementBytes is what docs/CAPACITY.md permits for the placement messages of a request.
+	maxPlacementBytes = 100
+)
+
+// interRegionBytes returns what each VM has counted.
+func (r *run) interRegionBytes(t *testing.T) []map[string]interregion.Volume {
+	t.Helper()
+	list := make([]map[string]interregion.Volume, r.VMs)
+	for i := range list {
+		var d struct {
+			Bytes map[string]interregion.Volume `json:"inter_region_bytes"`
+		}
+		if err := json.Unmarshal(r.dump(t, i), &d); err != nil {
+			t.Fatal(err)
+		}
+		list[i] = d.Bytes
+	}
+	return list
+}
+
+// sendEvenly sends requests of all routes through all VMs, one caller each, and returns how many each VM got and how many were served.
+func (r *run) sendEvenly(t *testing.T, credential string) (sent []int64, served int64) {
+	sent = make([]int64, r.VMs)
+	var count atomic.Int64
+	ctx, cancel := context.WithTimeout(t.Context(), interRegionPeriod)
+	defer cancel()
+	var group sync.WaitGroup
+	for vm := range r.VMs {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(interRegionSeed, uint64(vm)))
+			for ; ctx.Err() == nil; wait(ctx, interRegionPause) {
+				path := []string{standin.PathRead, standin.PathHome, standin.PathOrder}[random.IntN(3)]
+				if r.sendKeyed(t, vm, path, credential, random.IntN(keyCount)) == http.StatusOK {
+					count.Add(1)
+				}
+				sent[vm]++
+			}
+		})
+	}
+	group.Wait()
+	return sent, count.Load()
+}
+
+// sendKeyed sends a request through a VM and returns the status of the response, 0 if there is none.
+func (r *run) sendKeyed(t *testing.T, vm int, path, credential string, key int) int {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+r.vms[vm].callerLink.Address()+path, nil)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	request.Host = "shop.example"
+	standin.SetRequestHeader(request.Header, fmt.Sprintf("i-%d", senders.Add(1)), requestTimeout, key)
+	standin.SetCredential(request.Header, credential)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards the costs that docs/CAPACITY.md states for the messages between regions: what a request of a VM in the other region costs in
+// placement messages, and what such a VM costs in heartbeats and reports.
+func TestBytesBetweenRegions(t *testing.T) {
+	r := startCrashRun(t, 8)
+	const credential = "plain-a1"
+	if err := r.deployment.ConfigureQuotas(8, map[string][]string{"org-a": {credential}}, 1000, 1000); err != nil {
+		t.Fatal(err)
+	}
+	wait(t.Context(), 3*configApplyTime)
+	before, started := r.interRegionBytes(t), time.Now()
+	sent, served := r.sendEvenly(t, credential)
+	after, seconds := r.interRegionBytes(t), time.Since(started).Seconds()
+	// used holds each VM's bytes in both directions. The coordinator has exchanged the most placement messages.
+	used, coordinator, total := make([]map[string]int64, r.VMs), 0, int64(0)
+	for i := range used {
+		used[i] = map[string]int64{}
+		for kind, v := range after[i] {
+			used[i][kind] = v.Sent + v.Received - before[i][kind].Sent - before[i][kind].Received
+		}
+		if used[i]["placement"] > used[coordinator]["placement"] {
+			coordinator = i
+		}
+		total += sent[i]
+	}
+	far, farVMs := int64(0), 0.0
+	for i := range sent {
+		if i%2 != coordinator%2 {
+			far += sent[i]
+			farVMs++
+		}
+	}
+	all := map[string]int64{}
+	for i := range used {
+		for kind, n := range used[i] {
+			if kind == "placement" || kind == "tables" || kind == "reports" {
+				// Both ends count these.
+				n = used[coordinator][kind] * int64(1-min(1, i))
+			}
+			all[kind] += n
+		}
+	}
+	placement, reports := float64(used[coordinator]["placement"])/float64(far), float64(used[coordinator]["reports"])/farVMs/seconds
+	t.Logf("%d requests, %d of them of %v VMs in the other region, %d served in %.1f s; %.0f bytes of placement messages for each of those, %.0f bytes of reports for each of those VMs and second; bytes by kind %v",
+		total, far, farVMs, served, seconds, placement, reports, all)
+	if placement > maxPlacementBytes {
+		t.Errorf("%.0f bytes of placement messages for each request, want %d at most", placement, maxPlacementBytes)
+	}
+	if served < total*9/10 {
+		t.Errorf("%d of %d requests were served", served, total)
+	}
+}
--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -76,6 +76,7 @@
 	defer link.Close()
 	stopClose := context.AfterFunc(ctx, link.Close)
 	defer stopClose()
+	first.Format = formatShort
 	link.SendReport(first)
 	receiver.Connected(link)
 	reader := bufio.NewReader(conn)
@@ -100,6 +101,7 @@
 			return err
 		}
 		l.traffic.SetRegions(receiver.Traffic.Region, u.Region)
+		l.allowShort(u.Format, receiver.Traffic.Region, u.Region)
 		l.received(frame, u)
 		receiver.Update(l, u)
 	case wire.TypePlaceResponse:
@@ -109,6 +111,13 @@
 		}
 		l.received(frame, v)
 		receiver.PlaceResponse(v)
+	case wire.TypeShortPlaceResponse:
+		var v PlaceResponse
+		if err := frame.Decode(&shortPlaceResponse{PlaceResponse: &v, decoder: &l.receivedNames}); err != nil {
+			return err
+		}
+		l.received(frame, v)
+		receiver.PlaceResponse(v)
 	default:
 		// Ignore unknown messages, which a newer version may send.
 	}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -26,8 +26,10 @@
 	// Distributor is the address of the VM from which the receiver gets the tables and routes. It is empty if they come with
 	// this update.
 	Distributor string `msgpack:"h,omitempty"`
-	// Region is the sender's region. It is sent in the first update on a connection, for the count of bytes between regions.
-	Region string `msgpack:"z,omitempty"`
+	// Region is the sender's region, and Format the short messages that it understands (formatShort). Both are sent in the first update
+	// on a connection.
+	Region string `msgpack:"rg,omitempty"`
+	Format int    `msgpack:"fm,omitempty"`
 	// MinElectionDelayMs is the lowest BaseElectionDelayMs of the connected VMs and the coordinator.
 	MinElectionDelayMs int64 `msgpack:"s,omitempty"`
 	// LeaseVersion is the version of the coordinator's row.
@@ -73,6 +75,8 @@
 	VM     string `msgpack:"vm,omitempty"`
 	Domain string `msgpack:"d,omitempty"`
 	Region string `msgpack:"r,omitempty"`
+	// Format tells which short messages the VM understands (formatShort). It is sent in the first report.
+	Format int `msgpack:"fm,omitempty"`
 	// Address is where other VMs reach this one. It is sent in the first report.
 	Address string `msgpack:"p,omitempty"`
 	// TablesOnly is set in the first report by a VM that only wants the tables and routes, from a distributor.
--- a/pkg/replica/place_request.go
+++ b/pkg/replica/place_request.go
@@ -8,12 +8,6 @@
 	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
-// maxOrganisationBytes bounds the name of an organisation in a message.
-const maxOrganisationBytes = 256
-
-// errOrganisationTooLong means that the name of an organisation in a message exceeds maxOrganisationBytes.
-var errOrganisationTooLong = errors.New("name of an organisation is too long")
-
 // placeRequestArray is a PlaceRequest without its custom encoding. The number of its fields must not change: earlier versions refuse
 // an array of another length.
 type placeRequestArray PlaceRequest
@@ -34,12 +28,25 @@
 			return err
 		}
 	}
-	if a.Hedge {
-		return e.EncodeUint(flagHedge)
+	if flags := a.flags(); flags != 0 {
+		return e.EncodeUint(flags)
 	}
 	return nil
 }
 
+// flags returns the flags of the request. Both encodings of a place request contain them.
+func (a *PlaceRequest) flags() (flags uint64) {
+	if a.Hedge {
+		flags |= flagHedge
+	}
+	return flags
+}
+
+// setFlags sets what the flags tell. Unknown ones, which a later version may send, are ignored.
+func (a *PlaceRequest) setFlags(flags uint64) {
+	a.Hedge = flags&flagHedge != 0
+}
+
 // DecodeMsgpack implements msgpack.CustomDecoder. Values of another kind or further values after the array are ignored, so that later
 // versions can add some. It must decode the last value of a payload.
 func (a *PlaceRequest) DecodeMsgpack(d *msgpack.Decoder) error {
@@ -50,7 +57,7 @@
 	*a = PlaceRequest(array)
 	code, ok, err := nextCode(d)
 	if ok && msgpcode.IsString(code) {
-		if a.Organisation, err = decodeOrganisation(d); err != nil {
+		if a.Organisation, err = decodeName(d); err != nil {
 			return err
 		}
 		code, ok, err = nextCode(d)
@@ -59,7 +66,7 @@
 		return err
 	}
 	flags, err := d.DecodeUint64()
-	a.Hedge = flags&flagHedge != 0
+	a.setFlags(flags)
 	return err
 }
 
@@ -75,19 +82,3 @@
 func isUnsigned(code byte) bool {
 	return code <= msgpcode.PosFixedNumHigh || code >= msgpcode.Uint8 && code <= msgpcode.Uint64
 }
-
-// decodeOrganisation decodes a string without trusting its announced length, which wire.Frame.Decode checks only for the first value.
-func decodeOrganisation(d *msgpack.Decoder) (string, error) {
-	n, err := d.DecodeBytesLen()
-	if err != nil {
-		return "", err
-	}
-	if n > maxOrganisationBytes {
-		return "", errOrganisationTooLong
-	}
-	name := make([]byte, n)
-	if err := d.ReadFull(name); err != nil {
-		return "", err
-	}
-	return string(name), nil
-}
--- a/pkg/replica/send_queue.go
+++ b/pkg/replica/send_queue.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/interregion"
@@ -27,6 +28,13 @@
 	once   sync.Once
 	// traffic counts the bytes in both directions. It may be nil.
 	traffic *interregion.Peer
+	// short is set once short messages may be sent.
+	short atomic.Bool
+	// encoding is held while a message is encoded and queued: names get their numbers in the order in which the messages are sent.
+	encoding  sync.Mutex
+	sentNames nameEncoder
+	// receivedNames are those of the short messages from the peer. It is owned by the goroutine that reads them.
+	receivedNames nameDecoder
 }
 
 // queuedFrame is an encoded message.
@@ -43,7 +51,9 @@
 
 // send queues a message. It returns false if the connection has ended. If the queue is full, the connection is closed.
 func (q *sendQueue) send(messageType wire.Type, message any) bool {
-	frame, err := wire.AppendMessage(nil, wire.Version, messageType, message)
+	q.encoding.Lock()
+	defer q.encoding.Unlock()
+	frame, err := q.encode(messageType, message)
 	if err != nil {
 		q.Close()
 		return false
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -48,7 +48,9 @@
 
 // SendUpdate sends an update to the VM. It must not be called concurrently.
 func (f *Follower) SendUpdate(u Update) {
-	u.Region, f.ownRegion = f.ownRegion, ""
+	if f.ownRegion != "" {
+		u.Region, u.Format, f.ownRegion = f.ownRegion, formatShort, ""
+	}
 	f.send(wire.TypeRelayUpdate, u)
 }
 
@@ -97,6 +99,7 @@
 	}
 	f := &Follower{ID: first.VM + "#" + strconv.FormatInt(lastConnection.Add(1), 10), VM: first.VM, Domain: first.Domain, Region: first.Region, Address: first.Address, TablesOnly: first.TablesOnly, BaseElectionDelay: time.Duration(first.BaseElectionDelayMs) * time.Millisecond, sendQueue: newSendQueue(conn, interregion.NewPeer(events.Traffic.Counter)), NeedsTables: true, ownRegion: events.Traffic.Region}
 	f.traffic.SetRegions(events.Traffic.Region, f.Region)
+	f.allowShort(first.Format, events.Traffic.Region, f.Region)
 	f.received(frame, first)
 	events.Joined(f)
 	defer func() {
@@ -155,6 +158,20 @@
 		}
 		f.received(frame, d)
 		events.PlaceRelease(f, d)
+	case wire.TypeShortPlaceRequest:
+		var a PlaceRequest
+		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &a, decoder: &f.receivedNames}); err != nil {
+			return err
+		}
+		f.received(frame, a)
+		events.PlaceRequest(f, a)
+	case wire.TypeShortPlaceRelease:
+		var d PlaceRelease
+		if err := frame.Decode(&shortPlaceRelease{&d}); err != nil {
+			return err
+		}
+		f.received(frame, d)
+		events.PlaceRelease(f, d)
 	default:
 		// Ignore unknown messages, which a newer version may send.
 	}
--- /dev/null
+++ b/pkg/replica/short_test.go
@@ -0,0 +1,278 @@
+package replica
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/wire"
+)
+
+// shortEnds returns both ends of one direction of a connection on which short messages are sent.
+func shortEnds() (sender, receiver *sendQueue) {
+	sender, receiver = &sendQueue{}, &sendQueue{}
+	sender.allowShort(formatShort, "a", "b")
+	return sender, receiver
+}
+
+// transfer encodes a message and decodes it into a new value of the same type. It returns that value and the size of the frame.
+func transfer(t *testing.T, sender, receiver *sendQueue, kind wire.Type, message any) (any, int) {
+	t.Helper()
+	encoded, err := sender.encode(kind, message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	frame, err := wire.ReadFrame(bytes.NewReader(encoded))
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded := reflect.New(reflect.TypeOf(message))
+	target := decoded.Interface()
+	switch m := target.(type) {
+	case *PlaceRequest:
+		if frame.Type == wire.TypeShortPlaceRequest {
+			target = &shortPlaceRequest{PlaceRequest: m, decoder: &receiver.receivedNames}
+		}
+	case *PlaceResponse:
+		if frame.Type == wire.TypeShortPlaceResponse {
+			target = &shortPlaceResponse{PlaceResponse: m, decoder: &receiver.receivedNames}
+		}
+	case *PlaceRelease:
+		if frame.Type == wire.TypeShortPlaceRelease {
+			target = &shortPlaceRelease{m}
+		}
+	}
+	if err := frame.Decode(target); err != nil {
+		t.Fatalf("%+v: %v", message, err)
+	}
+	return decoded.Elem().Interface(), frame.Size()
+}
+
+// fill sets each field of a struct that the random source chooses to a random value, so that fields that are added later are covered.
+func fill(v reflect.Value, random *rand.Rand) {
+	for i := range v.NumField() {
+		if f := v.Field(i); f.CanSet() && random.IntN(3) > 0 {
+			fillValue(f, random)
+		}
+	}
+}
+
+func fillValue(f reflect.Value, random *rand.Rand) {
+	switch f.Kind() {
+	case reflect.String:
+		f.SetString(fmt.Sprintf("name-%d", random.IntN(2*maxNames)))
+	case reflect.Bool:
+		f.SetBool(true)
+	case reflect.Float64:
+		f.SetFloat([]float64{1.15, 1, 0.07, -1, math.Pi, 1e300}[random.IntN(6)])
+	case reflect.Slice:
+		f.Set(reflect.MakeSlice(f.Type(), 1+random.IntN(3), 3))
+		for i := range f.Len() {
+			fillValue(f.Index(i), random)
+		}
+	case reflect.Struct:
+		fill(f, random)
+	default:
+		if f.CanInt() {
+			f.SetInt(int64(random.Uint64()>>random.IntN(64)) >> (64 - f.Type().Bits()))
+			return
+		}
+		f.SetUint(random.Uint64() >> random.IntN(64) >> (64 - f.Type().Bits()))
+	}
+}
+
+// Guards against a field, present or of a later change, that the short form of a message loses or alters, also once there are more names
+// than are numbered.
+func TestShortMessagesLoseNothing(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	sender, receiver := shortEnds()
+	for range 5000 {
+		var request PlaceRequest
+		var response PlaceResponse
+		var release PlaceRelease
+		for _, m := range []any{&request, &response, &release} {
+			fill(reflect.ValueOf(m).Elem(), random)
+		}
+		if !release.HasReport {
+			release.Report = placing.Report{}
+		}
+		for kind, sent := range map[wire.Type]any{wire.TypePlaceRequest: request, wire.TypePlaceResponse: response, wire.TypePlaceRelease: release} {
+			if got, _ := transfer(t, sender, receiver, kind, sent); !reflect.DeepEqual(got, sent) {
+				t.Fatalf("sent %+v\nreceived %+v", sent, got)
+			}
+		}
+	}
+	if n := len(sender.sentNames.numbers); n != maxNames || len(receiver.receivedNames.names) != maxNames {
+		t.Errorf("%d names are numbered by the sender and %d by the receiver, want %d", n, len(receiver.receivedNames.names), maxNames)
+	}
+}
+
+// Guards the costs that docs/CAPACITY.md states, with names as long as those of the present deployments, and against names that are never
+// replaced by numbers.
+func TestPlacementMessageSizes(t *testing.T) {
+	const most = 100
+	earlier := 0
+	size := func(sender, receiver *sendQueue) (total int) {
+		for _, seq := range []uint64{40000, 40001} {
+			total, earlier = 0, 0
+			for kind, m := range map[wire.Type]any{
+				wire.TypePlaceRequest: PlaceRequest{Seq: seq, Pool: "stock", Key: 40000, Priority: 258, LeftMs: 2900, ObjectiveMs: 500, Body: 400,
+					Homes: []string{"catania"}, Content: 1 << 63, Caller: 1 << 62, Organisation: "yefi830"},
+				wire.TypePlaceResponse: PlaceResponse{Seq: seq, Target: "stock-catania-a-21", ExpectedMs: 300, WaitedMs: 200},
+				wire.TypePlaceRelease: PlaceRelease{Seq: seq, ElapsedMs: 250, HasReport: true,
+					Report: placing.Report{Running: 2, Waiting: 1, Slots: 2, Pace: 1.07}},
+			} {
+				_, n := transfer(t, sender, receiver, kind, m)
+				total += n
+				encoded, err := wire.AppendMessage(nil, wire.Version, kind, m)
+				if err != nil {
+					t.Fatal(err)
+				}
+				earlier += len(encoded)
+			}
+		}
+		return total
+	}
+	long := size(&sendQueue{}, &sendQueue{})
+	short := size(shortEnds())
+	t.Logf("a request costs %d bytes of placement messages, %d with integers as short as possible, %d in short form", earlier, long, short)
+	if short > most {
+		t.Errorf("the short messages of a request take %d bytes, want %d at most", short, most)
+	}
+}
+
+// Guards against names that a short message can't carry, which must be sent in the usual form, and against announced sizes or numbers that
+// the receiver trusts.
+func TestShortMessagesAreBounded(t *testing.T) {
+	sender, receiver := shortEnds()
+	long := PlaceRequest{Seq: 1, Pool: strings.Repeat("p", maxNameBytes+1), Avoid: []string{"t"}}
+	if got, _ := transfer(t, sender, receiver, wire.TypePlaceRequest, long); !reflect.DeepEqual(got, long) {
+		t.Errorf("received %+v", got)
+	}
+	for name, c := range map[string]struct {
+		payload []byte
+		want    error
+	}{
+		"unknown number": {[]byte{1, 1, 5}, errNameUnknown},
+		"long name":      {[]byte{1, 1, 0xdb, 0xff, 0xff, 0xff, 0xff}, errNameTooLong},
+		"long list":      {[]byte{8, 1, 0xa1, 'p', 1, 1, 1, 1, 1, 0xdd, 0xff, 0xff, 0xff, 0xff}, errListTooLong},
+	} {
+		frame := wire.Frame{Version: wire.Version, Type: wire.TypeShortPlaceRequest, Payload: c.payload}
+		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &PlaceRequest{}, decoder: &nameDecoder{}}); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", name, err, c.want)
+		}
+	}
+}
+
+// earlierMessages are the frame types that versions before the short messages handle.
+var earlierMessages = map[wire.Type]bool{
+	wire.TypeRelayReport: true, wire.TypeRelayUpdate: true, wire.TypePlaceRequest: true, wire.TypePlaceResponse: true, wire.TypePlaceRelease: true,
+}
+
+// readEarlier reads frames as a version before the short messages does, and returns those of one type.
+func readEarlier(t *testing.T, conn net.Conn, awaited wire.Type) wire.Frame {
+	t.Helper()
+	if err := conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		frame, err := wire.ReadFrame(conn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !earlierMessages[frame.Type] {
+			t.Fatalf("an earlier version was sent a message of type %d", frame.Type)
+		}
+		if frame.Type == awaited {
+			return frame
+		}
+	}
+}
+
+// Guards against a coordinator that sends a VM of an earlier version what it can't read: the VM gets the usual messages, whose integers
+// it decodes although they take fewer bytes.
+func TestEarlierVMGetsTheUsualMessages(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	requests := make(chan PlaceRequest, 1)
+	go func() {
+		_ = Serve(l, Events{
+			Traffic: Traffic{Region: "b"},
+			Joined: func(f *Follower) {
+				f.SendUpdate(Update{LeaseVersion: 1 << 40, StoreAge: 7})
+				f.SendUpdate(Update{Count: 3})
+			},
+			Report: func(*Follower, Report) {},
+			PlaceRequest: func(f *Follower, a PlaceRequest) {
+				f.SendPlaceResponse(PlaceResponse{Seq: a.Seq, Target: "t", ExpectedMs: 70000})
+				requests <- a
+			},
+			Left: func(*Follower) {},
+		})
+	}()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	sent := earlierPlaceRequest{Seq: 3, Pool: "p", LeftMs: 5}
+	if err := errors.Join(wire.WriteMessage(conn, wire.TypeRelayReport, Report{VM: "v", Region: "a"}), wire.WriteMessage(conn, wire.TypePlaceRequest, sent)); err != nil {
+		t.Fatal(err)
+	}
+	var u struct {
+		LeaseVersion uint64 `msgpack:"l"`
+		StoreAge     int64  `msgpack:"a"`
+	}
+	if err := readEarlier(t, conn, wire.TypeRelayUpdate).Decode(&u); err != nil || u.LeaseVersion != 1<<40 || u.StoreAge != 7 {
+		t.Errorf("update %+v, %v", u, err)
+	}
+	var v PlaceResponse
+	if err := readEarlier(t, conn, wire.TypePlaceResponse).Decode(&v); err != nil || v.Target != "t" || v.ExpectedMs != 70000 {
+		t.Errorf("response %+v, %v", v, err)
+	}
+	if a := <-requests; a.Seq != 3 || a.Pool != "p" || a.LeftMs != 5 {
+		t.Errorf("request %+v", a)
+	}
+}
+
+// Guards against a VM that sends a coordinator of an earlier version what it can't read.
+func TestEarlierCoordinatorGetsTheUsualMessages(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		_, _ = Follow(t.Context(), l.Addr().String(), Report{VM: "v", Region: "a"}, Receiver{
+			Traffic: Traffic{Region: "a"}, Connected: func(*Link) {},
+			Update: func(link *Link, _ Update) {
+				link.SendReport(Report{DelayMs: 300})
+				link.SendPlaceRequest(PlaceRequest{Seq: 1 << 40, Pool: "p"})
+			},
+			PlaceResponse: func(PlaceResponse) {},
+		})
+	}()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := wire.WriteMessage(conn, wire.TypeRelayUpdate, map[string]any{"l": 5, "a": 1, "i": 1, "n": 2}); err != nil {
+		t.Fatal(err)
+	}
+	var request earlierPlaceRequest
+	if err := readEarlier(t, conn, wire.TypePlaceRequest).Decode(&request); err != nil || request.Seq != 1<<40 || request.Pool != "p" {
+		t.Errorf("request %+v, %v", request, err)
+	}
+}
--- a/pkg/wire/types.go
+++ b/pkg/wire/types.go
@@ -31,6 +31,10 @@
 	TypePlaceRequest      Type = 52
 	TypePlaceResponse     Type = 53
 	TypePlaceRelease      Type = 54
+	// The short forms are sent only to VMs that have stated that they understand them.
+	TypeShortPlaceRequest  Type = 55
+	TypeShortPlaceResponse Type = 56
+	TypeShortPlaceRelease  Type = 57
 )
 
 // Hello is the first message of each side of a connection. It announces the supported protocol versions.
