Send sequence numbers of placement messages as differences

Cause: a sequence number takes 3 bytes after 256 requests of a VM and 5 after 65,536, three times a request.

Change: short placement messages have the difference from the last one of their type on the connection.

--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -116,7 +116,7 @@
 		l.handleUpdate(frame, u, receiver)
 	case wire.TypeShortPlaceResponse:
 		var v PlaceResponse
-		if err := frame.Decode(&shortPlaceResponse{PlaceResponse: &v, decoder: &l.receivedNames}); err != nil {
+		if err := frame.Decode(&shortPlaceResponse{PlaceResponse: &v, seq: &l.receivedSeq, decoder: &l.receivedNames}); err != nil {
 			return err
 		}
 		l.received(frame, v)
--- a/pkg/replica/send_queue.go
+++ b/pkg/replica/send_queue.go
@@ -33,11 +33,13 @@
 	// encoding is held while a message is encoded and queued, since a short message depends on those that are sent before it.
 	encoding   sync.Mutex
 	sentNames  nameEncoder
+	sentSeq    lastSeq
 	sentUpdate updateState
 	sentReport reportState
-	// receivedNames, receivedUpdate and receivedReport are the same for the short messages from the peer. They are owned by the goroutine
+	// receivedNames and the following fields are the same for the short messages from the peer. They are owned by the goroutine
 	// that reads them.
 	receivedNames  nameDecoder
+	receivedSeq    lastSeq
 	receivedUpdate updateState
 	receivedReport reportState
 }
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -167,14 +167,14 @@
 		events.Report(f, r)
 	case wire.TypeShortPlaceRequest:
 		var a PlaceRequest
-		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &a, decoder: &f.receivedNames}); err != nil {
+		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &a, seq: &f.receivedSeq, decoder: &f.receivedNames}); err != nil {
 			return err
 		}
 		f.received(frame, a)
 		events.PlaceRequest(f, a)
 	case wire.TypeShortPlaceRelease:
 		var d PlaceRelease
-		if err := frame.Decode(&shortPlaceRelease{&d}); err != nil {
+		if err := frame.Decode(&shortPlaceRelease{&d, &f.receivedSeq}); err != nil {
 			return err
 		}
 		f.received(frame, d)
--- a/pkg/replica/short.go
+++ b/pkg/replica/short.go
@@ -136,6 +136,12 @@
 	return true
 }
 
+// lastSeq holds the sequence numbers of the last short messages in one direction of a connection. A short message has the difference from
+// the last one of its type, since the numbers of a VM grow without bound.
+type lastSeq struct {
+	request, response, release uint64
+}
+
 // presence has a bit for each optional field that a short message contains.
 type presence uint64
 
@@ -190,6 +196,18 @@
 	return v
 }
 
+// writeSeq writes the difference between a sequence number and the last one, and makes it the last one.
+func (c *codec) writeSeq(last *uint64, seq uint64) {
+	c.writeInts(int64(seq - *last))
+	*last = seq
+}
+
+// readSeq reads what writeSeq has written.
+func (c *codec) readSeq(last *uint64) uint64 {
+	*last += uint64(c.readInt())
+	return *last
+}
+
 func (c *codec) readPresence() presence {
 	return presence(c.readUint())
 }
@@ -208,6 +226,7 @@
 // shortPlaceRequest is a PlaceRequest in short form. Values after those that are known are ignored, so that later versions can add some.
 type shortPlaceRequest struct {
 	*PlaceRequest
+	seq     *lastSeq
 	encoder *nameEncoder
 	decoder *nameDecoder
 }
@@ -223,7 +242,8 @@
 	p.set(requestOrganisation, s.Organisation != "")
 	p.set(requestFlags, s.flags() != 0)
 	c := codec{e: e}
-	c.writeUints(uint64(p), s.Seq)
+	c.writeUints(uint64(p))
+	c.writeSeq(&s.seq.request, s.Seq)
 	c.do(func() error { return s.encoder.encode(e, s.Pool) })
 	c.writeInts(int64(s.Priority), s.LeftMs, s.ObjectiveMs)
 	c.writeUints(s.Content, s.Caller)
@@ -252,7 +272,7 @@
 func (s shortPlaceRequest) DecodeMsgpack(d *msgpack.Decoder) error {
 	c := codec{d: d}
 	p := c.readPresence()
-	s.Repeat, s.Seq = p.has(requestRepeat), c.readUint()
+	s.Repeat, s.Seq = p.has(requestRepeat), c.readSeq(&s.seq.request)
 	c.do(func() (err error) {
 		s.Pool, err = s.decoder.decode(d)
 		return err
@@ -300,6 +320,7 @@
 // shortPlaceResponse is a PlaceResponse in short form.
 type shortPlaceResponse struct {
 	*PlaceResponse
+	seq     *lastSeq
 	encoder *nameEncoder
 	decoder *nameDecoder
 }
@@ -312,7 +333,8 @@
 	p.set(responseExpected, s.ExpectedMs != 0)
 	p.set(responseWaited, s.WaitedMs != 0)
 	c := codec{e: e}
-	c.writeUints(uint64(p), s.Seq)
+	c.writeUints(uint64(p))
+	c.writeSeq(&s.seq.response, s.Seq)
 	if p.has(responseTarget) {
 		c.do(func() error { return s.encoder.encode(e, s.Target) })
 	}
@@ -332,7 +354,7 @@
 func (s shortPlaceResponse) DecodeMsgpack(d *msgpack.Decoder) error {
 	c := codec{d: d}
 	p := c.readPresence()
-	s.Seq = c.readUint()
+	s.Seq = c.readSeq(&s.seq.response)
 	if p.has(responseTarget) {
 		c.do(func() (err error) {
 			s.Target, err = s.decoder.decode(d)
@@ -373,6 +395,7 @@
 // shortPlaceRelease is a PlaceRelease in short form.
 type shortPlaceRelease struct {
 	*PlaceRelease
+	seq *lastSeq
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -391,7 +414,8 @@
 	p.set(releaseClosedFor, s.HasReport && s.Report.ClosedFor != 0)
 	p.set(releaseRateLimit, s.HasReport && s.Report.RateLimit != placing.Report{}.RateLimit)
 	c := codec{e: e}
-	c.writeUints(uint64(p), s.Seq)
+	c.writeUints(uint64(p))
+	c.writeSeq(&s.seq.release, s.Seq)
 	if p.has(releaseElapsed) {
 		c.writeInts(s.ElapsedMs)
 	}
@@ -419,7 +443,7 @@
 func (s shortPlaceRelease) DecodeMsgpack(d *msgpack.Decoder) error {
 	c := codec{d: d}
 	p := c.readPresence()
-	s.Cancelled, s.Seq = p.has(releaseCancelled), c.readUint()
+	s.Cancelled, s.Seq = p.has(releaseCancelled), c.readSeq(&s.seq.release)
 	if p.has(releaseElapsed) {
 		s.ElapsedMs = c.readInt()
 	}
@@ -464,14 +488,14 @@
 		switch m := message.(type) {
 		case PlaceRequest:
 			if fitsShort(m.Pool, m.Organisation) && fitsShort(m.Homes...) && fitsShort(m.Avoid...) {
-				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRequest, shortPlaceRequest{PlaceRequest: &m, encoder: &q.sentNames})
+				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRequest, shortPlaceRequest{PlaceRequest: &m, seq: &q.sentSeq, encoder: &q.sentNames})
 			}
 		case PlaceResponse:
 			if fitsShort(m.Target, string(m.Reason)) {
-				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceResponse, shortPlaceResponse{PlaceResponse: &m, encoder: &q.sentNames})
+				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceResponse, shortPlaceResponse{PlaceResponse: &m, seq: &q.sentSeq, encoder: &q.sentNames})
 			}
 		case PlaceRelease:
-			return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRelease, shortPlaceRelease{&m})
+			return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRelease, shortPlaceRelease{&m, &q.sentSeq})
 		case Update:
 			// Rows and routes take far more than what the short form saves.
 			if kindOf(m) == interregion.Reports && fitsShort(m.Distributor) {
--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -40,11 +40,11 @@
 	switch m := target.(type) {
 	case *PlaceRequest:
 		if frame.Type == wire.TypeShortPlaceRequest {
-			target = &shortPlaceRequest{PlaceRequest: m, decoder: &receiver.receivedNames}
+			target = &shortPlaceRequest{PlaceRequest: m, seq: &receiver.receivedSeq, decoder: &receiver.receivedNames}
 		}
 	case *PlaceResponse:
 		if frame.Type == wire.TypeShortPlaceResponse {
-			target = &shortPlaceResponse{PlaceResponse: m, decoder: &receiver.receivedNames}
+			target = &shortPlaceResponse{PlaceResponse: m, seq: &receiver.receivedSeq, decoder: &receiver.receivedNames}
 		}
 	case *Update:
 		if frame.Type == wire.TypeShortUpdate {
@@ -56,7 +56,7 @@
 		}
 	case *PlaceRelease:
 		if frame.Type == wire.TypeShortPlaceRelease {
-			target = &shortPlaceRelease{m}
+			target = &shortPlaceRelease{m, &receiver.receivedSeq}
 		}
 	}
 	if err := frame.Decode(target); err != nil {
@@ -253,7 +253,7 @@
 		"long list":      {[]byte{8, 1, 0xa1, 'p', 1, 1, 1, 1, 1, 0xdd, 0xff, 0xff, 0xff, 0xff}, errListTooLong},
 	} {
 		frame := wire.Frame{Version: wire.Version, Type: wire.TypeShortPlaceRequest, Payload: c.payload}
-		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &PlaceRequest{}, decoder: &nameDecoder{}}); !errors.Is(err, c.want) {
+		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &PlaceRequest{}, seq: &lastSeq{}, decoder: &nameDecoder{}}); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
 		}
 	}
