--- a/internal/soak/interregion_test.go
+++ b/internal/soak/interregion_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -85,55 +88,77 @@
 	return response.StatusCode
 }
 
+// logLines returns the number of log lines of all VMs that contain a text.
+func (r *run) logLines(t *testing.T, text string) (lines int) {
+	t.Helper()
+	for vm := range r.VMs {
+		content, err := os.ReadFile(filepath.Join(r.LogDir, fmt.Sprintf("blentry-%d.log", vm)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines += strings.Count(string(content), text)
+	}
+	return lines
+}
+
+// crossed returns the bytes of each kind that have crossed between the regions between two calls of interRegionBytes. The coordinator has
+// counted those of messages between VMs in both directions, and each VM those of its requests, grants and store calls.
+func crossed(before, after []map[string]interregion.Volume, coordinator int) map[string]int64 {
+	bytes := map[string]int64{}
+	for vm := range after {
+		for kind, v := range after[vm] {
+			switch kind {
+			case interregion.Placement.String(), interregion.Tables.String(), interregion.Reports.String():
+				if vm != coordinator {
+					continue
+				}
+			}
+			bytes[kind] += v.Sent + v.Received - before[vm][kind].Sent - before[vm][kind].Received
+		}
+	}
+	return bytes
+}
+
 // Guards the costs that docs/CAPACITY.md states for the messages between regions: what a request of a VM in the other region costs in
-// placement messages, and what such a VM costs in heartbeats and reports.
+// placement messages, and what such a VM costs in heartbeats and reports. Guards also against kinds of bytes that aren't counted.
 func TestBytesBetweenRegions(t *testing.T) {
-	r := startCrashRun(t, 8)
+	r := startCrashRun(t, 8, "--log-inter-region-bytes")
 	const credential = "plain-a1"
 	if err := r.deployment.ConfigureQuotas(8, map[string][]string{"org-a": {credential}}, 1000, 1000); err != nil {
 		t.Fatal(err)
 	}
 	wait(t.Context(), 3*configApplyTime)
+	coordinator := r.leader(t).index
 	before, started := r.interRegionBytes(t), time.Now()
 	sent, served := r.sendEvenly(t, credential)
-	after, seconds := r.interRegionBytes(t), time.Since(started).Seconds()
-	// used holds each VM's bytes in both directions. The coordinator has exchanged the most placement messages.
-	used, coordinator, total := make([]map[string]int64, r.VMs), 0, int64(0)
-	for i := range used {
-		used[i] = map[string]int64{}
-		for kind, v := range after[i] {
-			used[i][kind] = v.Sent + v.Received - before[i][kind].Sent - before[i][kind].Received
-		}
-		if used[i]["placement"] > used[coordinator]["placement"] {
-			coordinator = i
-		}
-		total += sent[i]
-	}
-	far, farVMs := int64(0), 0.0
-	for i := range sent {
-		if i%2 != coordinator%2 {
-			far += sent[i]
+	bytes, seconds := crossed(before, r.interRegionBytes(t), coordinator), time.Since(started).Seconds()
+	total, far, farVMs := int64(0), int64(0), 0.0
+	for vm, n := range sent {
+		total += n
+		// Neighbouring VMs are in different regions.
+		if (vm-coordinator)%2 != 0 {
+			far += n
 			farVMs++
 		}
 	}
-	all := map[string]int64{}
-	for i := range used {
-		for kind, n := range used[i] {
-			if kind == "placement" || kind == "tables" || kind == "reports" {
-				// Both ends count these.
-				n = used[coordinator][kind] * int64(1-min(1, i))
-			}
-			all[kind] += n
-		}
-	}
-	placement, reports := float64(used[coordinator]["placement"])/float64(far), float64(used[coordinator]["reports"])/farVMs/seconds
+	placement, reports := float64(bytes["placement"])/float64(far), float64(bytes["reports"])/farVMs/seconds
 	t.Logf("%d requests, %d of them of %v VMs in the other region, %d served in %.1f s; %.0f bytes of placement messages for each of those, %.0f bytes of reports for each of those VMs and second; bytes by kind %v",
-		total, far, farVMs, served, seconds, placement, reports, all)
+		total, far, farVMs, served, seconds, placement, reports, bytes)
 	if placement > maxPlacementBytes || reports > maxReportBytes {
 		t.Errorf("%.0f bytes of placement messages for each request, %.0f bytes of reports for each VM and second, want %d and %d at most",
 			placement, reports, maxPlacementBytes, maxReportBytes)
 	}
+	for _, kind := range []interregion.Kind{
+		interregion.Placement, interregion.Reports, interregion.Grants, interregion.KeyedRequests, interregion.HomeRequests, interregion.Store,
+	} {
+		if bytes[kind.String()] == 0 {
+			t.Errorf("no bytes of the kind %v were counted", kind)
+		}
+	}
 	if served < total*9/10 {
 		t.Errorf("%d of %d requests were served", served, total)
 	}
+	if logged := r.logLines(t, "event=890"); logged < r.VMs {
+		t.Errorf("%d log lines with the bytes between regions, want one of each VM at least", logged)
+	}
 }
