Count retries between regions apart

Cause: retries needn't cross for themselves, and were counted with the first attempts.

Change: kind retries for further attempts of a request, hedges included.

--- a/pkg/ingress/target_attempt.go
+++ b/pkg/ingress/target_attempt.go
@@ -45,6 +45,8 @@
 		return nil
 	}
 	switch {
+	case c.attempts > 0 || len(c.unfinished) > 0:
+		return c.InterRegion.Flow(interregion.Retries)
 	case c.pool.Keyed:
 		return c.InterRegion.Flow(interregion.KeyedRequests)
 	case len(c.allowedRegions) > 0:
--- a/pkg/interregion/interregion.go
+++ b/pkg/interregion/interregion.go
@@ -23,18 +23,20 @@
 	Reports
 	// Grants is for grants and releases of keys at targets.
 	Grants
-	// KeyedRequests, HomeRequests and OtherRequests are for callers' requests with their responses: those of keyed pools, those of other
-	// pools that may run in certain regions only, and all others.
+	// KeyedRequests, HomeRequests and OtherRequests are for the first attempts of callers' requests with their responses: those of keyed
+	// pools, those of other pools that may run in certain regions only, and all others. Retries is for further attempts of all of them,
+	// hedges included.
 	KeyedRequests
 	HomeRequests
 	OtherRequests
+	Retries
 	// Store is for calls of the store. The region of the store isn't known, so all of them are counted.
 	Store
 	kindCount
 )
 
 // kindNames are the names of the kinds in metrics, the state dump and the log.
-var kindNames = [kindCount]string{"placement", "tables", "reports", "grants", "requests_keyed", "requests_homes", "requests_other", "store"}
+var kindNames = [kindCount]string{"placement", "tables", "reports", "grants", "requests_keyed", "requests_homes", "requests_other", "retries", "store"}
 
 // String returns the name of the kind.
 func (k Kind) String() string {
