Reject short messages that begin with nil

Cause: the msgpack library panics if the value of a struct with its own decoder is nil.

Change: a short message must begin with an integer.

Measured: 10,000 random short messages, altered and cut (TestMalformedShortMessagesAreErrors, fixed seed): no panic.

--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -110,13 +110,13 @@
 		receiver.PlaceResponse(v)
 	case wire.TypeShortUpdate:
 		var u Update
-		if err := frame.Decode(&shortUpdate{Update: &u, state: &l.receivedUpdate, decoder: &l.receivedNames}); err != nil {
+		if err := decodeShort(frame, &shortUpdate{Update: &u, state: &l.receivedUpdate, decoder: &l.receivedNames}); err != nil {
 			return err
 		}
 		l.handleUpdate(frame, u, receiver)
 	case wire.TypeShortPlaceResponse:
 		var v PlaceResponse
-		if err := frame.Decode(&shortPlaceResponse{PlaceResponse: &v, seq: &l.receivedSeq, decoder: &l.receivedNames}); err != nil {
+		if err := decodeShort(frame, &shortPlaceResponse{PlaceResponse: &v, seq: &l.receivedSeq, decoder: &l.receivedNames}); err != nil {
 			return err
 		}
 		l.received(frame, v)
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -160,21 +160,21 @@
 		events.PlaceRelease(f, d)
 	case wire.TypeShortReport:
 		var r Report
-		if err := frame.Decode(&shortReport{Report: &r, state: &f.receivedReport}); err != nil {
+		if err := decodeShort(frame, &shortReport{Report: &r, state: &f.receivedReport}); err != nil {
 			return err
 		}
 		f.received(frame, r)
 		events.Report(f, r)
 	case wire.TypeShortPlaceRequest:
 		var a PlaceRequest
-		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &a, seq: &f.receivedSeq, decoder: &f.receivedNames}); err != nil {
+		if err := decodeShort(frame, &shortPlaceRequest{PlaceRequest: &a, seq: &f.receivedSeq, decoder: &f.receivedNames}); err != nil {
 			return err
 		}
 		f.received(frame, a)
 		events.PlaceRequest(f, a)
 	case wire.TypeShortPlaceRelease:
 		var d PlaceRelease
-		if err := frame.Decode(&shortPlaceRelease{&d, &f.receivedSeq}); err != nil {
+		if err := decodeShort(frame, &shortPlaceRelease{&d, &f.receivedSeq}); err != nil {
 			return err
 		}
 		f.received(frame, d)
--- a/pkg/replica/short.go
+++ b/pkg/replica/short.go
@@ -29,6 +29,7 @@
 var (
 	errNameTooLong = errors.New("name in a message is too long")
 	errNameUnknown = errors.New("number in a message stands for no name")
+	errNoPresence  = errors.New("short message doesn't begin with the presence of its fields")
 	errListTooLong = errors.New("list of names in a message is too long")
 )
 
@@ -470,6 +471,14 @@
 	return c.err
 }
 
+// decodeShort decodes a frame into a short message. The msgpack library panics if the value of a struct is nil.
+func decodeShort(frame wire.Frame, message msgpack.CustomDecoder) error {
+	if len(frame.Payload) == 0 || !isUnsigned(frame.Payload[0]) {
+		return errNoPresence
+	}
+	return frame.Decode(message)
+}
+
 // compactInts encodes a message with integers in as few bytes as they need, which all versions decode. By default msgpack takes 9 bytes
 // for each 64-bit integer.
 type compactInts struct {
--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -248,17 +248,60 @@
 		payload []byte
 		want    error
 	}{
+		"no value":       {nil, errNoPresence},
+		"nil":            {[]byte{0xc0}, errNoPresence},
 		"unknown number": {[]byte{1, 1, 5}, errNameUnknown},
 		"long name":      {[]byte{1, 1, 0xdb, 0xff, 0xff, 0xff, 0xff}, errNameTooLong},
 		"long list":      {[]byte{8, 1, 0xa1, 'p', 1, 1, 1, 1, 1, 0xdd, 0xff, 0xff, 0xff, 0xff}, errListTooLong},
 	} {
 		frame := wire.Frame{Version: wire.Version, Type: wire.TypeShortPlaceRequest, Payload: c.payload}
-		if err := frame.Decode(&shortPlaceRequest{PlaceRequest: &PlaceRequest{}, seq: &lastSeq{}, decoder: &nameDecoder{}}); !errors.Is(err, c.want) {
+		if err := decodeShort(frame, &shortPlaceRequest{PlaceRequest: &PlaceRequest{}, seq: &lastSeq{}, decoder: &nameDecoder{}}); !errors.Is(err, c.want) {
 			t.Errorf("%s: %v, want %v", name, err, c.want)
 		}
 	}
 }
 
+// Guards against a malformed short message that panics instead of failing. The seed is fixed.
+func TestMalformedShortMessagesAreErrors(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 3))
+	events := Events{Report: func(*Follower, Report) {}, PlaceRequest: func(*Follower, PlaceRequest) {}, PlaceRelease: func(*Follower, PlaceRelease) {}}
+	receiver := Receiver{Update: func(*Link, Update) {}, PlaceResponse: func(PlaceResponse) {}}
+	failed := 0
+	for range 10000 {
+		sender, _ := shortEnds()
+		kinds := []any{PlaceRequest{}, PlaceResponse{}, PlaceRelease{}, Update{}, Report{}}
+		message := reflect.New(reflect.TypeOf(kinds[random.IntN(len(kinds))])).Elem()
+		fill(message, random)
+		encoded, err := sender.encode(wire.TypeRelayUpdate, message.Interface())
+		if err != nil {
+			t.Fatal(err)
+		}
+		frame, err := wire.ReadFrame(bytes.NewReader(encoded))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if frame.Type == wire.TypeRelayUpdate {
+			continue
+		}
+		for range 1 + random.IntN(3) {
+			frame.Payload[random.IntN(len(frame.Payload))] = byte(random.Uint32())
+		}
+		frame.Payload = frame.Payload[:len(frame.Payload)-random.IntN(1+len(frame.Payload)/2)]
+		follower, link := &Follower{sendQueue: &sendQueue{}}, &Link{sendQueue: &sendQueue{}}
+		for _, err := range []error{follower.handle(frame, events), link.handle(frame, receiver)} {
+			if errors.As(err, new(*PanicError)) {
+				t.Fatalf("type %d, %x: %v", frame.Type, frame.Payload, err)
+			}
+			if err != nil {
+				failed++
+			}
+		}
+	}
+	if failed == 0 {
+		t.Error("no message was malformed")
+	}
+}
+
 // earlierMessages are the frame types that versions before the short messages handle.
 var earlierMessages = map[wire.Type]bool{
 	wire.TypeRelayReport: true, wire.TypeRelayUpdate: true, wire.TypePlaceRequest: true, wire.TypePlaceResponse: true, wire.TypePlaceRelease: true,
