Keep the metrics of the bytes between regions from decreasing

Cause: a connection counts bytes before it writes them and takes them back if the write fails. If Record ran between, the metric fell, and the Prometheus client panics in the reporter's goroutine if a counter decreases, which ends the process. A store that doesn't read during a larger write, and then closes the connection, is enough.

Change: a metric stays until the count has passed it.

--- a/pkg/interregion/interregion.go
+++ b/pkg/interregion/interregion.go
@@ -233,9 +233,17 @@
 func (m *Metrics) Record() {
 	for k := range kindCount {
 		v := m.counter.Total(k)
-		m.sent[k].Inc(v.Sent - m.recorded[k].Sent)
-		m.received[k].Inc(v.Received - m.recorded[k].Received)
-		m.recorded[k] = v
+		increase(m.sent[k], &m.recorded[k].Sent, v.Sent)
+		increase(m.received[k], &m.recorded[k].Received, v.Received)
+	}
+}
+
+// increase raises a metric from the recorded value to a new one. A count falls if a write fails after its bytes were counted; the metric
+// then stays until the count has passed it, since a Prometheus counter panics if it decreases.
+func increase(metric tally.Counter, recorded *int64, value int64) {
+	if value > *recorded {
+		metric.Inc(value - *recorded)
+		*recorded = value
 	}
 }
 
