Bound the announced length of the other fields in short messages

Cause: decodeRest let the msgpack library allocate the announced length, up to 4 GB for 6 bytes. wire.Frame.Decode checks only the first value of a payload.

Change: a length of more than a frame is an error.

Measured: TestShortMessagesAllocateNoAnnouncedLength failed before (4,294,989,336 bytes allocated for a report, 4,294,975,176 for an update), and passes.

--- a/pkg/replica/short.go
+++ b/pkg/replica/short.go
@@ -31,6 +31,7 @@
 	errNameUnknown = errors.New("number in a message stands for no name")
 	errNoPresence  = errors.New("short message doesn't begin with the presence of its fields")
 	errListTooLong = errors.New("list of names in a message is too long")
+	errRestTooLong = errors.New("other fields of a short message are longer than a frame")
 )
 
 // nameEncoder replaces names by numbers. A name is sent in full when it is first used on a connection, and both ends number the names in
--- a/pkg/replica/short_report.go
+++ b/pkg/replica/short_report.go
@@ -330,11 +330,18 @@
 	return e.EncodeBytes(encoded)
 }
 
-// decodeRest decodes the other fields of a short message.
+// decodeRest decodes the other fields of a short message, without trusting their announced length.
 func decodeRest(d *msgpack.Decoder, message any) error {
-	encoded, err := d.DecodeBytes()
+	n, err := d.DecodeBytesLen()
 	if err != nil {
 		return err
 	}
+	if n > wire.MaxFrameBytes {
+		return errRestTooLong
+	}
+	encoded := make([]byte, max(0, n))
+	if err := d.ReadFull(encoded); err != nil {
+		return err
+	}
 	return wire.Frame{Payload: encoded}.Decode(message)
 }
--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -302,6 +303,25 @@
 	}
 }
 
+// Guards against a short message whose announced length is trusted: 6 bytes must not make the receiver allocate 4 GB.
+func TestShortMessagesAllocateNoAnnouncedLength(t *testing.T) {
+	events := Events{Report: func(*Follower, Report) {}}
+	receiver := Receiver{Update: func(*Link, Update) {}}
+	payload := []byte{byte(partRest), 0xc6, 0xff, 0xff, 0xff, 0xff}
+	for kind, handle := range map[wire.Type]func(wire.Frame) error{
+		wire.TypeShortReport: func(f wire.Frame) error { return (&Follower{sendQueue: &sendQueue{}}).handle(f, events) },
+		wire.TypeShortUpdate: func(f wire.Frame) error { return (&Link{sendQueue: &sendQueue{}}).handle(f, receiver) },
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		err := handle(wire.Frame{Version: wire.Version, Type: kind, Payload: payload})
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; !errors.Is(err, errRestTooLong) || allocated > wire.MaxFrameBytes {
+			t.Errorf("type %d: %d bytes allocated, %v", kind, allocated, err)
+		}
+	}
+}
+
 // earlierMessages are the frame types that versions before the short messages handle.
 var earlierMessages = map[wire.Type]bool{
 	wire.TypeRelayReport: true, wire.TypeRelayUpdate: true, wire.TypePlaceRequest: true, wire.TypePlaceResponse: true, wire.TypePlaceRelease: true,
