Encode large messages without delaying place responses

Cause: all messages of a connection were encoded under one lock. After a panic while a message was encoded, the connection stayed open, although names may have been numbered that were never sent.

Change: only short messages, which depend on earlier ones, are encoded under the lock. The connection is closed, before the lock is released, whenever a message isn't queued.

--- a/pkg/replica/send_queue.go
+++ b/pkg/replica/send_queue.go
@@ -30,7 +30,8 @@
 	traffic *interregion.Peer
 	// short is set once short messages may be sent.
 	short atomic.Bool
-	// encoding is held while a message is encoded and queued, since a short message depends on those that are sent before it.
+	// encoding is held while a short message is encoded and queued, since it depends on the short messages that are sent before it. Other
+	// messages don't need it, so that a large update doesn't delay place responses.
 	encoding   sync.Mutex
 	sentNames  nameEncoder
 	sentSeq    lastSeq
@@ -56,13 +57,22 @@
 	return q
 }
 
-// send queues a message. It returns false if the connection has ended. If the queue is full, the connection is closed.
-func (q *sendQueue) send(messageType wire.Type, message any) bool {
-	q.encoding.Lock()
-	defer q.encoding.Unlock()
-	frame, err := q.encode(messageType, message)
+// send queues a message. It returns false if the connection has ended. If the message can't be encoded or the queue is full, the connection
+// is closed, since the peer would misread later short messages without this one.
+func (q *sendQueue) send(messageType wire.Type, message any) (queued bool) {
+	messageType, form, short := q.form(messageType, message)
+	if short {
+		q.encoding.Lock()
+		defer q.encoding.Unlock()
+	}
+	// The connection is closed before the lock is released, so that no message that depends on a lost one is sent.
+	defer func() {
+		if !queued {
+			q.Close()
+		}
+	}()
+	frame, err := wire.AppendMessage(nil, wire.Version, messageType, form)
 	if err != nil {
-		q.Close()
 		return false
 	}
 	select {
@@ -71,7 +81,6 @@
 	case q.frames <- queuedFrame{frame, kindOf(message)}:
 		return true
 	default:
-		q.Close()
 		return false
 	}
 }
--- a/pkg/replica/short.go
+++ b/pkg/replica/short.go
@@ -492,30 +492,31 @@
 	return e.Encode(c.message)
 }
 
-// encode returns the frame of a message. The caller holds q.encoding.
-func (q *sendQueue) encode(t wire.Type, message any) ([]byte, error) {
+// form returns the type and the form in which a message is sent, and whether that is its short form. The caller holds q.encoding while it
+// encodes and queues a short form.
+func (q *sendQueue) form(t wire.Type, message any) (sentType wire.Type, form any, short bool) {
 	if q.short.Load() {
 		switch m := message.(type) {
 		case PlaceRequest:
 			if fitsShort(m.Pool, m.Organisation) && fitsShort(m.Homes...) && fitsShort(m.Avoid...) {
-				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRequest, shortPlaceRequest{PlaceRequest: &m, seq: &q.sentSeq, encoder: &q.sentNames})
+				return wire.TypeShortPlaceRequest, shortPlaceRequest{PlaceRequest: &m, seq: &q.sentSeq, encoder: &q.sentNames}, true
 			}
 		case PlaceResponse:
 			if fitsShort(m.Target, string(m.Reason)) {
-				return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceResponse, shortPlaceResponse{PlaceResponse: &m, seq: &q.sentSeq, encoder: &q.sentNames})
+				return wire.TypeShortPlaceResponse, shortPlaceResponse{PlaceResponse: &m, seq: &q.sentSeq, encoder: &q.sentNames}, true
 			}
 		case PlaceRelease:
-			return wire.AppendMessage(nil, wire.Version, wire.TypeShortPlaceRelease, shortPlaceRelease{&m, &q.sentSeq})
+			return wire.TypeShortPlaceRelease, shortPlaceRelease{&m, &q.sentSeq}, true
 		case Update:
 			// Rows and routes take far more than what the short form saves.
 			if kindOf(m) == interregion.Reports && fitsShort(m.Distributor) {
-				return wire.AppendMessage(nil, wire.Version, wire.TypeShortUpdate, shortUpdate{Update: &m, state: &q.sentUpdate, encoder: &q.sentNames})
+				return wire.TypeShortUpdate, shortUpdate{Update: &m, state: &q.sentUpdate, encoder: &q.sentNames}, true
 			}
 		case Report:
-			return wire.AppendMessage(nil, wire.Version, wire.TypeShortReport, shortReport{Report: &m, state: &q.sentReport})
+			return wire.TypeShortReport, shortReport{Report: &m, state: &q.sentReport}, true
 		}
 	}
-	return wire.AppendMessage(nil, wire.Version, t, compactInts{message})
+	return t, compactInts{message}, false
 }
 
 // allowShort makes the queue send short messages if the peer understands them and is in another region.
--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -25,6 +25,12 @@
 	return sender, receiver
 }
 
+// encode returns the frame of a message.
+func (q *sendQueue) encode(kind wire.Type, message any) ([]byte, error) {
+	kind, form, _ := q.form(kind, message)
+	return wire.AppendMessage(nil, wire.Version, kind, form)
+}
+
 // transfer encodes a message and decodes it into a new value of the same type. It returns that value and the frame.
 func transfer(t *testing.T, sender, receiver *sendQueue, kind wire.Type, message any) (any, wire.Frame) {
 	t.Helper()
