Test usual messages with nil in them

Change: a test that messages between VMs in their usual form, which are nil or altered to contain nil or other bytes, don't panic.

--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -328,6 +328,54 @@
 	}
 }
 
+// Guards against a message in its usual form that panics instead of failing if it is nil, or if it was altered to contain nil or another
+// value. The seed is fixed.
+func TestMalformedUsualMessagesDontPanic(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 4))
+	events := Events{Report: func(*Follower, Report) {}, PlaceRequest: func(*Follower, PlaceRequest) {}, PlaceRelease: func(*Follower, PlaceRelease) {}}
+	receiver := Receiver{Update: func(*Link, Update) {}, PlaceResponse: func(PlaceResponse) {}}
+	handle := func(frame wire.Frame) (failed bool) {
+		follower, link := &Follower{sendQueue: &sendQueue{}}, &Link{sendQueue: &sendQueue{}}
+		for _, err := range []error{follower.handle(frame, events), link.handle(frame, receiver)} {
+			if errors.As(err, new(*PanicError)) {
+				t.Fatalf("type %d, %x: %v", frame.Type, frame.Payload, err)
+			}
+			failed = failed || err != nil
+		}
+		return failed
+	}
+	const null = 0xc0
+	failed := 0
+	for kind, empty := range map[wire.Type]any{
+		wire.TypeRelayReport: Report{}, wire.TypeRelayUpdate: Update{}, wire.TypePlaceRequest: PlaceRequest{},
+		wire.TypePlaceResponse: PlaceResponse{}, wire.TypePlaceRelease: PlaceRelease{},
+	} {
+		handle(wire.Frame{Version: wire.Version, Type: kind, Payload: []byte{null}})
+		handle(wire.Frame{Version: wire.Version, Type: kind, Payload: []byte{null, null}})
+		for range 2000 {
+			message := reflect.New(reflect.TypeOf(empty)).Elem()
+			fill(message, random)
+			encoded, err := wire.AppendMessage(nil, wire.Version, kind, message.Interface())
+			if err != nil {
+				t.Fatal(err)
+			}
+			frame, err := wire.ReadFrame(bytes.NewReader(encoded))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for range 1 + random.IntN(3) {
+				frame.Payload[random.IntN(len(frame.Payload))] = []byte{null, byte(random.Uint32())}[random.IntN(2)]
+			}
+			if handle(frame) {
+				failed++
+			}
+		}
+	}
+	if failed == 0 {
+		t.Error("no message was malformed")
+	}
+}
+
 // earlierMessages are the frame types that versions before the short messages handle.
 var earlierMessages = map[wire.Type]bool{
 	wire.TypeRelayReport: true, wire.TypeRelayUpdate: true, wire.TypePlaceRequest: true, wire.TypePlaceResponse: true, wire.TypePlaceRelease: true,
