Test that the encoding of short messages doesn't change

Cause: the tests encoded and decoded with the same version, so that another order of fields or numbers passed them, although VMs of two versions would misread each other's messages: a number would be taken for another target.

Change: a test with the bytes of format 1, and comments on what a later version may add.

Measured: TestShortFormatIsStable passes, and fails with two numbers of an update exchanged, which all other tests of the package accept.

--- a/pkg/replica/short.go
+++ b/pkg/replica/short.go
@@ -214,7 +214,9 @@
 	return presence(c.readUint())
 }
 
-// Optional fields of a short place request, in the order in which they are sent.
+// Optional fields of a short place request, in the order in which they are sent. The order is part of the format: a later field gets the
+// next bit and is sent last, here and in the other short placement messages, so that earlier versions ignore it. It must not be encoded by a
+// nameEncoder, since earlier versions would miss the name that gets a number.
 const (
 	requestRepeat presence = 1 << iota
 	requestKey
--- a/pkg/replica/short_report.go
+++ b/pkg/replica/short_report.go
@@ -10,7 +10,9 @@
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
-// Numbers of a short update. Those that change with each heartbeat come first, so that the presence of a heartbeat is a small integer.
+// Numbers of a short update. Those that change with each heartbeat come first, so that the presence of a heartbeat is a small integer. The
+// numbers and their order, and the parts below, are fixed for formatShort: earlier versions misread a message with another one. A later field
+// is sent in the rest.
 const (
 	updateStoreAge = iota
 	updateQuotaStamp
--- a/pkg/replica/short_test.go
+++ b/pkg/replica/short_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"math"
@@ -14,6 +15,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/placing"
+	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
@@ -174,6 +176,47 @@
 	}
 }
 
+// Guards against a change of the short messages that VMs of two versions read differently, such as another order of fields or numbers: the
+// names, sequence numbers and differences that they take from it would be wrong. Another encoding needs another format number.
+func TestShortFormatIsStable(t *testing.T) {
+	sender, _ := shortEnds()
+	request := PlaceRequest{Seq: 300, Pool: "p", Key: 4, Priority: 5, LeftMs: 6, ObjectiveMs: 7, Body: 8, Homes: []string{"r"}, Avoid: []string{"t", "p"},
+		Repeat: true, Content: 9, Caller: 10, Organisation: "o", Hedge: true}
+	update := Update{Deltas: []Delta{{Table: "x", Version: 1}, {Table: "y", Version: 2}}, Distributor: "d", MinElectionDelayMs: 3, LeaseVersion: 4,
+		StoreAge: 5, ConfigurationAgeMs: 6, Index: 7, Count: 8, Format: formatShort,
+		Quota: &sharedrate.Offer{Coordinator: 9, Process: 10, Stamp: 11, Echo: 12, Serial: 13, Fraction: 1}}
+	report := Report{DelayMs: 1, Unreachable: "u",
+		Quota: &sharedrate.Answer{Process: 2, Coordinator: 3, Stamp: 4, Echo: 5, GrantedBy: 6, Serial: 7, LeftMs: 8, Fraction: 1}}
+	release := PlaceRelease{Seq: 301, Cancelled: true, ElapsedMs: 2, Ending: 1, HasReport: true,
+		Report: placing.Report{Running: 3, Waiting: 4, Slots: 5, Pace: 1.15, ClosedFor: 6}}
+	exact := release
+	exact.Seq, exact.Report.Pace, exact.Report.RateLimit = 299, math.Pi, ratelimit.Notice{Rate: 1}
+	for i, c := range []struct {
+		message any
+		want    string
+	}{
+		{request, "377fcd012ca170050607090a040891a17292a17400a16f01"},
+		{request, "377f0000050607090a040891019202000301"},
+		{PlaceResponse{Seq: 300, Target: "t", Reason: "p", ExpectedMs: 1, WaitedMs: 2}, "380fcd012c02000102"},
+		{PlaceResponse{Seq: 299, Target: "n"}, "3801ffa16e"},
+		{release, "392fcd012d02010304057306"},
+		{exact, "397ffe0201030405cb400921fb54442d180681a452617465cb3ff0000000000000"},
+		{update, "3ace0007ffff050b0c01020406030708090a0dcf3ff0000000000000a16492a178a179c41185a2666d01a16c00a16100a16900a16e00"},
+		{update, "3a13c41185a2666d01a16c00a16100a16900a16e00"},
+		{report, "3bcd3ff1040501080203cf3ff00000000000000607c40581a175a175"},
+		{report, "3b11c40581a175a175"},
+	} {
+		encoded, err := sender.encode(wire.TypeRelayUpdate, c.message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The type and the payload follow the length and the version.
+		if got := hex.EncodeToString(encoded[5:]); got != c.want {
+			t.Errorf("message %d, %T:\ngot  %s\nwant %s", i, c.message, got, c.want)
+		}
+	}
+}
+
 // Guards the costs that docs/CAPACITY.md states for the heartbeats and reports of a VM in another region with quotas.
 func TestHeartbeatSizes(t *testing.T) {
 	// Heartbeats are sent every 300 ms, reports every 250 ms.
