Release a response's memory before its caller's connection is aborted

Cause: TestEndlessBodiesStayWithinMemoryLimit failed in 4 of 30 runs (seen in a review): 32768 bytes were still counted when the last caller had its answer. The connection was aborted before the response was discarded.

Change: the response is discarded first.

--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -403,6 +403,8 @@
 			c.Metrics.recordLimitExceeded()
 		}
 		c.Log.Emit(event.ResponseTruncated, "request", c.meta.ID, "target", c.lastTarget, "error", err.Error())
+		// Released first, so that nothing is counted any more when the caller notices the end of the connection.
+		c.sender.discard(resp)
 		if c.conn != nil {
 			c.conn.abort()
 		}
