Count requests that overtake in forecasts, and refuse early

Cause: the forecast of the broker counted only what was ahead in the queue. Under sustained overload, requests were admitted behind those that later ones overtake, waited for most of their time and were refused. A request was sent as long as 0.9 of the shortest average service time of any target was left.

Change, only where Broker.admitsByValue is true: - The broker measures the work admitted with each rank (priority, on time or late, home regions). Forecasts count with the capacity that the ranks ahead leave, at admission and again for waiting requests on each tick. - A request is sent only to a target whose service time for its kind fits into the remaining time. - A request that would be refused takes a free target that those ahead have declined. Without that, a target with a few slow answers was never used again, because no long queue forms any more. - Histogram broker.refused_wait: how long refused requests had waited.

Ruled out: windows of 0.2, 0.4 and 1 s, longer ones at key owners, smaller shares of the remaining time for late requests, no or earlier demotion of waiting requests (docs/design/overload.md).

--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -69,7 +69,38 @@
 		return
 	}
 	if last := queue[len(queue)-1]; last != w {
-		latency, reason := ps.forecast(last, len(queue)-1, workAhead(queue, len(queue)-1))
+		latency, reason := b.queueForecast(last, ps, len(queue)-1, workAhead(queue, len(queue)-1), now)
 		b.refuseAdmitted(last, ps.refusal(last, latency, reason), now)
 	}
 }
+
+// minTimeLeft returns the time before its deadline at which a waiting request is refused because no target is likely to answer it.
+func (b *Broker) minTimeLeft(w *waiter, ps *poolState) time.Duration {
+	needed := ps.minUsefulTime(w)
+	if b.admitsByValue() && ps.fastest < infinite {
+		needed = max(needed, w.scaled(ps.fastest))
+	}
+	return needed
+}
+
+// timelyCandidate returns the given candidate if its target is likely to answer the request by its deadline, else the fastest free target
+// that is, if there is one. A request that is sent although it is unlikely to be answered costs a target's time for nothing.
+func (b *Broker) timelyCandidate(c candidate, w *waiter, ps *poolState, now clock.Instant) candidate {
+	left := w.deadline.Sub(now)
+	if c.load == nil || !b.admitsByValue() || w.scaled(c.load.expectedLatency(now)) <= left {
+		return c
+	}
+	c.load = nil
+	fastest := infinite
+	for i := range ps.domains {
+		d := &ps.domains[i]
+		if d.freeTarget == nil {
+			continue
+		}
+		if latency := w.scaled(d.freeTarget.expectedLatency(now)); latency <= left && latency < fastest {
+			fastest = latency
+			c.load, c.score = d.freeTarget, w.scaled(d.freeLatency)+distancePenalty(b.regionOf, w.Domain, w.Region, d.name, w.BodyBytes)
+		}
+	}
+	return c
+}
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
@@ -128,16 +130,22 @@
 	kinds         kinds
 	// forecastErrors is nil unless RecordForecastErrors was called.
 	forecastErrors *forecastErrors
+	// refusedWait is nil unless RecordForecastErrors was called.
+	refusedWait tally.Histogram
 	// valueAdmission is set by SetValueAdmission.
 	valueAdmission bool
 	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
 	quotas *sharedrate.Granter
 	// deferred counts the waiting requests of each organisation that have a free target and wait until the quota permits to send them.
 	deferred map[string]int
+	// arrivals holds the rates of arriving work in deployments that admit by value.
+	arrivals arrivals
 	// fair divides queues among organisations.
 	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
 	targetSets map[targetSetID][]*load
+	// regionShares caches sharedTargets until the snapshot changes.
+	regionShares map[regionPair]float64
 	// inspectedTargets counts the targets inspected while computing pool states. Tests use it to bound the cost.
 	inspectedTargets int
 }
@@ -148,7 +156,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
-		fair: fairQueues{}, deferred: map[string]int{},
+		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{},
 	}
 }
 
@@ -156,7 +164,7 @@
 func (b *Broker) Update(s *inventory.Snapshot, ownerOf func(pool string, key int) Owner, now clock.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.snapshot, b.ownerOf, b.targetSets = s, ownerOf, map[targetSetID][]*load{}
+	b.snapshot, b.ownerOf, b.targetSets, b.regionShares = s, ownerOf, map[targetSetID][]*load{}, map[regionPair]float64{}
 	if b.snapshot == nil {
 		b.since = now
 	}
@@ -176,11 +184,11 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
-	b.fair, b.deferred = fairQueues{}, map[string]int{}
+	b.fair, b.deferred, b.arrivals = fairQueues{}, map[string]int{}, arrivals{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
-	b.loads, b.targetSets, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, kinds{}
+	b.loads, b.targetSets, b.regionShares, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, map[regionPair]float64{}, kinds{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
 	b.backoffs = newBackoffs()
@@ -238,6 +246,7 @@
 		return
 	}
 	w.setForecast(latency)
+	b.noteArrival(w, now)
 	b.waiting[requestID{a.VM, a.Seq}] = w
 	cache := stateCache{b: b, now: now}
 	if !w.needsOwnState() && !w.backedOff {
@@ -260,18 +269,18 @@
 	if ps.limited {
 		w.inOrderOfArrival(now)
 		b.requeue(w)
-		return b.forecastWithMargin(w, ps)
+		return b.forecastWithMargin(w, ps, now)
 	}
 	if now.Add(ps.minUsefulTime(w)) > w.objectiveEnd {
 		w.late = true
 		b.requeue(w)
 	}
-	latency, reason := b.forecastWithMargin(w, ps)
+	latency, reason := b.forecastWithMargin(w, ps, now)
 	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
 		w.late = true
 		b.requeue(w)
-		latency, reason = b.forecastWithMargin(w, ps)
+		latency, reason = b.forecastWithMargin(w, ps, now)
 	}
 	return latency, reason
 }
@@ -314,8 +323,8 @@
 		w.suspected = verdict == quarantine.Suspected
 		w.backedOff = b.backoffs.affects(w.vmID, now)
 		ps := cache.get(w)
-		if left := w.deadline.Sub(now); left < ps.minUsefulTime(w) {
-			b.refuseAdmitted(w, Decision{Reason: ReasonOverload, Expected: ps.minUsefulTime(w)}, now)
+		if needed := b.minTimeLeft(w, ps); w.deadline.Sub(now) < needed {
+			b.refuseAdmitted(w, Decision{Reason: ReasonOverload, Expected: needed}, now)
 			continue
 		}
 		if !ps.available || b.yields(w, ps, now) || w.suspected && b.suspects.CopyInFlight(w.Fingerprint, now) {
@@ -329,6 +338,7 @@
 			ps = b.stateFor(w, now)
 			c = b.bestCandidate(w, ps, now)
 		}
+		c = b.timelyCandidate(c, w, ps, now)
 		if c.load == nil || !b.betterThanWaiting(c, w, ps, b.queues[id][:i], now) {
 			b.undefer(w)
 			i++
@@ -363,7 +373,7 @@
 		return true
 	}
 	preferred := b.preferredState(ps, now)
-	wait, _ := preferred.forecast(w, len(ahead), workAhead(ahead, len(ahead)))
+	wait, _ := b.queueForecast(w, preferred, len(ahead), workAhead(ahead, len(ahead)), now)
 	if preferred == ps {
 		return c.score <= wait
 	}
@@ -536,6 +546,7 @@
 	}
 	b.backoffs.prune(now)
 	b.pruneLimitRefusals(now)
+	b.arrivals.prune(now)
 	b.dispatchAll(now)
 	b.refuseUnservable(now)
 }
--- a/pkg/placing/forecasterror.go
+++ b/pkg/placing/forecasterror.go
@@ -19,7 +19,11 @@
 // forecastErrors holds a histogram for each kind of request: the time until the answer minus the forecast at admission.
 type forecastErrors [forecastErrorRanks + 1]tally.Histogram
 
-// RecordForecastErrors makes the broker record the errors of its forecasts in histograms of the given scope, by the priority of the route.
+// refusedWaitBuckets are the buckets of the histogram of the time that refused requests had waited, in seconds.
+var refusedWaitBuckets = tally.ValueBuckets{0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
+// RecordForecastErrors makes the broker record the errors of its forecasts in histograms of the given scope, by the priority of the route,
+// and the time that requests had waited which were admitted and refused later.
 func (b *Broker) RecordForecastErrors(scope tally.Scope) {
 	errors := &forecastErrors{}
 	for i := range errors {
@@ -32,6 +36,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forecastErrors = errors
+	b.refusedWait = scope.SubScope("broker").Histogram("refused_wait", refusedWaitBuckets)
 }
 
 // setForecast stores the forecast at admission, without the margin. It is kept in milliseconds, which the padding of waiter has room for.
@@ -53,3 +58,10 @@
 	took := now.Sub(p.start) - time.Duration(p.forecastLeftMs)*time.Millisecond
 	b.forecastErrors[min(int(p.rank), forecastErrorRanks)].RecordValue(took.Seconds())
 }
+
+// recordRefusedWait records how long a request has waited that is refused now.
+func (b *Broker) recordRefusedWait(w *waiter, now clock.Instant) {
+	if b.refusedWait != nil {
+		b.refusedWait.RecordValue((w.TimeLeft - w.deadline.Sub(now)).Seconds())
+	}
+}
--- a/pkg/placing/kind_test.go
+++ b/pkg/placing/kind_test.go
@@ -13,8 +13,11 @@
 
 // recordDecisions plays one load of two kinds, with reports, slow targets and failures, on targets with and without keys. It returns all
 // decisions.
-func recordDecisions(t *testing.T, objectives [2]time.Duration) []string {
+func recordDecisions(t *testing.T, objectives [2]time.Duration, configure ...func(*Broker)) []string {
 	h := newHarness(t, 6, 2)
+	for _, f := range configure {
+		f(h.b)
+	}
 	var routes []*inventory.Route
 	for i, objective := range objectives {
 		routes = append(routes, &inventory.Route{Priority: i, Objective: objective, PoolWeights: []inventory.PoolWeight{{Pool: "plain", Weight: 1}, {Pool: "keyed", Weight: 1}}})
--- a/pkg/placing/quota.go
+++ b/pkg/placing/quota.go
@@ -177,6 +177,7 @@
 
 // refuseAdmitted refuses a waiting request and gives its token back.
 func (b *Broker) refuseAdmitted(w *waiter, d Decision, now clock.Instant) {
+	b.recordRefusedWait(w, now)
 	b.returnQuota(w.PlacementRequest, now)
 	b.returnStep(w)
 	b.resolve(w, d)
--- a/pkg/placing/replay_test.go
+++ b/pkg/placing/replay_test.go
@@ -33,8 +33,11 @@
 	work, objective, deadline time.Duration
 	onTimeValue, lateValue    float64
 	retries                   int
+	// spread is the standard deviation of the logarithm of the work; 0 means work from 0.7 to 1.3 times the mean.
+	spread float64
 
 	sent, onTime, late, refused, refusedAgain, held int
+	overloadCounts
 }
 
 func (k *replayKind) value() float64 {
@@ -48,6 +51,7 @@
 	k.refused += other.refused
 	k.refusedAgain += other.refusedAgain
 	k.held += other.held
+	k.overloadCounts.add(other.overloadCounts)
 }
 
 func (k *replayKind) share(count int) float64 {
@@ -55,7 +59,7 @@
 }
 
 func (k *replayKind) String() string {
-	return fmt.Sprintf("%s %d sent, %d on time, %d late, %d lost, %d refused again, %d held", k.name, k.sent, k.onTime, k.late, k.refused, k.refusedAgain, k.held)
+	return fmt.Sprintf("%s %d sent, %d on time, %d late, %d lost, %d refused again, %d held; %v", k.name, k.sent, k.onTime, k.late, k.refused, k.refusedAgain, k.held, k.overloadCounts)
 }
 
 // replaySpec is a recorded load: the same seed gives the same arrivals and work.
@@ -69,6 +73,10 @@
 	seed      uint64
 	rate      func(t time.Duration) float64
 	configure func(*Broker)
+	// insistent makes callers that are given a retry time beyond returnShare return after that share all the same.
+	insistent bool
+	// steady makes answers count only until the last arrival, since the drained queue of an overload that never ends earns nothing.
+	steady bool
 }
 
 // replayTarget executes requests in its slots and queues others in the order of their arrival.
@@ -134,6 +142,7 @@
 	targets  []*replayTarget
 	byID     map[string]*replayTarget
 	requests []*replayRequest
+	end      clock.Instant
 	refusals []replayRefusal
 }
 
@@ -161,6 +170,7 @@
 		spec.configure(r.b)
 	}
 	r.b.Update(inventory.NewSnapshot(r.cfg, list, map[string]bool{}), func(_ string, key int) Owner { return Owner{Target: r.targets[key].ID} }, r.now)
+	r.end = r.now.Add(spec.duration)
 	r.record()
 	return r
 }
@@ -182,7 +192,9 @@
 					continue
 				}
 				work := time.Duration(float64(k.work) * (0.7 + 0.6*r.random.Float64()))
-				if r.random.Float64() < slowestShare {
+				if k.spread > 0 {
+					work = spreadWork(k, r.random)
+				} else if r.random.Float64() < slowestShare {
 					work *= slowestFactor
 				}
 				r.requests = append(r.requests, &replayRequest{kind: k, owner: owner, work: work, jitter: r.random.Float64(), at: r.now.Add(t + time.Duration(r.random.Int64N(int64(step))))})
@@ -241,8 +253,10 @@
 			r.b.Cancel("vm", seq, r.now)
 		}
 	})
+	arrived := r.now
 	r.b.Place(a, func(v Decision) {
 		decided = true
+		q.kind.noteDecision(v, r.now.Sub(arrived), q.at.Add(q.kind.deadline).Sub(r.now))
 		if v.Target == "" {
 			r.refuse(q, v)
 			return
@@ -260,6 +274,9 @@
 		r.refusals = append(r.refusals, replayRefusal{q, r.now})
 	}
 	delay := retryAfter(v.Expected, left, q.jitter)
+	if r.spec.insistent {
+		delay = min(delay, time.Duration(returnShare*float64(left)))
+	}
 	if q.attempts > q.kind.retries || float64(delay) > returnShare*float64(left) {
 		q.kind.refused++
 		return
@@ -293,6 +310,7 @@
 func (r *replay) answered(q *replayRequest, seq uint64, sent clock.Instant, report *Report) {
 	took, result := r.now.Sub(q.at), Answered
 	switch {
+	case r.spec.steady && r.now > r.end:
 	case took <= q.kind.objective:
 		q.kind.onTime++
 	case took <= q.kind.deadline:
