Admit by the spread of a kind's work, and with a margin

Cause: a request counted as one that can be on time if 1.25 mean service times fitted into its objective. The work of orders varies so widely that a fifth of their answers were late, while new ones were refused. Rates of later arrivals that are low by chance admitted requests that were refused when the rate rose.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -140,6 +140,8 @@
 	deferred map[string]int
 	// arrivals holds the rates of arriving work in deployments that admit by value.
 	arrivals arrivals
+	// spreads holds how far the work of each kind varies in deployments that admit by value.
+	spreads map[spreadKey]*workSpread
 	// fair divides queues among organisations.
 	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
@@ -156,7 +158,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
-		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{},
+		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{}, spreads: map[spreadKey]*workSpread{},
 	}
 }
 
@@ -171,6 +173,9 @@
 	updateLoads(b.loads, s, now)
 	b.limits.version = 0
 	b.updateKinds()
+	if s != nil {
+		b.pruneSpreads(s.Configuration)
+	}
 	for _, w := range b.waiting {
 		b.requeue(w)
 	}
@@ -184,7 +189,7 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
-	b.fair, b.deferred, b.arrivals = fairQueues{}, map[string]int{}, arrivals{}
+	b.fair, b.deferred, b.arrivals, b.spreads = fairQueues{}, map[string]int{}, arrivals{}, map[spreadKey]*workSpread{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
@@ -373,7 +378,7 @@
 		return true
 	}
 	preferred := b.preferredState(ps, now)
-	wait, _ := b.queueForecast(w, preferred, len(ahead), workAhead(ahead, len(ahead)), now)
+	wait, _ := b.queueForecast(w, preferred, len(ahead), workAhead(ahead, len(ahead)), 0, now)
 	if preferred == ps {
 		return c.score <= wait
 	}
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -13,7 +13,7 @@
 	queue := b.queues[w.queue]
 	place := slices.Index(queue, w)
 	ahead := b.expectedAhead(w, place)
-	latency, reason := b.queueForecast(w, ps, ahead, workAhead(queue, place)+float64(ahead-place), now)
+	latency, reason := b.queueForecast(w, ps, ahead, workAhead(queue, place)+float64(ahead-place), arrivalMargin, now)
 	if latency == infinite {
 		return latency, reason
 	}
@@ -57,7 +57,7 @@
 				w.late = true
 				b.requeue(w)
 			}
-			latency, reason := b.queueForecast(w, ps, position, work, now)
+			latency, reason := b.queueForecast(w, ps, position, work, 0, now)
 			if reason == ReasonOverload {
 				latency += b.slowerThanFastest(w, ps)
 			}
