Show the measured demand of each pool and priority in the dump

Cause: operators couldn't see why the coordinator refuses requests at once.

Change: the dump of the coordinator has demand: waiting requests, rates of admitted work, and the room that a request needs to count as on time.

--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -9,10 +9,14 @@
 
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
 	"github.com/bronzelever/bronzelever/pkg/ratelimit"
 )
 
+// dumpedDemand bounds the entries of dump.Demand.
+const dumpedDemand = 64
+
 // dump is the state of a process as shown to operators.
 type dump struct {
 	VM            string `json:"vm"`
@@ -37,6 +41,8 @@
 	HedgeDelaysMs map[string]int64 `json:"hedge_delays_ms,omitempty"`
 	// AdmitsByValue reports whether this VM admits requests by the value of their answers if it is the coordinator.
 	AdmitsByValue bool `json:"admits_by_value,omitempty"`
+	// Demand is what the coordinator has measured about the requests of each pool and priority, the busiest first.
+	Demand []placing.Demand `json:"demand,omitempty"`
 	// StoreEra is how often the store was restored from an older copy.
 	StoreEra uint64 `json:"store_era"`
 }
@@ -47,7 +53,8 @@
 	d := dump{VM: p.Settings.VM, Ready: p.ready(), Routes: view.Routes, RoutesAgeMs: time.Since(view.ReceivedAt).Milliseconds(),
 		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
 		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now()),
-		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load()}
+		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load(),
+		Demand: p.control.placer.broker.Demand(dumpedDemand, p.control.clock.Now())}
 	for route, delay := range p.hedger.Delays(p.control.clock.Now()) {
 		if d.HedgeDelaysMs == nil {
 			d.HedgeDelaysMs = map[string]int64{}
