Count later arrivals only against the whole remaining time

A new request is refused in addition if, with later arrivals, it can't be answered by its deadline. The room by spread and the margin on rates are removed.

--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -6,8 +6,8 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 )
 
-// onTimeServiceFactor is the smallest part of the mean service time that must be left to the objective when a request is placed for it to
-// count as one that can be answered on time. A kind whose service times differ by more than a third needs more (Broker.onTimeFactor).
+// onTimeServiceFactor is the part of the mean service time that must be left to the objective when a request is placed for it to count as
+// one that can be answered on time. The service times of one kind differ by about a third.
 const onTimeServiceFactor = 1.25
 
 // ownerMaxWaitShare takes the place of maxWaitShare for owners of keys in pools whose kinds of requests are distinguished. A caller that is
@@ -58,7 +58,7 @@
 	if len(ps.targets) < 2 || ps.throughput <= 0 || latency == infinite || !b.admitsByValue() {
 		return latency
 	}
-	mean := secondsToDuration(b.onTimeFactor(w) * float64(ps.slots) / ps.throughput)
+	mean := secondsToDuration(onTimeServiceFactor * float64(ps.slots) / ps.throughput)
 	return latency + time.Duration(forecastMargin*float64(max(0, w.scaled(mean-ps.fastest))))
 }
 
@@ -69,7 +69,7 @@
 		return
 	}
 	if last := queue[len(queue)-1]; last != w {
-		latency, reason := b.queueForecast(last, ps, len(queue)-1, workAhead(queue, len(queue)-1), 0, now)
+		latency, reason := ps.forecast(last, len(queue)-1, workAhead(queue, len(queue)-1))
 		b.refuseAdmitted(last, ps.refusal(last, latency, reason), now)
 	}
 }
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -140,8 +140,6 @@
 	deferred map[string]int
 	// arrivals holds the rates of arriving work in deployments that admit by value.
 	arrivals arrivals
-	// spreads holds how far the work of each kind varies in deployments that admit by value.
-	spreads map[spreadKey]*workSpread
 	// fair divides queues among organisations.
 	fair fairQueues
 	// targetSets caches the targets for each pool and set of home regions until the snapshot changes.
@@ -158,7 +156,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
-		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{}, spreads: map[spreadKey]*workSpread{},
+		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{},
 	}
 }
 
@@ -173,9 +171,6 @@
 	updateLoads(b.loads, s, now)
 	b.limits.version = 0
 	b.updateKinds()
-	if s != nil {
-		b.pruneSpreads(s.Configuration)
-	}
 	for _, w := range b.waiting {
 		b.requeue(w)
 	}
@@ -189,7 +184,7 @@
 	for _, w := range b.waiting {
 		w.reply(Decision{Reason: ReasonBrokerMoved})
 	}
-	b.fair, b.deferred, b.arrivals, b.spreads = fairQueues{}, map[string]int{}, arrivals{}, map[spreadKey]*workSpread{}
+	b.fair, b.deferred, b.arrivals = fairQueues{}, map[string]int{}, arrivals{}
 	b.queues, b.waiting, b.permits = map[queueID][]*waiter{}, map[requestID]*waiter{}, map[requestID]permit{}
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
@@ -242,7 +237,7 @@
 	if latency <= b.maxLatency(w, ps, now) {
 		b.makeRoom(w, ps, now)
 	}
-	if latency > b.maxLatency(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
+	if latency > b.maxLatency(w, ps, now) || b.willBeOvertaken(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
 		b.returnStep(w)
 		b.dequeue(w)
 		b.returnQuota(a, now)
@@ -274,18 +269,18 @@
 	if ps.limited {
 		w.inOrderOfArrival(now)
 		b.requeue(w)
-		return b.forecastWithMargin(w, ps, now)
+		return b.forecastWithMargin(w, ps)
 	}
 	if now.Add(ps.minUsefulTime(w)) > w.objectiveEnd {
 		w.late = true
 		b.requeue(w)
 	}
-	latency, reason := b.forecastWithMargin(w, ps, now)
+	latency, reason := b.forecastWithMargin(w, ps)
 	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
 		w.late = true
 		b.requeue(w)
-		latency, reason = b.forecastWithMargin(w, ps, now)
+		latency, reason = b.forecastWithMargin(w, ps)
 	}
 	return latency, reason
 }
@@ -378,7 +373,7 @@
 		return true
 	}
 	preferred := b.preferredState(ps, now)
-	wait, _ := b.queueForecast(w, preferred, len(ahead), workAhead(ahead, len(ahead)), 0, now)
+	wait, _ := b.queueForecast(w, preferred, len(ahead), workAhead(ahead, len(ahead)), now)
 	if preferred == ps {
 		return c.score <= wait
 	}
--- a/pkg/placing/demand.go
+++ b/pkg/placing/demand.go
@@ -18,8 +18,6 @@
 	// the mean service time of the pool.
 	OnTimeRate float64 `json:"on_time_rate"`
 	LateRate   float64 `json:"late_rate"`
-	// Room is how many mean service times must fit into the objective of a request for it to count as one that can be on time.
-	Room float64 `json:"room"`
 }
 
 // demandKey identifies the requests of one priority in a pool.
@@ -37,8 +35,7 @@
 	entry := func(pool string, priority int) *Demand {
 		id := demandKey{pool, priority}
 		if entries[id] == nil {
-			room := b.onTimeFactor(&waiter{PlacementRequest: PlacementRequest{Pool: pool, Priority: priority}})
-			entries[id] = &Demand{Pool: pool, Priority: priority, Room: room}
+			entries[id] = &Demand{Pool: pool, Priority: priority}
 		}
 		return entries[id]
 	}
--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -9,11 +9,11 @@
 )
 
 // forecastWithMargin is the forecast for a request at its position in the queue, with a safety margin.
-func (b *Broker) forecastWithMargin(w *waiter, ps *poolState, now clock.Instant) (time.Duration, Reason) {
+func (b *Broker) forecastWithMargin(w *waiter, ps *poolState) (time.Duration, Reason) {
 	queue := b.queues[w.queue]
 	place := slices.Index(queue, w)
 	ahead := b.expectedAhead(w, place)
-	latency, reason := b.queueForecast(w, ps, ahead, workAhead(queue, place)+float64(ahead-place), arrivalMargin, now)
+	latency, reason := ps.forecast(w, ahead, workAhead(queue, place)+float64(ahead-place))
 	if latency == infinite {
 		return latency, reason
 	}
@@ -57,7 +57,7 @@
 				w.late = true
 				b.requeue(w)
 			}
-			latency, reason := b.queueForecast(w, ps, position, work, 0, now)
+			latency, reason := b.queueForecast(w, ps, position, work, now)
 			if reason == ReasonOverload {
 				latency += b.slowerThanFastest(w, ps)
 			}
--- a/pkg/placing/kind.go
+++ b/pkg/placing/kind.go
@@ -188,9 +188,6 @@
 	if b.snapshot != nil && b.snapshot.Configuration != nil {
 		pool = b.kindsOf(l.target.Pool)
 	}
-	if result == Answered && l.measured {
-		b.recordSpread(p, l, elapsed, now)
-	}
 	if pool == nil {
 		l.recordResult(elapsed, result, report, now)
 		return
--- a/pkg/placing/overtaking.go
+++ b/pkg/placing/overtaking.go
@@ -20,9 +20,6 @@
 	arrivalWindow = 600 * time.Millisecond
 	// arrivalsKept is how long the rate of a rank is kept after its last request.
 	arrivalsKept = 8 * arrivalWindow
-	// arrivalMargin is the number of standard deviations by which the rates are taken to be higher when a request is admitted. It halves
-	// the number of requests that are admitted because a rate is low by chance and refused when it has risen; with 2, key owners lose 1%.
-	arrivalMargin = 1
 	// minCapacityShare bounds from below the part of the capacity with which a forecast counts, so that expected waits stay finite.
 	minCapacityShare = 0.01
 )
@@ -121,17 +118,14 @@
 	b.arrivals.add(w, overtaking, now)
 }
 
-// capacityShare returns the part of the capacity that later requests with a higher rank leave to a waiting one, with their rate the given
-// number of standard deviations higher than measured.
-func (b *Broker) capacityShare(w *waiter, ps *poolState, margin float64, now clock.Instant) float64 {
+// capacityShare returns the part of the capacity that later requests with a higher rank leave to a waiting one.
+func (b *Broker) capacityShare(w *waiter, ps *poolState, now clock.Instant) float64 {
 	taken := 0.0
 	for _, r := range b.arrivals[w.queue] {
 		if rate := r.perSecond(w, now); rate > 0 {
 			taken += rate * b.sharedTargets(w, r)
 		}
 	}
-	// An exponentially weighted count of random arrivals has the variance rate/(2 x window).
-	taken += margin * math.Sqrt(taken/(2*arrivalWindow.Seconds()))
 	return max(minCapacityShare, 1-taken/ps.throughput)
 }
 
@@ -162,13 +156,13 @@
 }
 
 // queueForecast is poolState.forecast with the capacity that later requests with a higher rank leave to a waiting one (capacityShare).
-func (b *Broker) queueForecast(w *waiter, ps *poolState, ahead int, work, margin float64, now clock.Instant) (time.Duration, Reason) {
+func (b *Broker) queueForecast(w *waiter, ps *poolState, ahead int, work float64, now clock.Instant) (time.Duration, Reason) {
 	latency, reason := ps.forecast(w, ahead, work)
 	service := w.scaled(ps.fastest)
 	if reason != ReasonOverload || latency == infinite || latency <= service || ps.throughput <= 0 || !b.admitsByValue() {
 		return latency, reason
 	}
-	latency = service + secondsToDuration((latency-service).Seconds()/b.capacityShare(w, ps, margin, now))
+	latency = service + secondsToDuration((latency-service).Seconds()/b.capacityShare(w, ps, now))
 	if ps.available && len(ps.targets) > 1 {
 		// The requests ahead have declined the targets that are still free. If nobody took them, a target with a few slow answers would
 		// get none that show that it is fast again.
@@ -177,6 +171,20 @@
 	return latency, reason
 }
 
+// willBeOvertaken reports whether a new request in its queue can't be expected to be answered by its deadline, because later requests with
+// a higher rank will be placed first. Its place in the queue and the share of its time that it may wait are decided without them: counting
+// them there refused requests that were answered on time as soon as the load fell.
+func (b *Broker) willBeOvertaken(w *waiter, ps *poolState, now clock.Instant) bool {
+	if ps.limited || !b.admitsByValue() {
+		return false
+	}
+	queue := b.queues[w.queue]
+	place := slices.Index(queue, w)
+	ahead := b.expectedAhead(w, place)
+	latency, _ := b.queueForecast(w, ps, ahead, workAhead(queue, place)+float64(ahead-place), now)
+	return latency > w.TimeLeft
+}
+
 // slowerThanFastest returns by how much the target that a waiting request gets is expected to be slower than the fastest one, with which
 // forecasts count.
 func (b *Broker) slowerThanFastest(w *waiter, ps *poolState) time.Duration {
