--- a/pkg/placing/forecast.go
+++ b/pkg/placing/forecast.go
@@ -57,7 +57,10 @@
 				w.late = true
 				b.requeue(w)
 			}
-			latency, reason := ps.forecast(w, position, work)
+			latency, reason := b.queueForecast(w, ps, position, work, now)
+			if reason == ReasonOverload {
+				latency += b.slowerThanFastest(w, ps)
+			}
 			if latency > w.deadline.Sub(now) {
 				b.refuseAdmitted(w, ps.refusal(w, latency, reason), now)
 				continue
