Use all quotas at once when the former coordinator has ended

Cause: after a restart of all VMs, the new coordinator leaves what its predecessor may use unused for 1.2 s after the takeover, and what VMs may have lent to it for 1.2 s after each has connected, although no process is left that could use either.

Change: the coordinator's row names the broker's process once it has led for 7.3 s. A later process of the same VM, the new coordinator's own or one that connects, proves that the predecessor has ended; nothing is left unused for it then. VMs that haven't connected are charged as before. Rows of earlier versions and restored rows prove nothing.

A broker whose predecessor has led for less than 7.3 s now begins with -2 tokens.

Model: restarts of all VMs, coordinators restarted one after another, a later process of the coordinator's VM that takes over at once, cut off coordinators, runs with few faults, further attempts that overdraw the second bucket too, load on small limits.

Tests: TestNothingIsSentWithoutQuotas also checks the row's new field.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -100,6 +100,9 @@
 	indexedSnapshot  *inventory.Snapshot
 	// previousLeader is the coordinator whose role this process has taken over.
 	previousLeader Leader
+	// replaced is the row that the newest takeover has replaced, replacedRestored is set if that row was restored.
+	replaced         Leader
+	replacedRestored bool
 	// comparisons counts the calls and targets that slices were compared with. Tests bound the cost of a pass with it.
 	comparisons int
 	// priorGrantsEnd is when the last grant of an earlier coordinator has expired.
@@ -139,6 +142,12 @@
 	return c.leader, c.known && rowstore.Number(c.leaderVersion) != 0 && !c.leader.Released
 }
 
+// Replaced returns the row that this process has replaced when it took over, and whether it was certainly the newest one. A restored row
+// may be older than others that the store has lost.
+func (c *Coordinator) Replaced() (row Leader, newest bool) {
+	return c.replaced, !c.replacedRestored
+}
+
 // PendingFleet returns what a write whose outcome isn't known may have stored about the VMs, and whether there is such a write.
 func (c *Coordinator) PendingFleet() (Fleet, bool) {
 	if c.pending == nil {
@@ -413,6 +422,7 @@
 	}
 	p.takeover, p.clean = true, !c.restored && (rowstore.Number(c.version) == 0 || c.row.Released && c.row.Clean)
 	c.previousLeader = c.leader
+	c.replaced, c.replacedRestored = c.row, c.restored
 	c.sendCommit(p, now)
 }
 
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -69,6 +69,9 @@
 	// any of them may hold. A coordinator stores them before it grants shares, so that its successor knows when it has heard of all.
 	ShareHolders []byte  `msgpack:"holders,omitempty"`
 	MaxShare     float64 `msgpack:"share,omitempty"`
+	// Broker is the start time of the coordinator's process in nanoseconds, -1 in its first seconds. A later process of its VM proves
+	// that it uses no quotas any more. It is 0 without quotas and in rows of earlier versions.
+	Broker int64 `msgpack:"broker,omitempty"`
 }
 
 // Identity identifies a process that may become the coordinator.
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -428,8 +428,8 @@
 	if now.Sub(c.leadingSince) < fleetSettleTime {
 		return row.Fleet
 	}
-	holders, share := c.shareHolders(now)
-	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors(), ShareHolders: holders, MaxShare: share}
+	holders, share, broker := c.shareHolders(now)
+	return coordinator.Fleet{VMs: len(c.followers) + 1, Distributors: c.distribution.Distributors(), ShareHolders: holders, MaxShare: share, Broker: broker}
 }
 
 // runEffects carries out effects of the coordinator's state machine.
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -36,7 +36,13 @@
 // startQuotas starts the ledger of this VM as the coordinator. stored is what the predecessor stored about the VMs.
 func (c *Control) startQuotas(now clock.Instant, stored coordinator.Fleet) {
 	inherited := holdersOf(stored)
-	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM}
+	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM, Process: c.quota.Process()}
+	// The own row names no predecessor.
+	replaced, newest := c.coordinator.Replaced()
+	o.Predecessor, o.Inherited.Broker = replaced.VM, replaced.Broker
+	if !newest {
+		o.Inherited.Broker = sharedrate.RecentBroker
+	}
 	o.Own, o.OwnLentUntil = c.quota.Surrender(now)
 	c.placer.broker.StartQuotas(o, now)
 	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), inherited, now)
@@ -84,15 +90,19 @@
 }
 
 // shareHolders returns what the coordinator stores about the VMs that may hold shares.
-func (c *Control) shareHolders(now clock.Instant) (names []byte, maxShare float64) {
+func (c *Control) shareHolders(now clock.Instant) (names []byte, maxShare float64, broker int64) {
 	h := c.placer.broker.QuotaHolders(c.quotasConfigured(), now)
-	return packNames(h.Names), h.MaxShare
+	return packNames(h.Names), h.MaxShare, h.Broker
 }
 
 // inheritedFleet returns what this VM stores about the VMs when it takes over. If the newest row of a coordinator was restored with the
 // store, shares may have been granted under rows that the store has lost. Without any row, the deployment is taken for a new one.
 func (c *Control) inheritedFleet(row coordinator.Leader) coordinator.Fleet {
 	fleet := row.Fleet
+	fleet.Broker = 0
+	if fleet.MaxShare > 0 || c.quotasConfigured() || c.snapshot == nil || c.snapshot.Configuration == nil {
+		fleet.Broker = sharedrate.RecentBroker
+	}
 	if c.coordinator.RowRestored() && row.VM != "" && (fleet.MaxShare > 0 || c.quotasConfigured()) {
 		unknown := sharedrate.UnknownHolders()
 		fleet.ShareHolders, fleet.MaxShare = packNames(unknown.Names), unknown.MaxShare
--- a/pkg/entry/quotas_restore_test.go
+++ b/pkg/entry/quotas_restore_test.go
@@ -80,3 +80,26 @@
 		}
 	}
 }
+
+// Guards against quotas that stay unused although a later process of the coordinator's VM takes over, against a row that names the
+// predecessor's process for the new coordinator's, and against a restored row that is trusted.
+func TestLaterProcessOfCoordinatorsVMUsesQuotasAtOnce(t *testing.T) {
+	holders := coordinator.Fleet{VMs: 3, ShareHolders: packNames([]uint32{sharedrate.HashName("c")}), MaxShare: 0.25, Broker: 7}
+	for name, step := range map[string]struct {
+		vm     string
+		era    uint64
+		usable float64
+	}{
+		"same VM": {"a", 0, 0.75}, "another VM": {"b", 0, 0}, "same VM, restored": {"a", 1, 0},
+	} {
+		now := &manualClock{clock.Instant(time.Hour)}
+		c := quotaControl(t, "a", now, 40)
+		written := takeOverInEra(t, c, now, step.era, &coordinator.Leader{VM: step.vm, Incarnation: "0", Address: "b:1", Renewal: 7, Fleet: holders})
+		if s := c.placer.broker.QuotaState(0, now.now); s.Usable != step.usable {
+			t.Errorf("%s: %v of the quotas are usable at once, want %v", name, s.Usable, step.usable)
+		}
+		if written.Broker != sharedrate.RecentBroker {
+			t.Errorf("%s: the takeover writes the broker's process %d", name, written.Broker)
+		}
+	}
+}
--- a/pkg/entry/quotas_test.go
+++ b/pkg/entry/quotas_test.go
@@ -75,8 +75,8 @@
 	if a := vm.quotaAnswer(now.now); a != nil {
 		t.Errorf("the VM sends %+v", a)
 	}
-	if names, share := leader.shareHolders(now.now); names != nil || share != 0 {
-		t.Errorf("the coordinator's row has share holders %v, %v", names, share)
+	if names, share, broker := leader.shareHolders(now.now); names != nil || share != 0 || broker != 0 {
+		t.Errorf("the coordinator's row has share holders %v, %v, %v", names, share, broker)
 	}
 }
 
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -28,6 +28,10 @@
 	VM           string
 	Own          float64
 	OwnLentUntil clock.Instant
+	// Process is when the coordinator's process was started, in nanoseconds. Predecessor is the VM of the former coordinator, whose
+	// process is Inherited.Broker.
+	Process     int64
+	Predecessor string
 }
 
 // Holders are the VMs that may hold shares, as a coordinator stores them before it grants any.
@@ -35,8 +39,14 @@
 	// Names are HashName of the VMs' names, in order. MaxShare is the largest fraction that one of them may hold.
 	Names    []uint32
 	MaxShare float64
+	// Broker is the process of the coordinator that stores this, once no earlier coordinator can have used any quota within the last
+	// window; before, it is RecentBroker. It is 0 in rows of versions that don't know it.
+	Broker int64
 }
 
+// RecentBroker is stored instead of the process of a coordinator that has taken over within the last window.
+const RecentBroker int64 = -1
+
 // unnamedHolder stands for holders whose names aren't known. No VM that runs is expected to have this hash.
 const unnamedHolder = 0
 
@@ -70,6 +80,9 @@
 // the leftovers and the charges of the members that don't lend.
 type Granter struct {
 	options GranterOptions
+	started clock.Instant
+	// predecessorEnded is set once the predecessor's process is known to have ended, and earlier coordinators with it.
+	predecessorEnded bool
 	// authority is until when this VM is certainly the coordinator; afterwards it uses nothing.
 	authority clock.Instant
 	// stored are the VMs that the store has as holders, and storedShare the share that they may hold at most.
@@ -122,15 +135,18 @@
 type leftover struct {
 	fraction float64
 	until    clock.Instant
+	// inherited is set if only predecessors of this coordinator can use it.
+	inherited bool
 }
 
 // NewGranter returns the ledger of a new coordinator.
 func NewGranter(o GranterOptions, now clock.Instant) *Granter {
-	g := &Granter{options: o, members: map[string]*member{}, missing: map[uint32]bool{}, supply: newSupply(now), dirty: true}
+	g := &Granter{options: o, started: now, members: map[string]*member{}, missing: map[uint32]bool{}, supply: newSupply(now), dirty: true}
 	for _, name := range o.Inherited.Names {
 		g.missing[name] = true
 	}
 	g.maxShare, g.unknownEnd = o.Inherited.MaxShare, now.Add(clock.WithDrift(GrantTime)+overlapTime)
+	g.predecessorEnded = o.provesEnd(o.VM, o.Process)
 	g.inheritRest(now)
 	capacity := func(l Limit, level float64) float64 {
 		if level <= fractionError {
@@ -138,11 +154,21 @@
 		}
 		return max(o.Allowance.initialTokens(), l.Burst*level)
 	}
-	g.admitted = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
-	g.sent = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
+	initial := o.Allowance.initialTokens()
+	if o.Inherited.Broker == RecentBroker {
+		// The predecessor has had these tokens within the same window, and could overdraw its buckets too.
+		initial = -o.Allowance.debt()
+	}
+	g.admitted = newBuckets(&g.supply, initial, capacity)
+	g.sent = newBuckets(&g.supply, initial, capacity)
 	return g
 }
 
+// provesEnd reports whether a process of a VM proves that the predecessor's process has ended, because it is a later one of the same VM.
+func (o GranterOptions) provesEnd(vm string, process int64) bool {
+	return o.Inherited.Broker > 0 && vm == o.Predecessor && process > o.Inherited.Broker
+}
+
 // SetAuthority sets until when this VM is certainly the coordinator, and the holders that it has stored. It grants shares to these
 // only.
 func (g *Granter) SetAuthority(until clock.Instant, stored Holders, now clock.Instant) {
@@ -162,7 +188,10 @@
 // Holders returns the VMs that hold shares or are about to get one, for the store.
 func (g *Granter) Holders(now clock.Instant) Holders {
 	g.advance(now)
-	h := Holders{MaxShare: g.target()}
+	h := Holders{MaxShare: g.target(), Broker: RecentBroker}
+	if now.Sub(g.started) >= g.options.Allowance.brokerInterval() {
+		h.Broker = g.options.Process
+	}
 	if len(g.missing) > 0 {
 		h.MaxShare = max(h.MaxShare, g.maxShare)
 	}
@@ -180,11 +209,27 @@
 func (g *Granter) inheritRest(now clock.Instant) {
 	o := g.options
 	g.noteSeen(o.VM, o.Own, now)
-	g.leftovers = append(g.leftovers, leftover{o.Own, o.OwnLentUntil})
+	g.keepInherited(o.Own, o.OwnLentUntil)
 	if o.Inherited.MaxShare > 0 {
 		rest := 1 - o.Own - float64(len(g.missing))*g.maxShare
-		g.leftovers = append(g.leftovers, leftover{max(0, rest), now.Add(clock.WithDrift(LendTime))})
+		g.keepInherited(max(0, rest), now.Add(clock.WithDrift(LendTime)))
+	}
+}
+
+// keepInherited leaves a share unused that a predecessor may use until the given time, unless its process has ended.
+func (g *Granter) keepInherited(fraction float64, until clock.Instant) {
+	if !g.predecessorEnded {
+		g.leftovers = append(g.leftovers, leftover{fraction: fraction, until: until, inherited: true})
+	}
+}
+
+// notePredecessor frees what the predecessor may have used, once a process proves that it has ended.
+func (g *Granter) notePredecessor(vm string, process int64) {
+	if g.predecessorEnded || !g.options.provesEnd(vm, process) {
+		return
 	}
+	g.predecessorEnded, g.dirty = true, true
+	g.leftovers = slices.DeleteFunc(g.leftovers, func(l leftover) bool { return l.inherited })
 }
 
 // noteSeen records that a VM that was missing has been seen, with the share that it holds. The rest of what it may have held is free, but
@@ -197,7 +242,7 @@
 	delete(g.missing, name)
 	g.dirty = true
 	if rest := g.maxShare - held; rest > fractionError {
-		g.leftovers = append(g.leftovers, leftover{rest, now.Add(clock.WithDrift(LendTime))})
+		g.keepInherited(rest, now.Add(clock.WithDrift(LendTime)))
 	}
 }
 
@@ -279,6 +324,7 @@
 	if m != nil && a.Process < m.process {
 		return
 	}
+	g.notePredecessor(vm, a.Process)
 	if m != nil && a.Process > m.process {
 		g.release(m, now)
 		m = nil
@@ -332,7 +378,7 @@
 func (g *Granter) release(m *member, now clock.Instant) {
 	g.dirty = true
 	if now.Sub(m.heardAt) >= LendTime && m.charge() > 0 {
-		g.leftovers = append(g.leftovers, leftover{m.charge(), now.Add(clock.WithDrift(LendTime))})
+		g.leftovers = append(g.leftovers, leftover{fraction: m.charge(), until: now.Add(clock.WithDrift(LendTime))})
 	}
 }
 
@@ -466,6 +512,8 @@
 	Unknown float64 `json:"unknown"`
 	Charged float64 `json:"charged"`
 	VMs     int     `json:"vms"`
+	// PredecessorEnded tells that the former coordinator's process is known to have ended, so that nothing is left unused for it.
+	PredecessorEnded bool `json:"predecessor_ended"`
 	// Uses are the organisations with the least tokens left.
 	Uses []Use `json:"organisations"`
 }
@@ -473,7 +521,7 @@
 // State returns the state with at most count organisations.
 func (g *Granter) State(count int, now clock.Instant) GranterState {
 	g.advance(now)
-	return GranterState{Usable: g.supply.level, Unknown: g.unknown, Charged: g.charged, VMs: len(g.members), Uses: g.admitted.top(count)}
+	return GranterState{Usable: g.supply.level, Unknown: g.unknown, Charged: g.charged, VMs: len(g.members), PredecessorEnded: g.predecessorEnded, Uses: g.admitted.top(count)}
 }
 
 // Idle reports whether nobody can hold a share, so that the ledger can be dropped.
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -79,6 +79,57 @@
 	}
 }
 
+// Guards against a new coordinator that waits although nobody can use the quotas, and against one that doesn't wait although the
+// predecessor's process may still run.
+func TestEndedPredecessorIsNotWaitedFor(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	for name, step := range map[string]struct {
+		broker    int64
+		vm        string
+		connects  string
+		process   int64
+		atOnce    float64
+		connected float64
+	}{
+		"later process of the predecessor's VM takes over": {10, "p", "b", 11, 0.5, 1},
+		"later process of the predecessor's VM connects":   {10, "c", "p", 11, 0, 1},
+		"the predecessor connects":                         {10, "c", "p", 10, 0, 0},
+		"another VM connects":                              {10, "c", "b", 11, 0, 0},
+		"recent predecessor":                               {RecentBroker, "p", "b", 11, 0, 0},
+		"row of an earlier version":                        {0, "p", "b", 11, 0, 0},
+	} {
+		inherited := Holders{Names: []uint32{HashName("b")}, MaxShare: 0.5, Broker: step.broker}
+		if step.connects == "p" {
+			inherited.Names[0] = HashName("p")
+		}
+		l := &ledger{now: now, g: NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: inherited, VM: step.vm, Process: 20, Predecessor: "p"}, now)}
+		l.g.SetAuthority(now.Add(time.Hour), Holders{}, now)
+		l.checkLevel(t, name+": at once", step.atOnce)
+		l.exchange(step.connects, step.process)
+		l.checkLevel(t, name+": once connected", step.connected)
+		l.now = now.Add(1300 * time.Millisecond)
+		l.checkLevel(t, name+": 1.3 s later", 1)
+	}
+}
+
+// Guards against coordinators that follow each other soon and that may each use the tokens that a new one begins with.
+func TestRecentPredecessorLeavesNoInitialTokens(t *testing.T) {
+	for broker, want := range map[int64]Verdict{0: Granted, 10: Granted, RecentBroker: OverLimit} {
+		l := &ledger{now: clock.Instant(time.Hour)}
+		l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: Holders{Broker: broker}, Process: 20}, l.now)
+		l.g.SetAuthority(l.now.Add(time.Hour), Holders{}, l.now)
+		if v, _ := l.g.Admit("o", Limit{1, 1}, true, l.now); v != want {
+			t.Errorf("predecessor %d: the first request gets %v, want %v", broker, v, want)
+		}
+		if h := l.g.Holders(l.now.Add(7 * time.Second)); h.Broker != RecentBroker {
+			t.Errorf("the coordinator names its process %d within a window of its takeover", h.Broker)
+		}
+		if h := l.g.Holders(l.now.Add(8 * time.Second)); h.Broker != 20 {
+			t.Errorf("8 s after its takeover the coordinator stores %d instead of its process", h.Broker)
+		}
+	}
+}
+
 // Guards against a coordinator whose lease has ended and that still uses or renews shares.
 func TestEndedLeaseEndsUse(t *testing.T) {
 	l := newLedger()
--- a/pkg/sharedrate/holder.go
+++ b/pkg/sharedrate/holder.go
@@ -39,6 +39,11 @@
 	return h
 }
 
+// Process returns when the VM's process was started, in nanoseconds.
+func (h *Holder) Process() int64 {
+	return h.process
+}
+
 // Offer records an offer of the coordinator that the VM is connected to. It reports whether it is the first one, which should be
 // answered at once: until then the broker can't use the share.
 func (h *Holder) Offer(o Offer, now clock.Instant) (first bool) {
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -21,6 +21,8 @@
 	modelReport    = 250 * time.Millisecond
 	modelLinkLoss  = 800 * time.Millisecond
 	modelLease     = 1500 * time.Millisecond
+	// minModelRate is the least limit for which the load is computed, so that small limits are exceeded at all times too.
+	minModelRate = 10
 )
 
 type modelEvent struct {
@@ -76,6 +78,8 @@
 
 type modelFaults struct {
 	random bool
+	// interval is the longest time between two faults. Coordinators that are lost soon aren't named by their rows.
+	interval time.Duration
 }
 
 type model struct {
@@ -91,8 +95,9 @@
 	coordinator *modelVM
 	terms       uint64
 	leaseEnd    time.Duration
-	// row are the holders that the coordinator stored last.
+	// row are the holders that the coordinator stored last, rowVM is its VM.
 	row        Holders
+	rowVM      string
 	faults     modelFaults
 	trace      uint64
 	violations []string
@@ -163,7 +168,8 @@
 }
 
 // govern keeps a coordinator with a lease. The store is always reachable for VMs that aren't cut off. With faults, one lease in three
-// begins up to 1 s before its predecessor's has ended, which leases of the real store prevent.
+// begins up to 1 s before its predecessor's has ended, which leases of the real store prevent. A later process of the coordinator's VM
+// takes over at once, since it knows that the earlier one has ended.
 func (m *model) govern() {
 	c := m.coordinator
 	if c != nil && m.running(c) && !m.cut[c.id] && c.granter != nil {
@@ -176,17 +182,23 @@
 	if m.faults.random && m.terms%3 == 2 {
 		early = time.Second
 	}
-	if m.now < m.leaseEnd-early {
+	restarted := c != nil && c.dead && m.vms[c.id] != c
+	if m.now < m.leaseEnd-early && !restarted {
 		return
 	}
 	v := m.vms[m.rng.IntN(len(m.vms))]
+	if restarted {
+		v = m.vms[c.id]
+	}
 	if !m.running(v) || m.cut[v.id] || v == c && v.granter != nil && !v.dead {
 		return
 	}
 	m.disconnect(v.link)
 	m.terms++
 	own, until := v.holder.Surrender(m.clock(v))
-	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.row, VM: fmt.Sprint(v.id), Own: own, OwnLentUntil: until}, m.clock(v))
+	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.row, VM: fmt.Sprint(v.id), Own: own, OwnLentUntil: until,
+		Process: v.holder.Process(), Predecessor: m.rowVM}, m.clock(v))
+	m.row.Broker, m.rowVM = RecentBroker, fmt.Sprint(v.id)
 	v.granter.SetAuthority(m.clock(v).Add(modelLease), m.row, m.clock(v))
 	m.coordinator, m.leaseEnd = v, m.now+modelLease
 }
@@ -319,16 +331,17 @@
 	}
 }
 
-// place admits a request and sends it. One in 50 is attempted again, and one in 50 is refused after its admission.
+// place admits a request and sends it. One in 5 is a further attempt, and one in 50 is refused after its admission.
 func (m *model) place(g *Granter, o *modelOrg, l Limit, now clock.Instant) bool {
-	if verdict, _ := g.Admit(o.name, l, m.rng.IntN(50) == 0, now); verdict != Granted {
+	further := m.rng.IntN(5) == 0
+	if verdict, _ := g.Admit(o.name, l, further, now); verdict != Granted {
 		return false
 	}
 	if m.rng.IntN(50) == 0 {
 		g.Return(o.name, l, now)
 		return false
 	}
-	ok := g.Send(o.name, l, false, now)
+	ok := g.Send(o.name, l, further, now)
 	if !ok {
 		g.Return(o.name, l, now)
 	}
@@ -381,7 +394,7 @@
 		next = func() {
 			v := m.vms[min(m.rng.IntN(len(m.vms)), m.rng.IntN(len(m.vms)))]
 			m.request(o, v)
-			m.after(time.Duration(m.rng.ExpFloat64()/(factor*max(o.limits[0].Rate, o.limits[1].Rate))*float64(time.Second)), next)
+			m.after(time.Duration(m.rng.ExpFloat64()/(factor*max(o.limits[0].Rate, o.limits[1].Rate, minModelRate))*float64(time.Second)), next)
 		}
 		m.after(m.jitter(time.Second), next)
 	}
@@ -397,13 +410,27 @@
 	})
 }
 
+// killAll ends the processes of all VMs and starts others, each after restart and a random time of up to spread.
+func (m *model) killAll(restart, spread time.Duration) {
+	for id := range m.vms {
+		m.kill(id, restart+m.jitter(spread))
+	}
+}
+
+// killCoordinator ends the coordinator's process and soon starts another one.
+func (m *model) killCoordinator() {
+	if m.coordinator != nil && m.vms[m.coordinator.id] == m.coordinator {
+		m.kill(m.coordinator.id, 50*time.Millisecond+m.jitter(400*time.Millisecond))
+	}
+}
+
 // fault causes one random fault at one VM, or at all.
 func (m *model) fault() {
 	id, d := m.rng.IntN(len(m.vms)), m.jitter(4*time.Second)
 	if m.coordinator != nil && m.rng.IntN(3) == 0 {
 		id = m.coordinator.id
 	}
-	switch m.rng.IntN(6) {
+	switch m.rng.IntN(9) {
 	case 0:
 		m.kill(id, 300*time.Millisecond+m.jitter(3*time.Second))
 	case 1:
@@ -425,8 +452,19 @@
 		if l := m.vms[id].link; l != nil {
 			m.disconnect(l)
 		}
+	case 6:
+		m.killAll(100*time.Millisecond+m.jitter(3*time.Second), 1500*time.Millisecond)
+	case 7:
+		for i := range 1 + m.rng.IntN(6) {
+			m.after(time.Duration(i)*(400*time.Millisecond+m.jitter(time.Second)), m.killCoordinator)
+		}
+	case 8:
+		if c := m.coordinator; c != nil {
+			m.cut[c.id] = true
+			m.after(d, func() { delete(m.cut, c.id) })
+		}
 	}
-	m.after(m.jitter(2*time.Second), m.fault)
+	m.after(m.jitter(m.faults.interval), m.fault)
 }
 
 func (m *model) used(o *modelOrg, period time.Duration) float64 {
@@ -439,7 +477,7 @@
 
 // runRandom runs one seed with random faults and returns a digest of all that was sent.
 func runRandom(t *testing.T, seed uint64, vms int, period time.Duration) (uint64, []string) {
-	m := newModel(t, seed, vms, modelLimits, modelFaults{random: true})
+	m := newModel(t, seed, vms, modelLimits, modelFaults{random: true, interval: time.Duration(2+seed%3*6) * time.Second})
 	for _, o := range m.orgs {
 		o.changed = 10*time.Second + m.jitter(period)
 	}
@@ -484,6 +522,40 @@
 	}
 }
 
+// TestLimitIsUsedSoonAfterRestartOfAll guards against quotas that are left unused for longer than it takes the VMs to connect, although
+// all processes that could use any have ended.
+func TestLimitIsUsedSoonAfterRestartOfAll(t *testing.T) {
+	const seeds, seconds = 10, 3
+	for _, vms := range []int{12, 86, 300} {
+		used := [3][seconds]float64{}
+		for seed := range uint64(seeds) {
+			m := newModel(t, seed, vms, [][2]Limit{{{373, 373}, {373, 373}}, {{20, 20}, {20, 20}}, {{2, 2}, {2, 2}}}, modelFaults{})
+			m.load(2)
+			m.run(20 * time.Second)
+			m.killAll(time.Second, 100*time.Millisecond)
+			started := 21100 * time.Millisecond
+			m.run(started)
+			for s := range seconds {
+				before := [3]int{m.orgs[0].total, m.orgs[1].total, m.orgs[2].total}
+				m.run(started + time.Duration(s+1)*time.Second)
+				for i, o := range m.orgs {
+					used[i][s] += float64(o.total-before[i]) / o.limits[0].Rate / seeds
+				}
+			}
+			if len(m.violations) > 0 {
+				t.Error(m.violations)
+			}
+		}
+		t.Logf("%d VMs: part of the limits of 373, 20 and 2 a second that is used in each second after the start: %.2f", vms, used)
+		for i, u := range used {
+			// VMs connect within 0.15 s.
+			if u[0] < 0.8 || u[0]+u[1] < 1.7 {
+				t.Errorf("%d VMs: limit %d: parts %.2f are used in each second after the start, want 0.8 in the first, 1.7 in two", vms, i, u)
+			}
+		}
+	}
+}
+
 // TestSameSeedSameRun guards the use of the model for finding faults.
 func TestSameSeedSameRun(t *testing.T) {
 	a, _ := runRandom(t, 7, 12, 30*time.Second)
--- a/pkg/sharedrate/sharedrate.go
+++ b/pkg/sharedrate/sharedrate.go
@@ -82,6 +82,12 @@
 	return a.Slack * debtShare
 }
 
+// brokerInterval is how long a coordinator must have had its role until the buckets of its successor may begin with initialTokens: a window
+// and the delay after it contain the start of one such broker at most, and what an earlier one sends while it still acts.
+func (a Allowance) brokerInterval() time.Duration {
+	return clock.WithDrift(a.Window+a.MaxSendDelay()) + overlapTime
+}
+
 // localBurst is the burst that VMs divide that use their own shares. It is higher than the limit's, since a VM with less than one
 // token can send nothing.
 func (a Allowance) localBurst(l Limit) float64 {
