Begin a new broker's buckets with what the idle time gives

Cause: a new broker's buckets begin with 3 tokens, since its predecessor may have used the whole burst just now. After a restart of all VMs, nothing was sent for a second or more, and requests got 429 all the same.

Change: VMs report for how long no process of theirs has taken a token of its own share.

Model: also takeovers some time after the start, silence followed by demand and a restart, load in proportion to the burst; it checks that no VM seen and no earlier broker took a token in an idle time, and that idle fractions add up to 1 at most.

Ruled out: one idle time for all fractions with the whole burst as bound, which gives a fraction the burst of another one that was just used; the end of the predecessor's lease as the beginning of the idle time, which would leave no margin for a predecessor that still acts.

--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -36,7 +36,7 @@
 // startQuotas starts the ledger of this VM as the coordinator. stored is what the predecessor stored about the VMs.
 func (c *Control) startQuotas(now clock.Instant, stored coordinator.Fleet) {
 	inherited := holdersOf(stored)
-	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM, Process: c.quota.Process()}
+	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM, Process: c.quota.Process(), QuietSince: c.quota.QuietSince()}
 	// The own row names no predecessor.
 	replaced, newest := c.coordinator.Replaced()
 	o.Predecessor, o.Inherited.Broker = replaced.VM, replaced.Broker
--- a/pkg/sharedrate/buckets.go
+++ b/pkg/sharedrate/buckets.go
@@ -29,6 +29,9 @@
 	tokens float64
 	// gained is the supply's integral up to which tokens includes the refill.
 	gained float64
+	// start is what the bucket began with, after idleChanges of the supply.
+	start       float64
+	idleChanges int
 	// promised is the time until which refused callers were told to return.
 	promised clock.Instant
 	// taken counts the tokens taken since the bucket was created.
@@ -44,29 +47,51 @@
 	e := b.entries[name]
 	if e == nil {
 		b.sweep()
-		e = &bucket{limit: l, tokens: b.initial}
+		start := b.start(l)
+		e = &bucket{limit: l, tokens: start, start: start, idleChanges: b.supply.idleChanges}
 		b.entries[name] = e
 	}
 	b.refill(e, l)
 	return e
 }
 
+// start returns what a bucket begins with: the initial tokens or, if that is more, those of the time in which nobody used the fraction.
+func (b *buckets) start(l Limit) float64 {
+	if len(b.supply.idle) == 0 {
+		return b.initial
+	}
+	return max(b.initial, b.supply.idleTokens(l))
+}
+
+// restart updates what a bucket began with, and returns the tokens that this adds. After a change of the limit it adds none.
+func (b *buckets) restart(e *bucket, l Limit) float64 {
+	if e.idleChanges == b.supply.idleChanges && e.limit == l {
+		return 0
+	}
+	before := e.start
+	e.start, e.idleChanges = b.start(l), b.supply.idleChanges
+	if e.limit != l {
+		return 0
+	}
+	return e.start - before
+}
+
 // refill brings a bucket up to date. A limit that has changed counts from now on only where it is higher.
 func (b *buckets) refill(e *bucket, l Limit) {
 	rate := min(e.limit.Rate, l.Rate)
-	tokens := e.tokens + rate*(b.supply.gained-e.gained)
+	tokens := e.tokens + rate*(b.supply.gained-e.gained) + b.restart(e, l)
 	for i := len(b.supply.dips) - 1; i >= 0 && b.supply.dips[i].gained >= e.gained; i-- {
 		d := b.supply.dips[i]
-		tokens = min(tokens, b.atDip(l, d)+rate*(b.supply.gained-d.gained))
+		tokens = min(tokens, b.atDip(e, l, d)+rate*(b.supply.gained-d.gained))
 	}
 	e.tokens = min(tokens, b.capacity(l, b.supply.level))
 	e.gained, e.limit = b.supply.gained, l
 }
 
 // atDip returns the most that a bucket had at a dip.
-func (b *buckets) atDip(l Limit, d dip) float64 {
+func (b *buckets) atDip(e *bucket, l Limit, d dip) float64 {
 	if d == (dip{}) {
-		return b.initial
+		return e.start
 	}
 	return b.capacity(l, d.level)
 }
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -32,6 +32,8 @@
 	// process is Inherited.Broker.
 	Process     int64
 	Predecessor string
+	// QuietSince is since when no process of the coordinator's VM has taken a token of its own share.
+	QuietSince clock.Instant
 }
 
 // Holders are the VMs that may hold shares, as a coordinator stores them before it grants any.
@@ -83,6 +85,8 @@
 	started clock.Instant
 	// predecessorEnded is set once the predecessor's process is known to have ended, and earlier coordinators with it.
 	predecessorEnded bool
+	// quietSince is since when neither the predecessor, once it has ended, nor the VMs seen of those that were missing have taken a token.
+	quietSince clock.Instant
 	// authority is until when this VM is certainly the coordinator; afterwards it uses nothing.
 	authority clock.Instant
 	// stored are the VMs that the store has as holders, and storedShare the share that they may hold at most.
@@ -122,6 +126,8 @@
 	heardAt, end clock.Instant
 	// lentUntil is until when the coordinator may use the share.
 	lentUntil clock.Instant
+	// unlent is set until the VM lends a share that it held before this coordinator's term.
+	unlent bool
 }
 
 // charge is the largest share that the VM may hold.
@@ -146,7 +152,7 @@
 		g.missing[name] = true
 	}
 	g.maxShare, g.unknownEnd = o.Inherited.MaxShare, now.Add(clock.WithDrift(GrantTime)+overlapTime)
-	g.predecessorEnded = o.provesEnd(o.VM, o.Process)
+	g.predecessorEnded, g.quietSince = o.provesEnd(o.VM, o.Process), o.QuietSince
 	g.inheritRest(now)
 	capacity := func(l Limit, level float64) float64 {
 		if level <= fractionError {
@@ -159,6 +165,9 @@
 		// The predecessor has had these tokens within the same window, and could overdraw its buckets too.
 		initial = -o.Allowance.debt()
 	}
+	if g.predecessorEnded {
+		g.addIdle(g.free())
+	}
 	g.admitted = newBuckets(&g.supply, initial, capacity)
 	g.sent = newBuckets(&g.supply, initial, capacity)
 	return g
@@ -324,6 +333,12 @@
 	if m != nil && a.Process < m.process {
 		return
 	}
+	inherited := g.missing[HashName(vm)] || !g.predecessorEnded && g.options.provesEnd(vm, a.Process)
+	free := 0.0
+	if inherited {
+		free = g.free()
+		g.noteQuiet(a, now)
+	}
 	g.notePredecessor(vm, a.Process)
 	if m != nil && a.Process > m.process {
 		g.release(m, now)
@@ -336,9 +351,47 @@
 	g.noteShare(vm, m, a, now)
 	m.stamp = max(m.stamp, a.Stamp)
 	m.heardAt, m.end = now, now.Add(clock.WithDrift(GrantTime))
+	if inherited {
+		m.unlent = m.charge() > 0
+		if g.predecessorEnded {
+			g.addIdle(g.free() - free)
+		}
+	}
 	if a.Coordinator == g.options.Coordinator && a.Echo > 0 {
 		g.noteLent(m, clock.Instant(a.Echo).Add(LendTime), now)
+		g.noteFirstLent(m, a, now)
+	}
+}
+
+// noteQuiet records since when a VM has taken no token.
+func (g *Granter) noteQuiet(a Answer, now clock.Instant) {
+	quiet := time.Duration(a.QuietMs) * time.Millisecond
+	g.quietSince = max(g.quietSince, now.Add(-time.Duration(float64(quiet)*(1-clock.MaxDrift))))
+}
+
+// noteFirstLent gives the buckets what a share from before this term has gained while the VM waited until it could lend it.
+func (g *Granter) noteFirstLent(m *member, a Answer, now clock.Instant) {
+	if !m.unlent {
+		return
+	}
+	m.unlent = false
+	if g.predecessorEnded {
+		g.noteQuiet(a, now)
+		g.addIdle(m.charge())
+	}
+}
+
+// free returns the fraction that nobody else holds or may hold. What is kept unused for a predecessor may add up to more than all.
+func (g *Granter) free() float64 {
+	if g.dirty {
+		g.recompute()
 	}
+	return max(0, 1-g.unknown-g.charged)
+}
+
+// addIdle records that the broker may use a further fraction that nobody has used since the predecessor's end.
+func (g *Granter) addIdle(fraction float64) {
+	g.supply.addIdle(fraction, g.supply.at.Sub(g.quietSince))
 }
 
 // noteLent records until when a VM lends its share. The end of an earlier time at which the level is computed again needn't change.
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -130,6 +130,54 @@
 	}
 }
 
+// Guards against buckets that begin with fewer tokens than were gained while nobody could use the quotas, or with more than the time
+// allows that each VM tells.
+func TestIdleTimeGivesTokens(t *testing.T) {
+	now, used := clock.Instant(time.Hour), Limit{20, 20}
+	l := &ledger{now: now, g: NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, VM: "p", Process: 20, Predecessor: "p",
+		Inherited: Holders{Names: []uint32{HashName("b"), HashName("c")}, MaxShare: 0.25, Broker: 10}, QuietSince: now.Add(-time.Second)}, now)}
+	l.g.SetAuthority(now.Add(time.Hour), Holders{}, now)
+	check := func(when, name string, limit Limit, want int) {
+		t.Helper()
+		n := 0
+		for v := Granted; v == Granted; {
+			if v, _ = l.g.Admit(name, limit, false, now); v == Granted {
+				n++
+			}
+		}
+		if n != want {
+			t.Errorf("%s: %d requests of %+v are admitted at once, want %d", when, n, limit, want)
+		}
+	}
+	check("half of all, idle for 1 s", "kept", used, 10)
+	check("half of all, a limit with less than 3 tokens in 1 s", "small", Limit{1, 100}, 3)
+	l.g.Answer("b", Answer{Process: 30, Stamp: 1, Coordinator: 1, QuietMs: 607}, now)
+	check("a quarter more, idle for 0.6 s", "kept", used, 3)
+	check("a quarter more, idle for 0.6 s", "new", used, 13)
+	l.g.Answer("c", Answer{Process: 1, Stamp: 1, Coordinator: 1, Echo: int64(now), Fraction: 0.25, GrantedBy: 9, Serial: 1, LeftMs: 1000, QuietMs: 405}, now)
+	check("a quarter that is lent, unused for 0.4 s", "kept", used, 2)
+	check("a changed limit", "kept", Limit{30, 30}, 0)
+	l.g.Answer("c", Answer{Process: 2, Stamp: 2, Coordinator: 1, Echo: int64(now), QuietMs: 1000}, now)
+	check("a later process of a VM that was counted", "kept", Limit{30, 30}, 0)
+}
+
+// Guards against a VM that doesn't tell that it has just taken a token.
+func TestQuietTimeEndsWithEachToken(t *testing.T) {
+	now := clock.Instant(time.Hour)
+	h := NewHolder(1, DefaultAllowance, now)
+	h.Offer(Offer{Coordinator: 1, Stamp: 1, Process: 1, Echo: int64(now), Serial: 1, Fraction: 1}, now)
+	h.Disconnected()
+	now = now.Add(2 * time.Second)
+	if v, _ := h.Take("o", Limit{20, 20}, now); v != Granted {
+		t.Fatal(v)
+	}
+	now = now.Add(500 * time.Millisecond)
+	h.Offer(Offer{Coordinator: 2, Stamp: 1}, now)
+	if a, _ := h.Answer(now); a.QuietMs != 500 {
+		t.Errorf("the VM reports %d ms without a token, want 500", a.QuietMs)
+	}
+}
+
 // Guards against a coordinator whose lease has ended and that still uses or renews shares.
 func TestEndedLeaseEndsUse(t *testing.T) {
 	l := newLedger()
--- a/pkg/sharedrate/holder.go
+++ b/pkg/sharedrate/holder.go
@@ -28,13 +28,15 @@
 	// lentTo is the term to which the share is committed until lentUntil.
 	lentTo    uint64
 	lentUntil clock.Instant
-	supply    supply
-	local     buckets
+	// quietSince is when the last token was taken here, or when the process was started. Earlier processes had ended then.
+	quietSince clock.Instant
+	supply     supply
+	local      buckets
 }
 
 // NewHolder returns a holder without a share. process is when the VM's process was started, in nanoseconds.
 func NewHolder(process int64, a Allowance, now clock.Instant) *Holder {
-	h := &Holder{process: process, allowance: a, supply: newSupply(now)}
+	h := &Holder{process: process, allowance: a, quietSince: now, supply: newSupply(now)}
 	h.local = newBuckets(&h.supply, 0, func(l Limit, level float64) float64 { return a.localBurst(l) * level })
 	return h
 }
@@ -44,6 +46,13 @@
 	return h.process
 }
 
+// QuietSince returns since when no process of the VM has taken a token of its own share.
+func (h *Holder) QuietSince() clock.Instant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.quietSince
+}
+
 // Offer records an offer of the coordinator that the VM is connected to. It reports whether it is the first one, which should be
 // answered at once: until then the broker can't use the share.
 func (h *Holder) Offer(o Offer, now clock.Instant) (first bool) {
@@ -93,7 +102,7 @@
 		return Answer{}, false
 	}
 	h.advance(now)
-	a := Answer{Process: h.process, Stamp: int64(now)}
+	a := Answer{Process: h.process, Stamp: int64(now), QuietMs: max(0, now.Sub(h.quietSince).Milliseconds())}
 	if h.lentTo == h.coordinator || now >= h.lentUntil {
 		a.Coordinator, a.Echo = h.coordinator, h.stamp
 		h.lend(now)
@@ -154,6 +163,7 @@
 	}
 	e.tokens--
 	e.taken++
+	h.quietSince = now
 	return Granted, 0
 }
 
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -80,6 +80,8 @@
 	random bool
 	// interval is the longest time between two faults. Coordinators that are lost soon aren't named by their rows.
 	interval time.Duration
+	// takeoverDelay is the time from the start of a process until it may take over.
+	takeoverDelay time.Duration
 }
 
 type model struct {
@@ -96,15 +98,21 @@
 	terms       uint64
 	leaseEnd    time.Duration
 	// row are the holders that the coordinator stored last, rowVM is its VM.
-	row        Holders
-	rowVM      string
-	faults     modelFaults
-	trace      uint64
-	violations []string
+	row    Holders
+	rowVM  string
+	faults modelFaults
+	// takenAt is when the processes of each VM have taken their last token, placedAt when each broker has.
+	takenAt  map[int]time.Duration
+	placedAt map[*Granter]time.Duration
+	// silentUntil is until when no requests come.
+	silentUntil time.Duration
+	trace       uint64
+	violations  []string
 }
 
 func newModel(t *testing.T, seed uint64, vms int, limits [][2]Limit, faults modelFaults) *model {
-	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, slow: map[int]bool{}, faults: faults}
+	m := &model{t: t, rng: rand.New(rand.NewPCG(seed, 1)), cut: map[int]bool{}, slow: map[int]bool{}, faults: faults,
+		takenAt: map[int]time.Duration{}, placedAt: map[*Granter]time.Duration{}}
 	for i := range vms {
 		m.vms = append(m.vms, nil)
 		m.start(i)
@@ -187,17 +195,20 @@
 		return
 	}
 	v := m.vms[m.rng.IntN(len(m.vms))]
-	if restarted {
+	if restarted && (m.now < m.leaseEnd-early || m.rng.IntN(2) == 0) {
 		v = m.vms[c.id]
 	}
-	if !m.running(v) || m.cut[v.id] || v == c && v.granter != nil && !v.dead {
+	if m.now < time.Duration(v.holder.Process())+m.faults.takeoverDelay || !m.running(v) || m.cut[v.id] || v == c && v.granter != nil && !v.dead {
 		return
 	}
 	m.disconnect(v.link)
 	m.terms++
 	own, until := v.holder.Surrender(m.clock(v))
 	v.granter = NewGranter(GranterOptions{Coordinator: m.terms, Allowance: DefaultAllowance, Inherited: m.row, VM: fmt.Sprint(v.id), Own: own, OwnLentUntil: until,
-		Process: v.holder.Process(), Predecessor: m.rowVM}, m.clock(v))
+		Process: v.holder.Process(), Predecessor: m.rowVM, QuietSince: v.holder.QuietSince()}, m.clock(v))
+	if v.granter.supply.idleChanges > 0 {
+		m.checkIdle(v, v.id)
+	}
 	m.row.Broker, m.rowVM = RecentBroker, fmt.Sprint(v.id)
 	v.granter.SetAuthority(m.clock(v).Add(modelLease), m.row, m.clock(v))
 	m.coordinator, m.leaseEnd = v, m.now+modelLease
@@ -297,7 +308,31 @@
 		return
 	}
 	if a, ok := v.holder.Answer(m.clock(v)); ok {
-		m.send(l, 0, func() { l.granter.Answer(fmt.Sprint(v.id), a, m.clock(l.coordinator)) })
+		m.send(l, 0, func() {
+			changes := l.granter.supply.idleChanges
+			l.granter.Answer(fmt.Sprint(v.id), a, m.clock(l.coordinator))
+			if l.granter.supply.idleChanges != changes {
+				m.checkIdle(l.coordinator, v.id)
+			}
+		})
+	}
+}
+
+// checkIdle checks that neither a VM nor any earlier broker has taken a token since the time since which a new broker takes them for idle.
+func (m *model) checkIdle(c *modelVM, vm int) {
+	since := m.now - time.Duration(float64(m.clock(c).Sub(c.granter.quietSince))/c.rate)
+	last := m.takenAt[vm]
+	for g, at := range m.placedAt {
+		if g != c.granter {
+			last = max(last, at)
+		}
+	}
+	sum := 0.0
+	for _, fraction := range c.granter.supply.idle {
+		sum += fraction
+	}
+	if (last > since || sum > 1+1e-6) && len(m.violations) < 3 {
+		m.violations = append(m.violations, fmt.Sprintf("%v: a token was taken at %v; VM %d counts as idle since %v, with %.3f in all", m.now, last, vm, since, sum))
 	}
 }
 
@@ -326,6 +361,7 @@
 		})
 	default:
 		if verdict, _ := v.holder.Take(o.name, limit, m.clock(v)); verdict == Granted {
+			m.takenAt[v.id] = m.now
 			m.record(o)
 		}
 	}
@@ -337,6 +373,7 @@
 	if verdict, _ := g.Admit(o.name, l, further, now); verdict != Granted {
 		return false
 	}
+	m.placedAt[g] = m.now
 	if m.rng.IntN(50) == 0 {
 		g.Return(o.name, l, now)
 		return false
@@ -387,14 +424,17 @@
 	}
 }
 
-// load sends factor times the limit of each organisation, to VMs that differ in their part of it.
+// load sends factor times the limit of each organisation, or its burst each second if that is more, to VMs that differ in their part of it.
 func (m *model) load(factor float64) {
 	for _, o := range m.orgs {
+		rate := factor * max(o.limits[0].Rate, o.limits[1].Rate, o.limits[0].Burst, o.limits[1].Burst, minModelRate)
 		var next func()
 		next = func() {
 			v := m.vms[min(m.rng.IntN(len(m.vms)), m.rng.IntN(len(m.vms)))]
-			m.request(o, v)
-			m.after(time.Duration(m.rng.ExpFloat64()/(factor*max(o.limits[0].Rate, o.limits[1].Rate, minModelRate))*float64(time.Second)), next)
+			if m.now >= m.silentUntil {
+				m.request(o, v)
+			}
+			m.after(time.Duration(m.rng.ExpFloat64()/rate*float64(time.Second)), next)
 		}
 		m.after(m.jitter(time.Second), next)
 	}
@@ -430,7 +470,7 @@
 	if m.coordinator != nil && m.rng.IntN(3) == 0 {
 		id = m.coordinator.id
 	}
-	switch m.rng.IntN(9) {
+	switch m.rng.IntN(11) {
 	case 0:
 		m.kill(id, 300*time.Millisecond+m.jitter(3*time.Second))
 	case 1:
@@ -463,6 +503,16 @@
 			m.cut[c.id] = true
 			m.after(d, func() { delete(m.cut, c.id) })
 		}
+	default:
+		// The bursts are used when the demand returns, just before the restart.
+		m.silentUntil = m.now + m.jitter(14*time.Second)
+		m.after(m.silentUntil-m.now+m.jitter(1500*time.Millisecond), func() {
+			if m.rng.IntN(2) == 0 {
+				m.killCoordinator()
+			} else {
+				m.killAll(50*time.Millisecond+m.jitter(time.Second), 200*time.Millisecond)
+			}
+		})
 	}
 	m.after(m.jitter(m.faults.interval), m.fault)
 }
@@ -477,7 +527,8 @@
 
 // runRandom runs one seed with random faults and returns a digest of all that was sent.
 func runRandom(t *testing.T, seed uint64, vms int, period time.Duration) (uint64, []string) {
-	m := newModel(t, seed, vms, modelLimits, modelFaults{random: true, interval: time.Duration(2+seed%3*6) * time.Second})
+	m := newModel(t, seed, vms, modelLimits, modelFaults{random: true, interval: time.Duration(2+seed%3*6) * time.Second,
+		takeoverDelay: time.Duration(seed%5*700) * time.Millisecond})
 	for _, o := range m.orgs {
 		o.changed = 10*time.Second + m.jitter(period)
 	}
@@ -527,30 +578,36 @@
 func TestLimitIsUsedSoonAfterRestartOfAll(t *testing.T) {
 	const seeds, seconds = 10, 3
 	for _, vms := range []int{12, 86, 300} {
-		used := [3][seconds]float64{}
-		for seed := range uint64(seeds) {
-			m := newModel(t, seed, vms, [][2]Limit{{{373, 373}, {373, 373}}, {{20, 20}, {20, 20}}, {{2, 2}, {2, 2}}}, modelFaults{})
-			m.load(2)
-			m.run(20 * time.Second)
-			m.killAll(time.Second, 100*time.Millisecond)
-			started := 21100 * time.Millisecond
-			m.run(started)
-			for s := range seconds {
-				before := [3]int{m.orgs[0].total, m.orgs[1].total, m.orgs[2].total}
-				m.run(started + time.Duration(s+1)*time.Second)
-				for i, o := range m.orgs {
-					used[i][s] += float64(o.total-before[i]) / o.limits[0].Rate / seeds
+		for _, delay := range []time.Duration{0, 1400 * time.Millisecond} {
+			used := [3][seconds]float64{}
+			for seed := range uint64(seeds) {
+				m := newModel(t, seed, vms, [][2]Limit{{{373, 373}, {373, 373}}, {{20, 20}, {20, 20}}, {{2, 2}, {2, 2}}}, modelFaults{takeoverDelay: delay})
+				m.load(2)
+				m.run(20 * time.Second)
+				m.killAll(time.Second, 100*time.Millisecond)
+				started := 21100*time.Millisecond + delay
+				m.run(started)
+				for s := range seconds {
+					before := [3]int{m.orgs[0].total, m.orgs[1].total, m.orgs[2].total}
+					m.run(started + time.Duration(s+1)*time.Second)
+					for i, o := range m.orgs {
+						used[i][s] += float64(o.total-before[i]) / o.limits[0].Rate / seeds
+					}
+				}
+				if len(m.violations) > 0 {
+					t.Error(m.violations)
 				}
 			}
-			if len(m.violations) > 0 {
-				t.Error(m.violations)
+			t.Logf("%d VMs, takeover %v after the start: part of the limits of 373, 20 and 2 a second that is used in each second: %.2f", vms, delay, used)
+			// VMs connect within 0.15 s. All but the burst of 2 have gained more than is offered in a second by then, if nothing was sent before.
+			atOnce := 0.8
+			if delay > time.Second {
+				atOnce = 1.6
 			}
-		}
-		t.Logf("%d VMs: part of the limits of 373, 20 and 2 a second that is used in each second after the start: %.2f", vms, used)
-		for i, u := range used {
-			// VMs connect within 0.15 s.
-			if u[0] < 0.8 || u[0]+u[1] < 1.7 {
-				t.Errorf("%d VMs: limit %d: parts %.2f are used in each second after the start, want 0.8 in the first, 1.7 in two", vms, i, u)
+			for i, u := range used {
+				if u[0] < atOnce || u[0]+u[1] < atOnce+0.9 {
+					t.Errorf("%d VMs, delay %v: limit %d: parts %.2f are used in each second after the start, want %.2f in the first", vms, delay, i, u, atOnce)
+				}
 			}
 		}
 	}
--- a/pkg/sharedrate/sharedrate.go
+++ b/pkg/sharedrate/sharedrate.go
@@ -137,6 +137,8 @@
 	GrantedBy uint64  `msgpack:"g,omitempty"`
 	Serial    uint32  `msgpack:"n,omitempty"`
 	LeftMs    int64   `msgpack:"l,omitempty"`
+	// QuietMs is how long no process of the VM has taken a token of its own share.
+	QuietMs int64 `msgpack:"q,omitempty"`
 }
 
 // lentOnVM is how long a VM uses nothing of a share that it has lent.
