--- a/pkg/sharedrate/supply.go
+++ b/pkg/sharedrate/supply.go
@@ -27,7 +27,7 @@
 	dips []dip
 	// idle sums up the fractions that nobody has used for a time before the user got them, by that time in steps. idleChanges counts
 	// its changes.
-	idle        map[int]float64
+	idle        []float64
 	idleChanges int
 }
 
@@ -68,7 +68,7 @@
 		return
 	}
 	if s.idle == nil {
-		s.idle = map[int]float64{}
+		s.idle = make([]float64, maxIdleTime/idleStep+1)
 	}
 	s.idle[step] += fraction
 	s.idleChanges++
