Don't judge a distributor's lag before its first update

Cause: a VM that had read the tables itself after its start counted a distributor as behind by the whole time since the clock's origin until the first update arrived, and complained about it. Three such complaints replace a region's distributor.

Change: the lag counts from the first update on. Event 891 names its count of attempts to connect coordinator_dials. A test for sources of an earlier version, which don't state that they know the refused requests.

Ruled out: counting the VM's own reads as relayed data, which once let a request reach a target that had left.

--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -37,7 +37,7 @@
 	stop    context.CancelFunc
 	// heardAt is when the distributor last sent something, or when this VM started to use it.
 	heardAt clock.Instant
-	// linkedAt is when the link was set up.
+	// linkedAt is when the link was set up. It equals heardAt until the distributor has sent something on it.
 	linkedAt clock.Instant
 }
 
@@ -160,10 +160,13 @@
 		return
 	}
 	lag, maxLag := c.coordinatorFreshAt.Sub(c.relayedFreshAt), time.Duration(maxDistributorLagShare*float64(c.settings.MaxConfigApplyTime))
-	if c.snapshot == nil {
-		// Before the first tables, there is no lag: VMs that were starting dropped each distributor right after they had
-		// connected to it.
+	switch {
+	case c.snapshot == nil:
 		lag, maxLag = now.Sub(c.source.linkedAt), startupTablesTimeout
+	case c.source.heardAt == c.source.linkedAt:
+		// Its lag isn't known before its first update: VMs that were starting dropped each distributor right after they had
+		// connected to it.
+		return
 	}
 	if lag > maxLag {
 		c.dropDistributor("behind_ms", lag.Milliseconds())
--- a/pkg/entry/distributor_test.go
+++ b/pkg/entry/distributor_test.go
@@ -165,14 +165,20 @@
 	}
 }
 
-// A VM that is starting must not take a distributor that it has just connected to for one that lags, since it has no tables
-// yet. It must leave one that sends no tables while the coordinator could send them.
+// A VM that is starting must not take a distributor that it has just connected to for one that lags, since it has no relayed
+// tables yet. It must leave one that sends no tables while the coordinator could send them.
 func TestStartingVMWaitsForFirstTables(t *testing.T) {
 	vm := testControl(t, "b")
 	vm.settings.MaxConfigApplyTime = 3 * time.Second
 	now := vm.clock.Now()
 	vm.source = tableSource{address: "10.0.0.1:1", link: &replica.Link{}, heardAt: now, linkedAt: now}
 	vm.link, vm.coordinatorHeardAt, vm.coordinatorFreshAt = silentLink(t), now, now
+	for _, snapshot := range []*inventory.Snapshot{inventory.NewSnapshot(nil, nil, nil), nil} {
+		vm.snapshot = snapshot
+		if vm.checkDistributor(now.Add(followerTickInterval)); vm.source.address == "" {
+			t.Fatalf("the VM drops the distributor before its first update, with tables of its own: %v", snapshot != nil)
+		}
+	}
 	if vm.checkDistributor(now.Add(startupTablesTimeout)); vm.source.address == "" {
 		t.Error("the VM drops the distributor before it could send the tables")
 	}
--- a/pkg/entry/startup.go
+++ b/pkg/entry/startup.go
@@ -131,7 +131,7 @@
 		rowRead = c.firstControlRead.Sub(c.startedAt).Milliseconds()
 	}
 	c.log.Emit(event.StartupCompleted, "after_ms", elapsed.Milliseconds(), "control_read_ms", rowRead, "tables_from", c.tablesSource(),
-		"failed_distributors", c.failedDistributors, "failed_dials", c.failedDials)
+		"failed_distributors", c.failedDistributors, "coordinator_dials", c.failedDials)
 }
 
 // tablesSource names the kind of source of the first tables of this process.
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -10,6 +10,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
@@ -125,3 +126,29 @@
 		t.Error("an invalid row is decoded without an error")
 	}
 }
+
+// A VM that starts must serve nothing before it knows the stored records of refused requests, also if its source is a VM of an earlier
+// version, which doesn't state that it knows them. It must serve without them if the store refuses to give them.
+func TestStartingVMReadsQuarantineOfSilentSource(t *testing.T) {
+	for _, refused := range []bool{false, true} {
+		f := newFleet(t)
+		f.store.refuses = func(int) bool { return refused }
+		c, start := f.vms[0], f.clock.now
+		c.awaitsQuarantine, c.snapshot = true, inventory.NewSnapshot(nil, nil, nil)
+		c.mergeSuspects(replica.Update{}, start)
+		c.refreshView()
+		if c.awaitQuarantine(start); c.Current().Snapshot != nil || c.reading[suspectsTable] {
+			t.Fatal("the VM serves at once, or doesn't wait for its source")
+		}
+		if c.awaitQuarantine(start.Add(quarantineGrace)); !c.reading[suspectsTable] {
+			t.Fatal("the VM doesn't read the records")
+		}
+		(<-c.events)()
+		if served := c.Current().Snapshot != nil; served == refused {
+			t.Errorf("read refused: %v; the VM serves: %v", refused, served)
+		}
+		if c.awaitQuarantine(start.Add(quarantineTimeout)); c.Current().Snapshot == nil {
+			t.Error("the VM never serves")
+		}
+	}
+}
