--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -48,6 +48,8 @@
 	StoreEra uint64 `json:"store_era"`
 	// InterRegionBytes are the bytes sent to and received from other regions since the start, by kind.
 	InterRegionBytes map[string]interregion.Volume `json:"inter_region_bytes"`
+	// StartupMs is the time from the start of the process until it knew a configuration and targets, 0 before.
+	StartupMs int64 `json:"startup_ms"`
 }
 
 // serveDump writes the state as JSON.
@@ -57,7 +59,7 @@
 		ConfigurationAgeMs: p.control.ConfigurationAge().Milliseconds(),
 		Suspects:           p.control.suspects.Records(p.control.clock.Now()), RateLimits: p.control.limits.Records(p.control.clock.Now()),
 		AdmitsByValue: p.control.placer.broker.AdmitsByValue(), StoreEra: p.control.storeEra.Load(), InterRegionBytes: p.InterRegion.Totals(),
-		Demand: p.control.placer.broker.Demand(dumpedDemand, p.control.clock.Now())}
+		Demand: p.control.placer.broker.Demand(dumpedDemand, p.control.clock.Now()), StartupMs: time.Duration(p.control.startupTime.Load()).Milliseconds()}
 	for route, delay := range p.hedger.Delays(p.control.clock.Now()) {
 		if d.HedgeDelaysMs == nil {
 			d.HedgeDelaysMs = map[string]int64{}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -148,6 +148,7 @@
 		Quota:        quota,
 		InterRegion:  o.InterRegion,
 		EraGauge:     registry.Scope().Gauge(storeEraMetric),
+		StartupGauge: registry.Scope().Gauge(startupMetric),
 		Incarnation:  strconv.FormatInt(time.Now().UnixNano(), 36),
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
