--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -556,6 +556,20 @@
 	}
 }
 
+// TestLimitHoldsWhileCoordinatorsFollowEachOther guards against coordinators that follow each other within a window and that may each use
+// the tokens that a new one begins with.
+func TestLimitHoldsWhileCoordinatorsFollowEachOther(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newModel(t, seed, 12, [][2]Limit{{{0.5, 0}, {0.5, 0}}, {{3, 1}, {3, 1}}, {{20, 20}, {20, 20}}}, modelFaults{})
+		m.load(4)
+		m.every(10*time.Second, 1200*time.Millisecond+m.jitter(600*time.Millisecond), m.killCoordinator)
+		m.run(30 * time.Second)
+		if len(m.violations) > 0 {
+			t.Errorf("seed %d: %v", seed, m.violations)
+		}
+	}
+}
+
 // TestLimitIsUsedAfterRestartOfAll guards against quotas that stay unused after all processes were replaced at once, because the new
 // coordinator knows none of the shares.
 func TestLimitIsUsedAfterRestartOfAll(t *testing.T) {
