Replay loads of several failure domains and regions

The replays know one failure domain only. - A load can be spread over failure domains in two regions, with waves of different phases. Messages take 1 ms more to another failure domain and 8 ms more to the other region; requests that cross are counted. - Which machines are slow at which time is drawn in advance, in the same order as before, so that an oracle can know it.

--- a/pkg/placing/replay_test.go
+++ b/pkg/placing/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -12,8 +13,13 @@
 )
 
 const (
-	// replayHop is the time that a message takes between a VM and a target.
-	replayHop = 2 * time.Millisecond
+	// replayHop is the time that a message takes between a VM and a target of its failure domain. It takes longer between failure domains
+	// and between regions.
+	replayHop       = 2 * time.Millisecond
+	replayDomainHop = replayHop + time.Millisecond
+	replayRegionHop = replayHop + 8*time.Millisecond
+	// wavePeriod is the period with which the load of a failure domain rises and falls.
+	wavePeriod = 17 * time.Second
 	// slowestShare of the requests take slowestFactor times as long as usual.
 	slowestShare, slowestFactor = 0.03, 7
 	// hotOwnerShare of the key owners get hotOwnerFactor times the mean rate.
@@ -35,6 +41,8 @@
 	retries                   int
 
 	sent, onTime, late, refused, refusedAgain, held int
+	// crossed counts the attempts that were sent to the other region.
+	crossed int
 }
 
 func (k *replayKind) value() float64 {
@@ -48,6 +56,7 @@
 	k.refused += other.refused
 	k.refusedAgain += other.refusedAgain
 	k.held += other.held
+	k.crossed += other.crossed
 }
 
 func (k *replayKind) share(count int) float64 {
@@ -63,6 +72,10 @@
 	kinds          []replayKind
 	targets, slots int
 	keyed, unequal bool
+	// domains is the number of failure domains, one if 0. Targets belong to them in turn, and half of them are in each region.
+	domains int
+	// wave is the part by which the load of each failure domain rises and falls, with different phases.
+	wave float64
 	// single makes the broker use one service time for all kinds.
 	single    bool
 	duration  time.Duration
@@ -135,10 +148,18 @@
 	byID     map[string]*replayTarget
 	requests []*replayRequest
 	refusals []replayRefusal
+	regionOf map[string]string
+	start    clock.Instant
+	// paces holds the pace of each target for each slowMachinePeriod.
+	paces [][]float64
 }
 
 func newReplay(spec replaySpec) *replay {
-	r := &replay{overloadSim: &overloadSim{harness: &harness{now: clock.Instant(time.Second)}, random: rand.New(rand.NewPCG(spec.seed, 21))}, spec: spec, byID: map[string]*replayTarget{}}
+	r := &replay{overloadSim: &overloadSim{harness: &harness{now: clock.Instant(time.Second)}, random: rand.New(rand.NewPCG(spec.seed, 21))}, spec: spec, byID: map[string]*replayTarget{}, regionOf: map[string]string{}}
+	r.start, r.spec.domains = r.now, max(1, spec.domains)
+	for i := range r.spec.domains {
+		r.regionOf[replayDomain(i)] = []string{"r", "s"}[2*i/max(2, spec.domains)]
+	}
 	var routes []*inventory.Route
 	for _, k := range spec.kinds {
 		r.kinds = append(r.kinds, &k)
@@ -149,22 +170,25 @@
 	}
 	var list []*inventory.Target
 	for i := range spec.targets {
-		t := &replayTarget{Target: &inventory.Target{ID: fmt.Sprintf("t%03d", i), Pool: "pool", Domain: "a", Slots: spec.slots, Started: 1}, speed: 1, pace: 1}
+		t := &replayTarget{Target: &inventory.Target{ID: fmt.Sprintf("t%03d", i), Pool: "pool", Domain: replayDomain(i % r.spec.domains), Slots: spec.slots, Started: 1}, speed: 1, pace: 1}
 		if spec.unequal {
 			t.speed = 0.6 + r.random.Float64()
 		}
 		r.targets, r.byID[t.ID], list = append(r.targets, t), t, append(list, t.Target)
 	}
 	r.cfg = inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "pool", Keyed: spec.keyed}}, routes)
-	r.b = NewBroker(map[string]string{"a": "r"}, NewBrokerBudget(0.2, 60, 10*time.Second), quarantine.NewTracker(), ratelimit.NewTracker(), func(string, int) {})
+	r.b = NewBroker(r.regionOf, NewBrokerBudget(0.2, 60, 10*time.Second), quarantine.NewTracker(), ratelimit.NewTracker(), func(string, int) {})
 	if spec.configure != nil {
 		spec.configure(r.b)
 	}
 	r.b.Update(inventory.NewSnapshot(r.cfg, list, map[string]bool{}), func(_ string, key int) Owner { return Owner{Target: r.targets[key].ID} }, r.now)
 	r.record()
+	r.recordPaces()
 	return r
 }
 
+func replayDomain(i int) string { return string(rune('a' + i)) }
+
 // record draws all arrivals.
 func (r *replay) record() {
 	for _, k := range r.kinds {
@@ -178,7 +202,7 @@
 			}
 			const step = 10 * time.Millisecond
 			for t := time.Duration(0); t < r.spec.duration; t += step {
-				if r.random.Float64() >= rate*r.rateAt(t)*step.Seconds() {
+				if r.random.Float64() >= rate*r.rateAt(t, owner)*step.Seconds() {
 					continue
 				}
 				work := time.Duration(float64(k.work) * (0.7 + 0.6*r.random.Float64()))
@@ -191,11 +215,28 @@
 	}
 }
 
-func (r *replay) rateAt(t time.Duration) float64 {
-	if r.spec.rate == nil {
-		return 1
+// recordPaces draws which machines are slow at which time.
+func (r *replay) recordPaces() {
+	for t := time.Duration(0); r.spec.unequal && t < r.spec.duration; t += slowMachinePeriod {
+		paces := make([]float64, len(r.targets))
+		for i := range paces {
+			paces[i] = 1
+			if r.random.Float64() < slowMachineShare {
+				paces[i] = slowMachineFactor
+			}
+		}
+		r.paces = append(r.paces, paces)
 	}
-	return r.spec.rate(t)
+}
+
+// rateAt returns the factor of the rate of the requests from the failure domain of a target at a time.
+func (r *replay) rateAt(t time.Duration, owner int) float64 {
+	phase := float64(owner%r.spec.domains) / float64(r.spec.domains)
+	factor := 1 + r.spec.wave*math.Sin(2*math.Pi*(t.Seconds()/wavePeriod.Seconds()+phase))
+	if r.spec.rate != nil {
+		factor *= r.spec.rate(t)
+	}
+	return factor
 }
 
 // play runs the load. It returns the value of all answers.
@@ -204,10 +245,12 @@
 		q.kind.sent++
 		r.after(q.at.Sub(r.now), func() { r.attempt(q) })
 	}
-	if r.spec.unequal {
-		for t := time.Duration(0); t < r.spec.duration; t += slowMachinePeriod {
-			r.after(t, r.slowMachines)
-		}
+	for i, paces := range r.paces {
+		r.after(time.Duration(i)*slowMachinePeriod, func() {
+			for i, t := range r.targets {
+				t.pace = paces[i]
+			}
+		})
 	}
 	r.run(r.spec.duration + 10*time.Second)
 	total := 0.0
@@ -217,13 +260,16 @@
 	return total
 }
 
-func (r *replay) slowMachines() {
-	for _, t := range r.targets {
-		t.pace = 1
-		if r.random.Float64() < slowMachineShare {
-			t.pace = slowMachineFactor
-		}
+// hop returns the time that a message takes between the origin of a request and a target, and whether it crosses regions.
+func (r *replay) hop(q *replayRequest, t *replayTarget) (time.Duration, bool) {
+	origin := r.targets[q.owner].Domain
+	switch {
+	case t.Domain == origin:
+		return replayHop, false
+	case r.regionOf[t.Domain] == r.regionOf[origin]:
+		return replayDomainHop, false
 	}
+	return replayRegionHop, true
 }
 
 // attempt sends a request once.
@@ -232,7 +278,8 @@
 	seq, spent := r.seq, r.now.Sub(q.at)
 	left, decided := q.kind.deadline-spent, false
 	q.attempts++
-	a := PlacementRequest{VM: "vm", Domain: "a", Region: "r", Seq: seq, Pool: "pool", Key: q.owner, Priority: q.kind.priority, Objective: q.kind.objective - spent, TimeLeft: left}
+	origin := r.targets[q.owner].Domain
+	a := PlacementRequest{VM: "vm", Domain: origin, Region: r.regionOf[origin], Seq: seq, Pool: "pool", Key: q.owner, Priority: q.kind.priority, Objective: q.kind.objective - spent, TimeLeft: left}
 	r.after(left, func() {
 		if !decided {
 			decided = true
@@ -247,7 +294,12 @@
 			r.refuse(q, v)
 			return
 		}
-		r.after(replayHop, func() { r.execute(q, r.byID[v.Target], seq, r.now.Add(-replayHop)) })
+		t, sent := r.byID[v.Target], r.now
+		hop, crosses := r.hop(q, t)
+		if crosses {
+			q.kind.crossed++
+		}
+		r.after(hop, func() { r.execute(q, t, seq, sent) })
 	}, r.now)
 }
 
@@ -281,7 +333,8 @@
 			t.queue = t.queue[1:]
 			next()
 		}
-		r.after(replayHop, func() { r.answered(q, seq, sent, report) })
+		hop, _ := r.hop(q, t)
+		r.after(hop, func() { r.answered(q, seq, sent, report) })
 	})
 }
 
@@ -337,6 +390,13 @@
 	}}
 }
 
+// sealSpec is the load of the pool "seal" of the deployment "transcripts" on some of its targets.
+func sealSpec(seed uint64) replaySpec {
+	return replaySpec{targets: 60, slots: 4, unequal: true, duration: 24 * time.Second, seed: seed, kinds: []replayKind{
+		{name: "certify", priority: 1, perTarget: 416.0 / 77, work: 270 * ms, objective: 1200 * ms, deadline: 3 * time.Second, onTimeValue: 2, lateValue: 0.6, retries: 1},
+	}}
+}
+
 // bursts multiplies the rate by the given factor for 4 s of each 20 s.
 func bursts(factor float64) func(time.Duration) float64 {
 	return func(t time.Duration) float64 {
