Keep requests in their region while they can be on time

Cause: a request crossed regions as soon as its region had no free slot that it accepts. The slots of a region are released every few milliseconds, and under overload a released slot went to the first request of the queue, whichever its region. Bytes between regions are billed.

Change, only if Broker.admitsByValue: - a request stays in the queue if a slot of its region is expected within distancePenalty, or its answer within 0.4 of the time to its objective; - otherwise, or if no acceptable target of its region may serve it, it crosses as before (pkg/placing/region.go). - New metric broker.region_crossings, by reason (borrowed, needed).

Ruled out: other lifetimes or a fading of the load header's fourth value, other slowTargetFactor and domainLatencyShare, staying only if the region has no free target at all (docs/design/uneven-targets.md).

twoRegionSim.play drew its requests in the order of a map, so that the same seed gave different runs; the order is now fixed.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -139,6 +139,7 @@
 		OnSnapshot:   func(s *inventory.Snapshot) { p.handler.PruneConnections(s) },
 	})
 	p.control.placer.broker.RecordForecastErrors(registry.Scope())
+	p.control.placer.broker.CountCrossings(registry.Scope())
 	p.control.placer.broker.SetValueAdmission(o.Settings.AdmitByValue)
 	p.handler = ingress.NewHandler(ingress.Options{
 		Dialect: o.Protocol, State: p.control, Placer: p.control.placer, Balancer: balancer,
--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -128,6 +128,8 @@
 	kinds         kinds
 	// forecastErrors is nil unless RecordForecastErrors was called.
 	forecastErrors *forecastErrors
+	// crossings is nil unless CountCrossings was called.
+	crossings *crossings
 	// valueAdmission is set by SetValueAdmission.
 	valueAdmission bool
 	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
@@ -359,6 +361,9 @@
 // target is taken only by requests that would wait even longer for another one. Each request decides for itself: when the whole
 // queue waited behind a first request that declined, slow targets stayed idle.
 func (b *Broker) betterThanWaiting(c candidate, w *waiter, ps *poolState, ahead []*waiter, now clock.Instant) bool {
+	if b.staysInRegion(c, w, ps, ahead, now) {
+		return false
+	}
 	if c.score <= slowTargetFactor*c.fastest {
 		return true
 	}
@@ -426,6 +431,7 @@
 	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), organisation: w.Organisation, rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
 	b.noteServed(w)
+	b.noteCrossing(w, l)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
 }
 
--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 )
 
@@ -67,8 +69,8 @@
 }
 
 func (s *twoRegionSim) play(duration time.Duration, perSecond map[string]int) {
-	for domain, rate := range perSecond {
-		for range rate * int(duration/time.Second) {
+	for _, domain := range []string{"a", "b"} {
+		for range perSecond[domain] * int(duration/time.Second) {
 			s.after(time.Duration(s.random.Int64N(int64(duration))), func() { s.send(domain, 1200*time.Millisecond) })
 		}
 	}
@@ -107,6 +109,76 @@
 	}
 }
 
+// Guards against requests that cross the link between regions although a slot in their own one is released in time: with all slots of both
+// regions in use, 38% did. And against requests that are late because they wait for a region that is full for long.
+func TestRequestsWaitForTheirRegion(t *testing.T) {
+	for name, c := range map[string]struct {
+		near       int
+		perSecond  map[string]int
+		duration   time.Duration
+		maxCrossed float64
+	}{
+		"both regions full": {100, map[string]int{"a": 900, "b": 900}, time.Second, 0.02},
+		"own region full":   {20, map[string]int{"a": 250, "b": 170}, 10 * time.Second, 1},
+	} {
+		s := newTwoRegionSim(t, 3, c.near, 100)
+		s.b.SetValueAdmission(true)
+		s.play(c.duration, c.perSecond)
+		if share := float64(s.crossed) / float64(s.placed); share > c.maxCrossed {
+			t.Errorf("%s: %.2f of the requests cross the link between regions", name, share)
+		}
+		if share := float64(s.onTime) / float64(s.placed+s.refused); share < 0.99 {
+			t.Errorf("%s: only %.3f of the requests are answered in time, %d are refused", name, share, s.refused)
+		}
+		// Twice the limit of TestMixedQueueCost: the targets are inspected once more for the first request that could cross.
+		if limit := 2 * len(s.target) * (3*(s.placed+s.refused) + int(c.duration/(25*time.Millisecond))); s.b.inspectedTargets > limit {
+			t.Errorf("%s: %d targets inspected for %d requests, the limit is %d", name, s.b.inspectedTargets, s.placed+s.refused, limit)
+		}
+	}
+}
+
+// Guards against requests that wait for targets which fail, or for longer than their objective permits, while a target in the other region
+// is free, and against deployments that don't admit by value in which requests wait.
+func TestWaitForTheRegionIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		byValue     bool
+		failureRate float64
+		waiting     int
+	}{
+		"by value":                   {byValue: true, waiting: 2},
+		"by value, own targets fail": {byValue: true, failureRate: 0.5},
+		"not by value":               {},
+	} {
+		h := newHarness(t, 4, 2)
+		h.target = append(h.target, &inventory.Target{ID: "far", Pool: "plain", Domain: "b", Slots: 8, Started: 1})
+		h.update()
+		h.b.SetValueAdmission(c.byValue)
+		scope := tally.NewTestScope("", nil)
+		h.b.CountCrossings(scope)
+		for range 8 {
+			h.place(PlacementRequest{Pool: "plain"})
+		}
+		for i := range 4 {
+			h.b.loads[fmt.Sprintf("t%d", i)].failureRate = c.failureRate
+		}
+		// A slot in the region is released every 25 ms. The third request would be answered after 325 ms, its objective is 600 ms.
+		waiting := 0
+		for range 4 {
+			if _, decision := h.place(PlacementRequest{Pool: "plain"}); decision == nil {
+				waiting++
+			} else if decision.Target != "far" {
+				t.Errorf("%s: %+v", name, *decision)
+			}
+		}
+		if waiting != c.waiting {
+			t.Errorf("%s: %d of 4 requests wait, expected %d", name, waiting, c.waiting)
+		}
+		if count := scope.Snapshot().Counters()["broker.region_crossings+reason=borrowed"].Value(); count != int64(4-waiting) {
+			t.Errorf("%s: %d requests are counted as crossing", name, count)
+		}
+	}
+}
+
 // Guards against a search for free slots that exhausts the coordinator's processor. With a search for each kind of waiting
 // request, a queue of requests from 8 failure domains with different deadlines was too much for a coordinator with 0.8 of a core.
 // The limit corresponds to inspecting all targets once for each request that is placed or ends, and once for each tick.
--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -37,6 +37,10 @@
 	// preferredState needs it.
 	view      targetView
 	preferred *poolState
+	// regions is nil until regionStates needs it. queuedUntil is the number of requests at the head of the queue that are included in the
+	// queued work of the regions.
+	regions     []regionState
+	queuedUntil int
 }
 
 // domainState is the part of a poolState for one failure domain.
@@ -124,10 +128,7 @@
 		return ps.preferred
 	}
 	ps.preferred = ps
-	fastest := infinite
-	for i := range ps.domains {
-		fastest = min(fastest, ps.domains[i].minLatency)
-	}
+	fastest := ps.minLatency()
 	if ps.slowest <= slowTargetFactor*fastest {
 		return ps
 	}
@@ -141,6 +142,15 @@
 	return ps.preferred
 }
 
+// minLatency returns the lowest expected latency of all targets.
+func (ps *poolState) minLatency() time.Duration {
+	lowest := infinite
+	for i := range ps.domains {
+		lowest = min(lowest, ps.domains[i].minLatency)
+	}
+	return lowest
+}
+
 // minUsefulTime is the minimum time before its deadline at which a request is worth sending.
 func (ps *poolState) minUsefulTime(w *waiter) time.Duration {
 	if ps.minServiceTime == infinite {
--- /dev/null
+++ b/pkg/placing/region.go
@@ -0,0 +1,118 @@
+package placing
+
+import (
+	"slices"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+)
+
+// The load pattern is a pool with targets in two regions and a load that rises at different times in each. A request whose region has no
+// free slot could run in the other one at once, but its bytes are billed, and in a region with a hundred slots one is released within some
+// milliseconds.
+
+// stayObjectiveShare is the part of the remaining time to its objective within which a request must be expected to be answered in its own
+// region for it to wait there. The rest is for targets that are slower than the mean, and for requests that arrive later and are placed
+// first. With 0.7, fewer requests cross, but more are late.
+const stayObjectiveShare = 0.4
+
+// crossings counts the requests that were placed in another region than that of their VM: borrowed if their own region has targets that
+// may serve them, needed otherwise.
+type crossings struct {
+	borrowed, needed tally.Counter
+}
+
+// CountCrossings makes the broker count the requests that cross regions in counters of the given scope.
+func (b *Broker) CountCrossings(scope tally.Scope) {
+	counter := func(reason string) tally.Counter {
+		return scope.SubScope("broker").Tagged(map[string]string{"reason": reason}).Counter("region_crossings")
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crossings = &crossings{borrowed: counter("borrowed"), needed: counter("needed")}
+}
+
+// noteCrossing counts a request that is placed at a target.
+func (b *Broker) noteCrossing(w *waiter, l *load) {
+	if b.crossings == nil || b.regionOf[l.target.Domain] == w.Region {
+		return
+	}
+	inRegion := func(other *load) bool { return b.regionOf[other.target.Domain] == w.Region }
+	if b.keyed(w.Pool) || !slices.ContainsFunc(b.targetSet(w), inRegion) {
+		b.crossings.needed.Inc(1)
+		return
+	}
+	b.crossings.borrowed.Inc(1)
+}
+
+// regionState is the part of a poolState for one region.
+type regionState struct {
+	name string
+	// throughput is the number of requests that the targets serve each second, and slots the number of their slots.
+	throughput float64
+	slots      int
+	// queued is the work of the requests ahead in the queue that wait for this region, 1 being a request with the mean service time.
+	queued float64
+}
+
+// region returns the state of a region.
+func (ps *poolState) region(name string) *regionState {
+	i := slices.IndexFunc(ps.regions, func(r regionState) bool { return r.name == name })
+	if i < 0 {
+		i = len(ps.regions)
+		ps.regions = append(ps.regions, regionState{name: name})
+	}
+	return &ps.regions[i]
+}
+
+// computeRegions computes the states of the regions from the warm targets that may get requests now. Targets that requests decline because
+// they are slow or fail don't count, as in preferredState: a request would wait for them and then cross.
+func (b *Broker) computeRegions(ps *poolState, now clock.Instant) {
+	b.inspectedTargets += len(ps.targets)
+	limit := slowTargetFactor * ps.minLatency()
+	ps.regions = make([]regionState, 0, 2)
+	for _, l := range ps.targets {
+		service := l.currentServiceTime(now)
+		if now < l.coldUntil || now < ps.view.notBefore(l) || l.limit.spent() || service+l.penalty() > limit {
+			continue
+		}
+		r := ps.region(b.regionOf[l.target.Domain])
+		r.slots += l.target.Slots
+		r.throughput += l.limit.capRate(float64(l.target.Slots)/service.Seconds(), b.share)
+	}
+}
+
+// waitingRegion is the region whose slots a waiting request takes: its own one, unless it may not be served there.
+func (w *waiter) waitingRegion() string {
+	if len(w.AllowedRegions) == 0 || slices.Contains(w.AllowedRegions, w.Region) {
+		return w.Region
+	}
+	return w.AllowedRegions[0]
+}
+
+// staysInRegion reports whether a request with the given others ahead of it waits for a slot in its own region instead of taking the free
+// target in another one. It does so if the wait is shorter than the latency that is accepted to avoid the other region and leaves enough
+// time, or if the answer is expected well within its objective. Otherwise it would be late, or refused under overload.
+func (b *Broker) staysInRegion(c candidate, w *waiter, ps *poolState, ahead []*waiter, now clock.Instant) bool {
+	if b.regionOf[c.load.target.Domain] == w.Region || !b.admitsByValue() {
+		return false
+	}
+	if ps.regions == nil {
+		b.computeRegions(ps, now)
+	}
+	for ; ps.queuedUntil < len(ahead); ps.queuedUntil++ {
+		other := ahead[ps.queuedUntil]
+		ps.region(other.waitingRegion()).queued += other.factor
+	}
+	r := ps.region(w.Region)
+	if r.throughput <= 0 {
+		return false
+	}
+	wait := secondsToDuration((r.queued + 1) / r.throughput)
+	service := w.scaled(secondsToDuration(onTimeServiceFactor * float64(r.slots) / r.throughput))
+	if wait <= distancePenalty(b.regionOf, w.Domain, w.Region, c.load.target.Domain, w.BodyBytes) {
+		return wait+service <= w.deadline.Sub(now)
+	}
+	return float64(wait+service) <= stayObjectiveShare*float64(w.objectiveEnd.Sub(now))
+}
