--- a/pkg/placing/poolstate.go
+++ b/pkg/placing/poolstate.go
@@ -37,7 +37,7 @@
 	// preferredState needs it.
 	view      targetView
 	preferred *poolState
-	// regions is nil until regionStates needs it. queuedUntil is the number of requests at the head of the queue that are included in the
+	// regions is nil until computeRegions sets it. queuedUntil is the number of requests at the head of the queue that are included in the
 	// queued work of the regions.
 	regions     []regionState
 	queuedUntil int
