Cross regions if waiting misses the objective

Cause: a request stayed whenever a slot of its region was expected within distancePenalty, without regard to its objective. One that was admitted as on time waited until it was late, and one that more urgent requests overtook waited until half of its time had passed. With a large body, the time after which a region counts as hanging grew with the cost of the body.

Change: a request crosses if only the target in the other region is expected to answer within its objective; a region counts as hanging after the expected wait and regionPenalty.

Measured: TestOvertakenRequestsCross and the new cases of TestWaitForTheRegionIsBounded fail without the change.

--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -144,12 +144,16 @@
 		byValue     bool
 		failureRate float64
 		idle        time.Duration
+		request     PlacementRequest
 		waiting     int
 	}{
 		"by value":                   {byValue: true, waiting: 2},
 		"by value, own targets fail": {byValue: true, failureRate: 0.5},
 		"by value, own targets hang": {byValue: true, idle: 200 * time.Millisecond},
 		"not by value":               {},
+		// The second request would be answered after 300 ms in its region.
+		"by value, short objective":              {byValue: true, request: PlacementRequest{Objective: 280 * time.Millisecond}, waiting: 1},
+		"by value, own targets hang, large body": {byValue: true, idle: 200 * time.Millisecond, request: PlacementRequest{BodyBytes: 100 << 10}},
 	} {
 		h := newHarness(t, 4, 2)
 		h.target = append(h.target, &inventory.Target{ID: "far", Pool: "plain", Domain: "b", Slots: 8, Started: 1})
@@ -167,7 +171,8 @@
 		// A slot in the region is released every 25 ms. The third request would be answered after 325 ms, its objective is 600 ms.
 		waiting := 0
 		for range 4 {
-			if _, decision := h.place(PlacementRequest{Pool: "plain"}); decision == nil {
+			c.request.Pool = "plain"
+			if _, decision := h.place(c.request); decision == nil {
 				waiting++
 			} else if decision.Target != "far" {
 				t.Errorf("%s: %+v", name, *decision)
@@ -182,6 +187,45 @@
 	}
 }
 
+// newFullRegion returns a broker that admits by value, whose targets in the caller's region are full, with free slots in the other one.
+func newFullRegion(t *testing.T, targets, farTargets int) *harness {
+	h := newHarness(t, targets, 2)
+	for i := range farTargets {
+		h.target = append(h.target, &inventory.Target{ID: fmt.Sprintf("far%d", i), Pool: "plain", Domain: "b", Slots: 8, Started: 1})
+	}
+	h.update()
+	h.b.SetValueAdmission(true)
+	for range 2 * targets {
+		h.place(PlacementRequest{Pool: "plain"})
+	}
+	return h
+}
+
+// Guards against requests that miss their objective because more urgent ones take every slot that their region releases, while targets in
+// the other region are free.
+func TestOvertakenRequestsCross(t *testing.T) {
+	h := newFullRegion(t, 4, 1)
+	_, start := h.place(PlacementRequest{Pool: "plain", Priority: 3})
+	if start != nil {
+		t.Fatalf("the request doesn't wait: %+v", start)
+	}
+	waiting := requestID{"vm", h.seq}
+	// The eight oldest permits are 1 to 8, then those of the urgent requests.
+	for i := range uint64(20) {
+		h.now = h.now.Add(20 * time.Millisecond)
+		h.place(PlacementRequest{Pool: "plain", Priority: 1})
+		oldest := i + 1
+		if oldest >= waiting.seq {
+			oldest++
+		}
+		h.b.Done("vm", oldest, 200*time.Millisecond, Answered, nil, h.now)
+	}
+	// 400 ms have passed; the objective is 600 ms, and an answer takes 200 ms.
+	if target := h.b.permits[waiting].target; target != "far0" {
+		t.Errorf("the request is placed at %q", target)
+	}
+}
+
 // Guards against a search for free slots that exhausts the coordinator's processor. With a search for each kind of waiting
 // request, a queue of requests from 8 failure domains with different deadlines was too much for a coordinator with 0.8 of a core.
 // The limit corresponds to inspecting all targets once for each request that is placed or ends, and once for each tick.
--- a/pkg/placing/region.go
+++ b/pkg/placing/region.go
@@ -103,6 +103,9 @@
 // target in another one. It does so if the wait is shorter than the latency that is accepted to avoid the other region and leaves enough
 // time, or if the answer is expected well within its objective. Otherwise it would be late, or refused under overload. Targets that hang
 // release no slots; without the condition on the last placement, 0.005 of the value were lost when those of a region hung.
+//
+// A request that can meet its objective only in the other region crosses also if the wait is short. The wait is calculated anew at each
+// decision: without this rule, a request that others overtook waited until its objective was missed.
 func (b *Broker) staysInRegion(c candidate, w *waiter, ps *poolState, ahead []*waiter, now clock.Instant) bool {
 	if b.regionOf[c.load.target.Domain] == w.Region || !b.admitsByValue() {
 		return false
@@ -119,13 +122,18 @@
 		return false
 	}
 	wait := secondsToDuration((r.queued + 1) / r.throughput)
-	penalty := distancePenalty(b.regionOf, w.Domain, w.Region, c.load.target.Domain, w.BodyBytes)
-	if now.Sub(b.lastPlaced[poolRegion{w.Pool, w.Region}]) > wait+penalty {
+	// The cost of sending the body says nothing about whether the targets hang.
+	if now.Sub(b.lastPlaced[poolRegion{w.Pool, w.Region}]) > wait+regionPenalty {
 		return false
 	}
-	service := w.scaled(secondsToDuration(onTimeServiceFactor * float64(r.slots) / r.throughput))
-	if wait <= penalty {
-		return float64(wait+service) <= maxWaitShare*float64(w.deadline.Sub(now))
+	latency := wait + w.scaled(secondsToDuration(onTimeServiceFactor*float64(r.slots)/r.throughput))
+	objective := w.objectiveEnd.Sub(now)
+	if float64(latency) <= stayObjectiveShare*float64(objective) {
+		return true
+	}
+	if latency > objective && w.scaled(c.load.expectedLatency(now)) <= objective {
+		return false
 	}
-	return float64(wait+service) <= stayObjectiveShare*float64(w.objectiveEnd.Sub(now))
+	penalty := distancePenalty(b.regionOf, w.Domain, w.Region, c.load.target.Domain, w.BodyBytes)
+	return wait <= penalty && float64(latency) <= maxWaitShare*float64(w.deadline.Sub(now))
 }
