Admit requests and hedges beside those of another region

Cause: requests wait for their region while the other one has free slots. The forecast at admission counted them ahead of a request of the other region: with 250 waiting, one with low priority was refused although its region had 16 free slots. Hedges were refused everywhere as soon as a request waited anywhere.

Change, only if Broker.admitsByValue: such a request is admitted by the latency of the free target, and a hedge is refused only while requests wait for the region in which it would run.

Measured: TestRegionsWaitSeparately fails without the change.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -270,6 +270,9 @@
 		w.late = true
 		b.requeue(w)
 	}
+	if latency := b.forecastBesideOthers(w, ps, now); latency < infinite {
+		return latency, ReasonOverload
+	}
 	latency, reason := b.forecastWithMargin(w, ps)
 	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
--- a/pkg/placing/hedge_broker.go
+++ b/pkg/placing/hedge_broker.go
@@ -26,7 +26,7 @@
 	switch {
 	case verdict != quarantine.Clear:
 		reason = ReasonSuspected
-	case !b.keyed(w.Pool) && len(b.queues[queueID{pool: w.Pool}]) == 0:
+	case !b.keyed(w.Pool):
 		l = b.hedgeTarget(w, now)
 	}
 	if l != nil {
@@ -54,11 +54,15 @@
 }
 
 // hedgeTarget returns the best target for a hedge, nil if there is none. A hedge doesn't run in a region where the request wasn't
-// tried, because traffic between regions is billed, nor at targets that are cold or have named a rate limit.
+// tried, because traffic between regions is billed, nor at targets that are cold or have named a rate limit. Nor does it run while other
+// requests wait for that region; those that wait for another one have declined the free targets.
 func (b *Broker) hedgeTarget(w *waiter, now clock.Instant) *load {
+	regions, domains := b.triedPlaces(w)
+	if b.waitsForRegion(b.queues[queueID{pool: w.Pool}], regions) {
+		return nil
+	}
 	b.limits.refresh(b.loads, now)
 	view := b.viewFor(w, w.backedOff, now)
-	regions, domains := b.triedPlaces(w)
 	free, slots := map[string]int{}, map[string]int{}
 	best, fastest := map[string]candidate{}, infinite
 	for _, l := range b.eligibleTargets(w, now) {
--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// Guards against requests and hedges that are refused in a region with free slots because many requests wait for the other region.
+func TestRegionsWaitSeparately(t *testing.T) {
+	h := newFullRegion(t, 50, 2)
+	waiting := PlacementRequest{Pool: "plain", Priority: 1, Objective: 2 * time.Second, TimeLeft: 4 * time.Second}
+	for range 250 {
+		if _, v := h.place(waiting); v != nil {
+			t.Fatalf("a request doesn't wait: %+v", *v)
+		}
+	}
+	for _, a := range []PlacementRequest{{Priority: 3}, PlacementRequest{Priority: 3}.AsHedge("far0")} {
+		h.seq++
+		a.Pool, a.VM, a.Domain, a.Region, a.Seq, a.Objective, a.TimeLeft = "plain", "vm", "b", "s", h.seq, 600*time.Millisecond, time.Second
+		var v Decision
+		h.b.Place(a, func(d Decision) { v = d }, h.now)
+		if v.Target == "" {
+			t.Errorf("hedge %t: refused because of %s", a.Hedge, v.Reason)
+		}
+	}
+	if _, v := h.place(PlacementRequest{Pool: "plain", TimeLeft: time.Second}.AsHedge("t0")); v.Target != "" {
+		t.Errorf("a hedge is placed ahead of waiting requests: %+v", *v)
+	}
+}
+
 // Guards against a search for free slots that exhausts the coordinator's processor. With a search for each kind of waiting
 // request, a queue of requests from 8 failure domains with different deadlines was too much for a coordinator with 0.8 of a core.
 // The limit corresponds to inspecting all targets once for each request that is placed or ends, and once for each tick.
--- a/pkg/placing/region.go
+++ b/pkg/placing/region.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -99,6 +100,33 @@
 	return w.AllowedRegions[0]
 }
 
+// forecastBesideOthers returns the forecast for a new request that finds a free target in its own region although requests ahead of it
+// wait: if those wait for another region, they have declined the target. Otherwise it returns infinite. Forecasts for the whole pool count
+// them, and a request was refused in a region with free slots.
+func (b *Broker) forecastBesideOthers(w *waiter, ps *poolState, now clock.Instant) time.Duration {
+	if !b.admitsByValue() || b.keyed(w.Pool) {
+		return infinite
+	}
+	queue := b.queues[w.queue]
+	ahead := queue[:slices.Index(queue, w)]
+	if len(ahead) == 0 || b.waitsForRegion(ahead, []string{w.Region}) {
+		return infinite
+	}
+	c := b.bestCandidate(w, ps, now)
+	if c.load == nil || b.regionOf[c.load.target.Domain] != w.Region || c.score > slowTargetFactor*c.fastest {
+		return infinite
+	}
+	return time.Duration(forecastMargin * float64(w.scaled(c.load.expectedLatency(now))))
+}
+
+// waitsForRegion reports whether any of the waiting requests takes slots of the given regions. All do if requests don't wait for a region.
+func (b *Broker) waitsForRegion(queue []*waiter, regions []string) bool {
+	if !b.admitsByValue() {
+		return len(queue) > 0
+	}
+	return slices.ContainsFunc(queue, func(w *waiter) bool { return slices.Contains(regions, w.waitingRegion()) })
+}
+
 // staysInRegion reports whether a request with the given others ahead of it waits for a slot in its own region instead of taking the free
 // target in another one. It does so if the wait is shorter than the latency that is accepted to avoid the other region and leaves enough
 // time, or if the answer is expected well within its objective. Otherwise it would be late, or refused under overload. Targets that hang
