Drop the state of regions of removed pools

Cause: Broker.lastPlaced kept an entry for each pool and region that ever served a request, also after the pool was removed and after Reset. It was also read for each waiting request, which took a tenth of a pass over a long queue.

Change: Update and Reset drop the entries; a pass reads them once per region.

Measured: TestRegionStateOfRemovedPoolsIsDropped fails without the call in Update.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -165,6 +165,7 @@
 		b.since = now
 	}
 	updateLoads(b.loads, s, now)
+	b.pruneLastPlaced()
 	b.limits.version = 0
 	b.updateKinds()
 	for _, w := range b.waiting {
@@ -185,6 +186,7 @@
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
 	b.loads, b.targetSets, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, kinds{}
+	b.lastPlaced = map[poolRegion]clock.Instant{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
 	b.backoffs = newBackoffs()
--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -249,6 +249,19 @@
 	}
 }
 
+// Guards against state of pools that no longer exist, which would grow with each pool that was ever configured.
+func TestRegionStateOfRemovedPoolsIsDropped(t *testing.T) {
+	h := newFullRegion(t, 1, 1)
+	if len(h.b.lastPlaced) != 1 {
+		t.Fatalf("%d entries after the first placements", len(h.b.lastPlaced))
+	}
+	h.target = nil
+	h.update()
+	if len(h.b.lastPlaced) != 0 {
+		t.Errorf("%v is left of the removed pool", h.b.lastPlaced)
+	}
+}
+
 // Guards against a search for free slots that exhausts the coordinator's processor. With a search for each kind of waiting
 // request, a queue of requests from 8 failure domains with different deadlines was too much for a coordinator with 0.8 of a core.
 // The limit corresponds to inspecting all targets once for each request that is placed or ends, and once for each tick.
--- a/pkg/placing/region.go
+++ b/pkg/placing/region.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -54,12 +55,19 @@
 	b.crossings.borrowed.Inc(1)
 }
 
+// pruneLastPlaced drops the entries of pools that have no targets any more.
+func (b *Broker) pruneLastPlaced() {
+	maps.DeleteFunc(b.lastPlaced, func(r poolRegion, _ clock.Instant) bool { return len(b.snapshot.Pools[r.pool]) == 0 })
+}
+
 // regionState is the part of a poolState for one region.
 type regionState struct {
 	name string
 	// throughput is the number of requests that the targets serve each second, and slots the number of their slots.
 	throughput float64
 	slots      int
+	// lastPlaced is when a request was last placed there.
+	lastPlaced clock.Instant
 	// queued is the work of the requests ahead in the queue that wait for this region, 1 being a request with the mean service time.
 	queued float64
 }
@@ -86,6 +94,9 @@
 			continue
 		}
 		r := ps.region(b.regionOf[l.target.Domain])
+		if r.slots == 0 {
+			r.lastPlaced = b.lastPlaced[poolRegion{l.target.Pool, r.name}]
+		}
 		slots := b.backoffs.limit(l.target.Incarnation(), l.target.Slots, now)
 		r.slots += slots
 		r.throughput += l.limit.capRate(float64(slots)/service.Seconds(), b.share)
@@ -151,7 +162,7 @@
 	}
 	wait := secondsToDuration((r.queued + 1) / r.throughput)
 	// The cost of sending the body says nothing about whether the targets hang.
-	if now.Sub(b.lastPlaced[poolRegion{w.Pool, w.Region}]) > wait+regionPenalty {
+	if now.Sub(r.lastPlaced) > wait+regionPenalty {
 		return false
 	}
 	latency := wait + w.scaled(secondsToDuration(onTimeServiceFactor*float64(r.slots)/r.throughput))
