Don't wait for a region whose targets refuse the VM

Cause: the state that requests share ignores backoffs of individual VMs, so a request waited for a region all of whose targets had asked its VM to send nothing. Change: such a request crosses at once; while any target of the region accepts requests from the VM, it waits as before. Measured: TestRefusedVMsDoNotWaitForTheirRegion fails without the change.

--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -226,6 +226,20 @@
 	}
 }
 
+// Guards against requests that wait for targets which refuse everything from their VM for a while.
+func TestRefusedVMsDoNotWaitForTheirRegion(t *testing.T) {
+	for refusing, waits := range map[int]bool{3: true, 4: false} {
+		h := newFullRegion(t, 4, 1)
+		for i := range refusing {
+			l := h.b.loads[fmt.Sprintf("t%d", i)]
+			h.b.backoffs.add(l.target.Incarnation(), "vm", h.now.Add(time.Second), 2, h.now)
+		}
+		if _, v := h.place(PlacementRequest{Pool: "plain"}); (v == nil) != waits {
+			t.Errorf("%d of 4 targets refuse the VM: %+v", refusing, v)
+		}
+	}
+}
+
 // Guards against requests and hedges that are refused in a region with free slots because many requests wait for the other region.
 func TestRegionsWaitSeparately(t *testing.T) {
 	h := newFullRegion(t, 50, 2)
--- a/pkg/placing/region.go
+++ b/pkg/placing/region.go
@@ -138,6 +138,14 @@
 	return slices.ContainsFunc(queue, func(w *waiter) bool { return slices.Contains(regions, w.waitingRegion()) })
 }
 
+// acceptedInRegion reports whether any target in the region of a request accepts requests from its VM. The pool state that requests share
+// ignores the backoffs of individual VMs.
+func (b *Broker) acceptedInRegion(w *waiter, ps *poolState, now clock.Instant) bool {
+	return slices.ContainsFunc(ps.targets, func(l *load) bool {
+		return b.regionOf[l.target.Domain] == w.Region && now >= b.backoffs.until(l.target.Incarnation(), w.vmID)
+	})
+}
+
 // staysInRegion reports whether a request with the given others ahead of it waits for a slot in its own region instead of taking the free
 // target in another one. It does so if the wait is shorter than the latency that is accepted to avoid the other region and leaves enough
 // time, or if the answer is expected well within its objective. Otherwise it would be late, or refused under overload. Targets that hang
@@ -157,7 +165,7 @@
 		ps.region(other.waitingRegion()).queued += other.factor
 	}
 	r := ps.region(w.Region)
-	if r.throughput <= 0 {
+	if r.throughput <= 0 || w.backedOff && !b.acceptedInRegion(w, ps, now) {
 		return false
 	}
 	wait := secondsToDuration((r.queued + 1) / r.throughput)
