Don't wait for the own region beyond the deadline

Cause: the wait was compared with the objective only. A request whose deadline comes before its objective (little time left, or a generous objective) stayed in its region until it was refused. Measured: the new case of TestWaitForTheRegionIsBounded fails without the change (4 requests wait instead of 1).

--- a/pkg/placing/locality_test.go
+++ b/pkg/placing/locality_test.go
@@ -152,8 +152,9 @@
 		"by value, own targets hang": {byValue: true, idle: 200 * time.Millisecond},
 		"not by value":               {},
 		// The second request would be answered after 300 ms in its region.
-		"by value, short objective":              {byValue: true, request: PlacementRequest{Objective: 280 * time.Millisecond}, waiting: 1},
-		"by value, own targets hang, large body": {byValue: true, idle: 200 * time.Millisecond, request: PlacementRequest{BodyBytes: 100 << 10}},
+		"by value, short objective":               {byValue: true, request: PlacementRequest{Objective: 280 * time.Millisecond}, waiting: 1},
+		"by value, deadline before the objective": {byValue: true, request: PlacementRequest{Objective: 3 * time.Second, TimeLeft: 560 * time.Millisecond}, waiting: 1},
+		"by value, own targets hang, large body":  {byValue: true, idle: 200 * time.Millisecond, request: PlacementRequest{BodyBytes: 100 << 10}},
 	} {
 		h := newHarness(t, 4, 2)
 		h.target = append(h.target, &inventory.Target{ID: "far", Pool: "plain", Domain: "b", Slots: 8, Started: 1})
--- a/pkg/placing/region.go
+++ b/pkg/placing/region.go
@@ -174,7 +174,7 @@
 		return false
 	}
 	latency := wait + w.scaled(secondsToDuration(onTimeServiceFactor*float64(r.slots)/r.throughput))
-	objective := w.objectiveEnd.Sub(now)
+	objective := min(w.objectiveEnd, w.deadline).Sub(now)
 	if float64(latency) <= stayObjectiveShare*float64(objective) {
 		return true
 	}
