--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -132,6 +132,10 @@
 	forecastErrors *forecastErrors
 	// refusedWait is nil unless RecordForecastErrors was called.
 	refusedWait tally.Histogram
+	// crossings is nil unless CountCrossings was called.
+	crossings *crossings
+	// lastPlaced holds when a request was last placed in a region.
+	lastPlaced map[poolRegion]clock.Instant
 	// valueAdmission is set by SetValueAdmission.
 	valueAdmission bool
 	// quotas is the ledger of the organisations' quotas, nil unless this VM is the coordinator.
@@ -156,7 +160,7 @@
 		regionOf: regionOf, budget: budget, suspects: suspects, onKeyUsed: onKeyUsed, loads: map[string]*load{}, coldBuckets: map[string]*tokenBucket{},
 		queues: map[queueID][]*waiter{}, waiting: map[requestID]*waiter{}, permits: map[requestID]permit{},
 		backoffs: newBackoffs(), limits: limitReader{tracker: limits}, share: 1, limitRefusals: map[queueID]clock.Instant{}, kinds: kinds{},
-		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{},
+		fair: fairQueues{}, deferred: map[string]int{}, arrivals: arrivals{}, lastPlaced: map[poolRegion]clock.Instant{},
 	}
 }
 
@@ -169,6 +173,7 @@
 		b.since = now
 	}
 	updateLoads(b.loads, s, now)
+	b.pruneLastPlaced()
 	b.limits.version = 0
 	b.updateKinds()
 	for _, w := range b.waiting {
@@ -189,6 +194,7 @@
 	b.limits.version = 0
 	b.snapshot, b.coldBuckets, b.quotas = nil, map[string]*tokenBucket{}, nil
 	b.loads, b.targetSets, b.regionShares, b.kinds = map[string]*load{}, map[targetSetID][]*load{}, map[regionPair]float64{}, kinds{}
+	b.lastPlaced = map[poolRegion]clock.Instant{}
 	b.suspects.DropRuns()
 	b.budget.Reset()
 	b.backoffs = newBackoffs()
@@ -275,6 +281,9 @@
 		w.late = true
 		b.requeue(w)
 	}
+	if latency := b.forecastBesideOthers(w, ps, now); latency < infinite {
+		return latency, ReasonOverload
+	}
 	latency, reason := b.forecastWithMargin(w, ps)
 	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
 		// The request queues behind those that can still meet their objective.
@@ -369,6 +378,9 @@
 // target is taken only by requests that would wait even longer for another one. Each request decides for itself: when the whole
 // queue waited behind a first request that declined, slow targets stayed idle.
 func (b *Broker) betterThanWaiting(c candidate, w *waiter, ps *poolState, ahead []*waiter, now clock.Instant) bool {
+	if b.staysInRegion(c, w, ps, ahead, now) {
+		return false
+	}
 	if c.score <= slowTargetFactor*c.fastest {
 		return true
 	}
@@ -436,6 +448,7 @@
 	b.permits[requestID{w.VM, w.Seq}] = permit{target: l.target.ID, incarnation: l.target.Incarnation(), organisation: w.Organisation, rank: rankOf(w.Priority), forecastLeftMs: w.forecastLeft(now), start: now, end: w.deadline.Add(permitGrace)}
 	b.suspects.Begin(quarantine.RunID{VM: w.VM, Seq: w.Seq}, w.Fingerprint, l.target.Incarnation(), now)
 	b.noteServed(w)
+	b.notePlaced(w, l, now)
 	b.resolve(w, Decision{Target: l.target.ID, Expected: w.scaled(l.expectedLatency(now))})
 }
 
