Don't take a later process of the VM for a former one

A process that is paused while a replacement of its VM leads took the role back at once when it continued, and the two processes took it from each other. Only the row that a process found at its start is known to be that of an earlier process; after any change, the lease must end first.

--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -334,3 +334,33 @@
 		}
 	}
 }
+
+// A process that was paused while a later process of its VM took over must not take the later one for a process that has ended: both would
+// then take the role from each other at once, again and again.
+func TestPausedProcessDoesNotTakeRoleFromLaterProcess(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	l := leadership{self: Identity{VM: "a", Incarnation: "1"}}
+	observe := func(incarnation string, version uint64) {
+		value, err := msgpack.Marshal(Leader{VM: "a", Incarnation: incarnation})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.observeRow(rowstore.TableSnapshot{Version: version, Rows: []rowstore.Row{{Key: KeyLeader, Value: value, Version: version}}}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	observe("0", 1)
+	if !l.mayTakeOver(now) {
+		t.Fatal("the row that this process has found at its start isn't vacant")
+	}
+	for version := uint64(2); version < 8; version++ {
+		now = now.Add(renewInterval)
+		observe("2", version)
+		if l.mayTakeOver(now) || l.mayTakeOver(now.Add(LeaseTTL)) {
+			t.Fatalf("the role is taken from a later process of the VM, which has written version %d", version)
+		}
+	}
+	if now = now.Add(2 * LeaseTTL); !l.mayTakeOver(now) && !l.mayTakeOver(now.Add(time.Second)) {
+		t.Error("the role isn't taken over after the lease of the later process has ended")
+	}
+}
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -123,6 +123,9 @@
 	// readVersion is the version of the row when it was last read from the store, together with the slices. A takeover
 	// requires that both are current.
 	readVersion uint64
+	// versionChanged is set once the version has changed since this process first knew it. A row that another process of this VM has written
+	// may then be that of a later process, which runs.
+	versionChanged bool
 	// versionSeenAt is when this version was first observed.
 	versionSeenAt clock.Instant
 	// storeLatency is the store's response time for this VM.
@@ -167,6 +170,7 @@
 		return nil
 	}
 	if !l.known || version != l.version {
+		l.versionChanged = l.known
 		l.version, l.versionSeenAt, l.known, l.vacancySeen = version, now, true, false
 	}
 	l.readVersion = version
@@ -194,14 +198,15 @@
 }
 
 // rowIsOfFormerProcess reports whether an earlier process of this VM wrote the newest known row and hadn't given up the
-// role when it ended.
+// role when it ended. Only the row that this process found at its start is known to be that of an earlier process.
 func (l *leadership) rowIsOfFormerProcess() bool {
-	return rowstore.Number(l.version) != 0 && !l.row.Released && l.row.VM == l.self.VM && l.row.Incarnation != l.self.Incarnation
+	return rowstore.Number(l.version) != 0 && !l.row.Released && !l.versionChanged && l.row.VM == l.self.VM && l.row.Incarnation != l.self.Incarnation
 }
 
 // noteVersion records that the coordinator has announced the version of its row.
 func (l *leadership) noteVersion(version uint64, now clock.Instant) {
 	if version > l.version {
+		l.versionChanged = l.known
 		l.version, l.versionSeenAt, l.vacancySeen = version, now, false
 	}
 }
@@ -212,7 +217,7 @@
 		return false
 	}
 	// A restored or lost row proves nothing: another VM may hold the lease on a row that the store has lost.
-	vacant := !l.restored && (rowstore.Number(l.version) == 0 || l.row.Released || l.row.VM == l.self.VM)
+	vacant := !l.restored && (rowstore.Number(l.version) == 0 || l.row.Released || l.rowIsOwn() || l.rowIsOfFormerProcess())
 	if vacant && l.rowIsOfFormerProcess() {
 		// No other VM takes over before the lease ends, so the delay that lets stronger VMs lead would only prolong the
 		// time without a coordinator.
