Don't claim to know refused requests after a failed read

A VM that served without the stored records, because the store had refused them for 1 s, stated that it knew them. VMs that got the tables from it then didn't read the records. A VM that doesn't know them also sent all its records with each update, to hundreds of VMs at each change of a route.

If the distributors couldn't read the records, all VMs of a fleet read them at the same moment, three times each. The reads are now spread and not repeated within the wait in large fleets.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -197,8 +197,10 @@
 	startedAt          clock.Instant
 	// firstControlRead is when this process had first read the control table, zero before.
 	firstControlRead clock.Instant
-	// awaitsQuarantine is set until a new process knows the stored records of refused requests. It serves nothing before. tablesSince
+	// quarantineKnown is set once this process knows the stored records of refused requests, directly or from other VMs.
+	// awaitsQuarantine is set until then or until quarantineTimeout has passed; a new process serves nothing before. tablesSince
 	// is when it first had a table, zero before, and nextQuarantineRead when it may read the records.
+	quarantineKnown                 bool
 	awaitsQuarantine                bool
 	tablesSince, nextQuarantineRead clock.Instant
 	// startupTime is the time.Duration from the start until the process knew a configuration and targets, zero before. Only
--- a/pkg/entry/distributor.go
+++ b/pkg/entry/distributor.go
@@ -225,7 +225,7 @@
 		if notify {
 			u.Leader = leader
 		}
-		if !f.SuspectsSent {
+		if c.suspectsDue(f) {
 			c.addAllSuspects(f, &u, now)
 		}
 		if f.NeedsTables {
--- a/pkg/entry/readpacer.go
+++ b/pkg/entry/readpacer.go
@@ -131,14 +131,22 @@
 
 // startupReadDelay returns how long a new VM to which no VM relays the tables leaves reading them to others.
 func startupReadDelay(vms int) time.Duration {
-	if vms > 0 && vms <= maxFullRateReaders {
-		return 0
+	if spread := startupSpread(vms); spread > 0 {
+		return rand.N(spread)
 	}
-	spread := startupReadSpread
-	if vms > 0 {
-		spread = min(spread, time.Duration(vms)*startupReadSpreadPerVM*time.Duration(max(vms, startupLinearVMs))/startupLinearVMs)
+	return 0
+}
+
+// startupSpread returns the range over which the new VMs of a fleet read the tables. The number of VMs is 0 if it isn't known.
+func startupSpread(vms int) time.Duration {
+	switch {
+	case vms == 0:
+		return startupReadSpread
+	case vms <= maxFullRateReaders:
+		return 0
+	default:
+		return min(startupReadSpread, time.Duration(vms)*startupReadSpreadPerVM*time.Duration(max(vms, startupLinearVMs))/startupLinearVMs)
 	}
-	return rand.N(spread)
 }
 
 // subscriberReadDelay returns how long a VM doesn't read after its distributor last showed that the tables are recent.
--- a/pkg/entry/relay.go
+++ b/pkg/entry/relay.go
@@ -199,7 +199,8 @@
 	}
 	plain, packed := c.packLargeDeltas(deltas)
 	for i, f := range followers {
-		if !heartbeat && f.SuspectsSent && !f.NeedsTables && !f.DistributorChanged && (!hasChanges || f.Distributor != "") {
+		suspectsDue := c.suspectsDue(f)
+		if !heartbeat && !suspectsDue && !f.NeedsTables && !f.DistributorChanged && (!hasChanges || f.Distributor != "") {
 			continue
 		}
 		f.DistributorChanged = false
@@ -208,10 +209,10 @@
 			Distributor: f.Distributor, Suspects: suspects, Leaving: leaving, Limits: limits, StoreAge: age,
 			ConfigurationAgeMs: c.relayedConfigurationAge(),
 		}
-		if heartbeat || !f.SuspectsSent {
+		if heartbeat || suspectsDue {
 			u.Quota = c.quotaOffer(f, now)
 		}
-		if !f.SuspectsSent {
+		if suspectsDue {
 			u.Limits = c.limits.Records(now)
 			u.Leaving = c.leavingTargets.stillRegistered(c.registered())
 			c.addAllSuspects(f, &u, now)
--- a/pkg/entry/startup.go
+++ b/pkg/entry/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
@@ -20,10 +21,14 @@
 	// quarantineGrace is how long a new process that has tables leaves reading the stored records of refused requests to
 	// the VMs that relay the tables. Only VMs of earlier versions don't relay them.
 	quarantineGrace = 150 * time.Millisecond
+	// maxQuarantineReadSpread is the maximum range over which the VMs of a fleet begin to read the records. It leaves time for
+	// a read within quarantineTimeout.
+	maxQuarantineReadSpread = 400 * time.Millisecond
 	// quarantineTimeout is how long a new process that has tables serves nothing because it doesn't know these records. The
 	// store has refused the reads by then.
 	quarantineTimeout = time.Second
-	// quarantineRetryDelay is the time until the next read after one that failed.
+	// quarantineRetryDelay is the time until the next read after one that failed in a small fleet. In a large one, it is
+	// longer by the range over which its VMs read the tables.
 	quarantineRetryDelay = 300 * time.Millisecond
 )
 
@@ -63,20 +68,30 @@
 	}
 	if c.tablesSince == 0 {
 		c.tablesSince = now
+		c.nextQuarantineRead = max(c.nextQuarantineRead, now.Add(quarantineGrace+quarantineReadDelay(c.fleetSize())))
 	}
 	if now.Sub(c.tablesSince) >= quarantineTimeout {
-		c.noteQuarantineKnown()
-	} else if now.Sub(c.tablesSince) >= quarantineGrace {
+		c.endQuarantineWait()
+	} else {
 		c.readQuarantine(now)
 	}
 }
 
+// quarantineReadDelay returns how long a new VM of a large fleet leaves reading the records to others after quarantineGrace. If the
+// distributors can't read them, all VMs do.
+func quarantineReadDelay(vms int) time.Duration {
+	if vms <= maxFullRateReaders {
+		return 0
+	}
+	return rand.N(min(startupSpread(vms), maxQuarantineReadSpread))
+}
+
 // readQuarantine reads the stored records, unless this process knows them.
 func (c *Control) readQuarantine(now clock.Instant) {
 	if !c.awaitsQuarantine || c.reading[suspectsTable] || now < c.nextQuarantineRead {
 		return
 	}
-	c.reading[suspectsTable], c.nextQuarantineRead = true, now.Add(quarantineRetryDelay)
+	c.reading[suspectsTable], c.nextQuarantineRead = true, now.Add(quarantineRetryDelay+startupSpread(c.fleetSize()))
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
 		defer cancel()
@@ -104,12 +119,21 @@
 	c.noteQuarantineKnown()
 }
 
-// noteQuarantineKnown records that this process knows the stored records. It may serve if it has tables.
+// noteQuarantineKnown records that this process knows the stored records.
 func (c *Control) noteQuarantineKnown() {
+	if c.quarantineKnown {
+		return
+	}
+	c.quarantineKnown, c.publishPending = true, true
+	c.endQuarantineWait()
+}
+
+// endQuarantineWait lets a new process serve if it has tables.
+func (c *Control) endQuarantineWait() {
 	if !c.awaitsQuarantine {
 		return
 	}
-	c.awaitsQuarantine, c.publishPending = false, true
+	c.awaitsQuarantine = false
 	if c.snapshot != nil {
 		c.refreshView()
 		c.noteServing(c.clock.Now())
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -119,10 +119,16 @@
 	})
 }
 
-// addAllSuspects adds all records to an update. They are sent until this VM knows the stored records, too.
+// suspectsDue reports whether the next update to a VM must contain all records: the first one, and the first one after this VM
+// has learned the stored records.
+func (c *Control) suspectsDue(f *replica.Follower) bool {
+	return !f.SuspectsSent || c.quarantineKnown && !f.QuarantineStated
+}
+
+// addAllSuspects adds all records to an update.
 func (c *Control) addAllSuspects(f *replica.Follower, u *replica.Update, now clock.Instant) {
-	u.Suspects, u.QuarantineKnown = c.suspects.Records(now), !c.awaitsQuarantine
-	f.SuspectsSent = u.QuarantineKnown
+	u.Suspects, u.QuarantineKnown = c.suspects.Records(now), c.quarantineKnown
+	f.SuspectsSent, f.QuarantineStated = true, c.quarantineKnown
 }
 
 // mergeSuspects takes over the records of an update.
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -152,3 +152,58 @@
 		}
 	}
 }
+
+// A VM that serves although the store has refused it the records of refused requests must not state that it knows them, since VMs that
+// start then wouldn't read them. Until it learns them, it must not send all its records with each update: hundreds of VMs would get an update
+// with each change of a route.
+func TestVMWithoutStoredQuarantineDoesNotClaimIt(t *testing.T) {
+	c := newFleet(t).vms[0]
+	now := c.clock.Now()
+	c.awaitsQuarantine, c.snapshot = true, inventory.NewSnapshot(nil, nil, nil)
+	c.awaitQuarantine(now)
+	c.awaitQuarantine(now.Add(quarantineTimeout))
+	if c.Current().Snapshot == nil {
+		t.Fatal("the VM doesn't serve")
+	}
+	follower := &replica.Follower{}
+	for _, known := range []bool{false, true} {
+		if known {
+			c.mergeSuspects(replica.Update{QuarantineKnown: true}, now)
+		}
+		if !c.suspectsDue(follower) {
+			t.Errorf("records known: %v; they aren't sent", known)
+		}
+		var u replica.Update
+		if c.addAllSuspects(follower, &u, now); u.QuarantineKnown != known {
+			t.Errorf("records known: %v; the update states %v", known, u.QuarantineKnown)
+		}
+		if c.suspectsDue(follower) {
+			t.Errorf("records known: %v; they are sent again with each update", known)
+		}
+	}
+}
+
+// A fleet must not read the records at the same moment, nor again and again, if the VMs that relay the tables can't read them.
+func TestFleetSpreadsReadsOfQuarantine(t *testing.T) {
+	f := newFleet(t)
+	f.store.refuses = func(int) bool { return true }
+	start, most := f.clock.now, int64(0)
+	for ; f.clock.now.Sub(start) < quarantineTimeout; f.clock.now = f.clock.now.Add(startupTickInterval) {
+		before := f.store.calls.Load()
+		for _, c := range f.vms {
+			c.awaitsQuarantine = c.awaitsQuarantine || f.clock.now == start
+			c.snapshot, c.vmCount = inventory.NewSnapshot(nil, nil, nil), len(f.vms)
+			if c.awaitQuarantine(f.clock.now); c.reading[suspectsTable] {
+				(<-c.events)()
+			}
+		}
+		most = max(most, f.store.calls.Load()-before)
+	}
+	vms := int64(len(f.vms))
+	if calls := f.store.calls.Load(); calls == 0 || calls > vms {
+		t.Errorf("%d VMs make %d reads, want one each at most", vms, calls)
+	}
+	if most > vms/4 {
+		t.Errorf("%d of %d VMs read within one tick", most, vms)
+	}
+}
--- a/pkg/replica/server.go
+++ b/pkg/replica/server.go
@@ -37,8 +37,9 @@
 	// it gets them from the coordinator. Both fields are owned by Distribution.
 	Distributor string
 	directUntil clock.Instant
-	// SuspectsSent is set if all records of suspects, including those in the store, were sent to the VM. It is owned by the receiver of the events.
-	SuspectsSent bool
+	// SuspectsSent is set if all records of suspects were sent to the VM, and QuarantineStated if those in the store were among them. Both
+	// are owned by the receiver of the events.
+	SuspectsSent, QuarantineStated bool
 	// DistributorChanged is set if the VM hasn't been told its current distributor.
 	DistributorChanged bool
 }
