Leave tables of a restored store to the coordinator at first

A VM that starts after a restore read the tables from the store before it was connected to the coordinator, if the coordinator's row named it or its fleet was small, and served the older configuration until the coordinator relayed the newer one.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -45,6 +45,10 @@
 	// undistributedReadGrace if it names none for the VM's failure domain, so that only the coordinator can relay the tables.
 	relayReadGrace         = 400 * time.Millisecond
 	undistributedReadGrace = 150 * time.Millisecond
+	// restoredReadGrace is the least time for which any new process leaves reading the tables to the coordinator if the store
+	// was ever restored. The store may still hold an older configuration than the coordinator, to which a process connects
+	// within 0.2 s.
+	restoredReadGrace = 300 * time.Millisecond
 	// distributorReadGrace is the same for a process that is connected to a distributor only, and connectedReadGrace for
 	// one that is connected to the coordinator.
 	distributorReadGrace = 800 * time.Millisecond
--- a/pkg/entry/restore_test.go
+++ b/pkg/entry/restore_test.go
@@ -156,3 +156,32 @@
 		}
 	}
 }
+
+// Guards against a VM that starts after a restore and uses the older configuration in the store, although the coordinator, to which it
+// connects a moment later, knows the newer one: a VM that the coordinator's row names, and one of a small fleet.
+func TestStartingVMLeavesRestoredTablesToCoordinator(t *testing.T) {
+	for _, era := range []uint64{0, 1} {
+		for _, named := range []bool{false, true} {
+			now := &manualClock{now: clock.Instant(time.Minute)}
+			c := clockedControl(t, "a", now)
+			c.startedAt = now.now
+			fleet := coordinator.Fleet{VMs: 12}
+			if named {
+				fleet.Distributors = map[string]string{c.settings.Domain: c.relayAddress()}
+			}
+			value, err := msgpack.Marshal(coordinator.Leader{VM: "b", Address: "127.0.0.1:9", Era: era, Fleet: fleet})
+			if err != nil {
+				t.Fatal(err)
+			}
+			version := rowstore.Version(era, 9)
+			now.now = now.now.Add(undistributedReadGrace)
+			c.handlePage(coordinator.Table, rowstore.TableSnapshot{Version: version, Rows: []rowstore.Row{{Table: coordinator.Table, Key: coordinator.KeyLeader, Value: value, Version: version}}}, nil, now.now)
+			if expects := c.expectsRelayedTables(now.now); expects != (era > 0) {
+				t.Errorf("era %d, named: %v: the VM leaves reading the tables to the coordinator at first: %v", era, named, expects)
+			}
+			if c.expectsRelayedTables(now.now.Add(undistributedReadGrace)) {
+				t.Errorf("era %d, named: %v: the VM doesn't read the tables although no coordinator answers", era, named)
+			}
+		}
+	}
+}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -116,6 +116,8 @@
 	switch {
 	case !known:
 		return true
+	case c.storeEra.Load() > 0 && age < restoredReadGrace:
+		return true
 	case c.isStartupReader():
 		return false
 	case c.distributorConnected(now):
