Wait longer for distributors if the store is slow

The periods after which a new VM reads the tables itself counted from its start. If the store answered the first read of the coordinator's row after 380 ms, most of them had passed before the distributors could read the tables, and most VMs read the tables at the same moment.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -41,6 +41,9 @@
 	// startupReadGrace is how long a new process that found no coordinator's row leaves reading the tables to the coordinator
 	// before it reads them itself.
 	startupReadGrace = 1200 * time.Millisecond
+	// usualFirstControlRead is when a new process has read the coordinator's row at the latest if the store answers within
+	// 40 ms. The periods below count from later if the row was read later.
+	usualFirstControlRead = 160 * time.Millisecond
 	// relayReadGrace is the same if the row names a distributor, from which VMs get the tables within 0.3 s, and
 	// undistributedReadGrace if it names none for the VM's failure domain, so that only the coordinator can relay the tables.
 	relayReadGrace         = 400 * time.Millisecond
--- a/pkg/entry/distributor_test.go
+++ b/pkg/entry/distributor_test.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"context"
 	"net"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -233,3 +236,37 @@
 }
 
 var _ ingress.State = (*Control)(nil)
+
+// While the store takes 380 ms to answer, a VM that starts must not read the tables before its distributor can have read and sent them: all
+// VMs of a fleet would add their reads to those that the store already answers late.
+func TestStartingVMWaitsForDistributorOfSlowStore(t *testing.T) {
+	const slowRead = 380 * time.Millisecond
+	for _, connected := range []bool{false, true} {
+		now := &manualClock{now: clock.Instant(time.Minute)}
+		c := clockedControl(t, "a", now)
+		c.startedAt = now.now
+		c.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		value, err := msgpack.Marshal(coordinator.Leader{VM: "b", Address: "127.0.0.1:9", Fleet: coordinator.Fleet{VMs: 84, Distributors: map[string]string{c.settings.Domain: "127.0.0.1:8"}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		now.now = c.startedAt.Add(100*time.Millisecond + slowRead)
+		c.handlePage(coordinator.Table, rowstore.TableSnapshot{Version: 9, Rows: []rowstore.Row{{Table: coordinator.Table, Key: coordinator.KeyLeader, Value: value, Version: 9}}}, nil, c.startedAt)
+		if !c.expectsRelayedTables(now.now) {
+			t.Errorf("the VM doesn't wait for its distributor after it has read which VM that is")
+		}
+		if connected {
+			c.source.link = &replica.Link{}
+			if now.now = now.now.Add(slowRead); !c.expectsRelayedTables(now.now) {
+				t.Errorf("the VM doesn't wait for the tables although its distributor is still reading them")
+			}
+		}
+		if now.now = now.now.Add(distributorReadGrace); c.expectsRelayedTables(now.now) {
+			t.Errorf("connected: %v; the VM keeps waiting for a distributor that sends no tables", connected)
+		}
+		c.leaveDistributor()
+	}
+}
--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -106,6 +106,10 @@
 // their own reads would saturate the link between the regions for seconds.
 func (c *Control) expectsRelayedTables(now clock.Instant) bool {
 	age := now.Sub(c.startedAt)
+	if c.firstControlRead != 0 {
+		// If the store is slow, the distributors read it later, too.
+		age -= max(0, c.firstControlRead.Sub(c.startedAt)-usualFirstControlRead)
+	}
 	switch {
 	case c.coordinatorConnected(now):
 		return age < connectedReadGrace
