Read refused requests before serving after a pause

A VM that was paused after it had got the tables served without the stored records of refused requests when it continued, without having read them.

--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -206,10 +206,12 @@
 	firstControlRead clock.Instant
 	// quarantineKnown is set once this process knows the stored records of refused requests, directly or from other VMs.
 	// awaitsQuarantine is set until then or until quarantineTimeout has passed; a new process serves nothing before. tablesSince
-	// is when it first had a table, zero before, and nextQuarantineRead when it may read the records.
+	// is when it first had a table, zero before, nextQuarantineRead when it may read the records, and quarantineReadAt when
+	// it first did so, zero before.
 	quarantineKnown                 bool
 	awaitsQuarantine                bool
 	tablesSince, nextQuarantineRead clock.Instant
+	quarantineReadAt                clock.Instant
 	// startupTime is the time.Duration from the start until the process knew a configuration and targets, zero before. Only
 	// the control goroutine writes it.
 	startupTime     atomic.Int64
--- a/pkg/entry/startup.go
+++ b/pkg/entry/startup.go
@@ -25,8 +25,10 @@
 	// a read within quarantineTimeout.
 	maxQuarantineReadSpread = 400 * time.Millisecond
 	// quarantineTimeout is how long a new process that has tables serves nothing because it doesn't know these records. The
-	// store has refused the reads by then.
-	quarantineTimeout = time.Second
+	// store has refused the reads by then. A process that was paused meanwhile has made none, so the first read must also have
+	// begun minQuarantineReadTime before.
+	quarantineTimeout     = time.Second
+	minQuarantineReadTime = quarantineTimeout - quarantineGrace - maxQuarantineReadSpread
 	// quarantineRetryDelay is the time until the next read after one that failed in a small fleet. In a large one, it is
 	// longer by the range over which its VMs read the tables.
 	quarantineRetryDelay = 300 * time.Millisecond
@@ -70,7 +72,7 @@
 		c.tablesSince = now
 		c.nextQuarantineRead = max(c.nextQuarantineRead, now.Add(quarantineGrace+quarantineReadDelay(c.fleetSize())))
 	}
-	if now.Sub(c.tablesSince) >= quarantineTimeout {
+	if now.Sub(c.tablesSince) >= quarantineTimeout && c.quarantineReadAt != 0 && now.Sub(c.quarantineReadAt) >= minQuarantineReadTime {
 		c.endQuarantineWait()
 	} else {
 		c.readQuarantine(now)
@@ -91,6 +93,9 @@
 	if !c.awaitsQuarantine || c.reading[suspectsTable] || now < c.nextQuarantineRead {
 		return
 	}
+	if c.quarantineReadAt == 0 {
+		c.quarantineReadAt = now
+	}
 	c.reading[suspectsTable], c.nextQuarantineRead = true, now.Add(quarantineRetryDelay+startupSpread(c.fleetSize()))
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, readTimeout)
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -157,10 +157,14 @@
 // start then wouldn't read them. Until it learns them, it must not send all its records with each update: hundreds of VMs would get an update
 // with each change of a route.
 func TestVMWithoutStoredQuarantineDoesNotClaimIt(t *testing.T) {
-	c := newFleet(t).vms[0]
+	f := newFleet(t)
+	f.store.refuses = func(int) bool { return true }
+	c := f.vms[0]
 	now := c.clock.Now()
 	c.awaitsQuarantine, c.snapshot = true, inventory.NewSnapshot(nil, nil, nil)
 	c.awaitQuarantine(now)
+	c.awaitQuarantine(now.Add(quarantineGrace))
+	(<-c.events)()
 	c.awaitQuarantine(now.Add(quarantineTimeout))
 	if c.Current().Snapshot == nil {
 		t.Fatal("the VM doesn't serve")
@@ -207,3 +211,18 @@
 		t.Errorf("%d of %d VMs read within one tick", most, vms)
 	}
 }
+
+// A VM that is paused between the tables and the records must not serve without the records when it continues, since the store hasn't refused
+// them.
+func TestPausedVMReadsQuarantineBeforeItServes(t *testing.T) {
+	c := newFleet(t).vms[0]
+	now := c.clock.Now()
+	c.awaitsQuarantine, c.snapshot = true, inventory.NewSnapshot(nil, nil, nil)
+	c.awaitQuarantine(now)
+	if c.awaitQuarantine(now.Add(10 * quarantineTimeout)); c.Current().Snapshot != nil || !c.reading[suspectsTable] {
+		t.Fatal("the VM serves without having tried to read the records")
+	}
+	if (<-c.events)(); c.Current().Snapshot == nil {
+		t.Error("the VM doesn't serve although it has read the records")
+	}
+}
