--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -42,10 +42,17 @@
 	// startupReadGrace is how long a new process that found no coordinator's row leaves reading the tables to the coordinator
 	// before it reads them itself.
 	startupReadGrace = 1200 * time.Millisecond
+	// usualFirstControlRead is when a new process has read the coordinator's row at the latest if the store answers within
+	// 40 ms. The periods below count from later if the row was read later.
+	usualFirstControlRead = 160 * time.Millisecond
 	// relayReadGrace is the same if the row names a distributor, from which VMs get the tables within 0.3 s, and
 	// undistributedReadGrace if it names none for the VM's failure domain, so that only the coordinator can relay the tables.
 	relayReadGrace         = 400 * time.Millisecond
 	undistributedReadGrace = 150 * time.Millisecond
+	// restoredReadGrace is the least time for which any new process leaves reading the tables to the coordinator if the store
+	// was ever restored. The store may still hold an older configuration than the coordinator, to which a process connects
+	// within 0.2 s.
+	restoredReadGrace = 300 * time.Millisecond
 	// distributorReadGrace is the same for a process that is connected to a distributor only, and connectedReadGrace for
 	// one that is connected to the coordinator.
 	distributorReadGrace = 800 * time.Millisecond
@@ -200,10 +207,14 @@
 	startedAt          clock.Instant
 	// firstControlRead is when this process had first read the control table, zero before.
 	firstControlRead clock.Instant
-	// awaitsQuarantine is set until a new process knows the stored records of refused requests. It serves nothing before. tablesSince
-	// is when it first had a table, zero before, and nextQuarantineRead when it may read the records.
+	// quarantineKnown is set once this process knows the stored records of refused requests, directly or from other VMs.
+	// awaitsQuarantine is set until then or until quarantineTimeout has passed; a new process serves nothing before. tablesSince
+	// is when it first had a table, zero before, nextQuarantineRead when it may read the records, and quarantineReadAt when
+	// it first did so, zero before.
+	quarantineKnown                 bool
 	awaitsQuarantine                bool
 	tablesSince, nextQuarantineRead clock.Instant
+	quarantineReadAt                clock.Instant
 	// startupTime is the time.Duration from the start until the process knew a configuration and targets, zero before. Only
 	// the control goroutine writes it.
 	startupTime     atomic.Int64
