Move dispatching and admission out of broker.go

Change: dispatch.go has the placement of waiting requests, admission.go all of admission; code unchanged. Measured: tests of pkg/placing pass.

--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -51,6 +51,40 @@
 	return false
 }
 
+// admissionForecast determines the place of a new request in its queue and returns the forecast for it.
+func (b *Broker) admissionForecast(w *waiter, ps *poolState, now clock.Instant) (time.Duration, Reason) {
+	if ps.limited {
+		w.inOrderOfArrival(now)
+		b.requeue(w)
+		return b.forecastWithMargin(w, ps)
+	}
+	if now.Add(ps.minUsefulTime(w)) > w.objectiveEnd {
+		w.late = true
+		b.requeue(w)
+	}
+	if latency := b.forecastBesideOthers(w, ps, now); latency < infinite {
+		return latency, ReasonOverload
+	}
+	latency, reason := b.forecastWithMargin(w, ps)
+	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
+		// The request queues behind those that can still meet their objective.
+		w.late = true
+		b.requeue(w)
+		latency, reason = b.forecastWithMargin(w, ps)
+	}
+	return latency, reason
+}
+
+// maxLatency returns the forecast above which a new request is refused.
+func (b *Broker) maxLatency(w *waiter, ps *poolState, now clock.Instant) time.Duration {
+	latency := time.Duration(b.maxWaitShare(w) * float64(w.TimeLeft))
+	if ps.limited && b.limitContended(w.queue, now) {
+		// What a late request takes of the limit, one that could meet its objective would be refused for.
+		return min(latency, w.Objective)
+	}
+	return latency
+}
+
 // onTimeForecast returns the latency that decides whether a new request with the given forecast can be answered on time. A forecast
 // counts with the service time of the fastest target. Of a hundred averages of few samples, the shortest is far below the mean, while a
 // request that has waited gets any target. With the forecast itself, most of the requests that are placed last under overload are late.
