--- a/internal/soak/interregion_test.go
+++ b/internal/soak/interregion_test.go
@@ -38,7 +38,7 @@
 		var d struct {
 			Bytes map[string]interregion.Volume `json:"inter_region_bytes"`
 		}
-		if err := json.Unmarshal(r.dump(t, i), &d); err != nil {
+		if err := json.Unmarshal(r.fetch(t, i, "/dump"), &d); err != nil {
 			t.Fatal(err)
 		}
 		list[i] = d.Bytes
