Count no share as idle that the coordinator itself has used

Cause: a former coordinator that follows the new one may lend it a share. When its process was replaced within 1.2 s of its last report, the share counted as idle since the new process was started, although the coordinator had used it meanwhile. Its tokens were available twice.

Change: the share of an ended process is released before the free fraction is compared.

Test: TestShareThatWasLentIsNotIdle fails without the change.

--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -333,6 +333,12 @@
 	if m != nil && a.Process < m.process {
 		return
 	}
+	if m != nil && a.Process > m.process {
+		// Released first, so that a share that this coordinator has used doesn't count as idle below.
+		g.release(m, now)
+		delete(g.members, vm)
+		m = nil
+	}
 	inherited := g.missing[HashName(vm)] || !g.predecessorEnded && g.options.provesEnd(vm, a.Process)
 	free := 0.0
 	if inherited {
@@ -340,10 +346,6 @@
 		g.noteQuiet(a, now)
 	}
 	g.notePredecessor(vm, a.Process)
-	if m != nil && a.Process > m.process {
-		g.release(m, now)
-		m = nil
-	}
 	if m == nil {
 		m = &member{process: a.Process}
 		g.members[vm], g.dirty = m, true
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -161,6 +161,27 @@
 	check("a later process of a VM that was counted", "kept", Limit{30, 30}, 0)
 }
 
+// Guards against a share that counts as idle although this coordinator has used it until the VM's process ended.
+func TestShareThatWasLentIsNotIdle(t *testing.T) {
+	now, limit := clock.Instant(time.Hour), Limit{20, 20}
+	inherited := Holders{Names: []uint32{HashName("p")}, MaxShare: 1, Broker: 10}
+	l := &ledger{now: now, g: NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, VM: "c", Process: 20, Predecessor: "p", Inherited: inherited}, now)}
+	l.g.SetAuthority(now.Add(time.Hour), inherited, now)
+	for range 30 {
+		l.exchange("p", 10)
+		l.now = l.now.Add(100 * time.Millisecond)
+	}
+	l.now = l.now.Add(900 * time.Millisecond)
+	l.checkLevel(t, "while the VM lends", 1)
+	for v := Granted; v == Granted; {
+		v, _ = l.g.Admit("o", limit, false, l.now)
+	}
+	l.g.Answer("p", Answer{Process: 11, Stamp: 1, QuietMs: 900}, l.now)
+	if v, _ := l.g.Admit("o", limit, false, l.now); v != OverLimit {
+		t.Error("the tokens of a share that was in use are available a second time")
+	}
+}
+
 // Guards against a VM that doesn't tell that it has just taken a token.
 func TestQuietTimeEndsWithEachToken(t *testing.T) {
 	now := clock.Instant(time.Hour)
