Start a resumed ledger of the quotas without the former coordinator's end

Cause: when a coordinator's lease lapses and its renewal is then found to have succeeded, the VM starts a new ledger without a takeover. The ledger took the row that the takeover had replaced for its predecessor's: it used all quotas at once and gave its buckets the time since the process was started as idle, although the process itself had placed requests until its lease lapsed.

Rows of versions that name no process have the same initial tokens, since two of those coordinators and a new one may begin within a window.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	// replaced is the row that the newest takeover has replaced, replacedRestored is set if that row was restored.
 	replaced         Leader
 	replacedRestored bool
+	// terms counts the terms of this process.
+	terms int
 	// comparisons counts the calls and targets that slices were compared with. Tests bound the cost of a pass with it.
 	comparisons int
 	// priorGrantsEnd is when the last grant of an earlier coordinator has expired.
@@ -148,6 +150,11 @@
 	return c.replaced, !c.replacedRestored
 }
 
+// Terms returns how many terms this process has begun. A lease that lapses and is then renewed belongs to the same term.
+func (c *Coordinator) Terms() int {
+	return c.terms
+}
+
 // PendingFleet returns what a write whose outcome isn't known may have stored about the VMs, and whether there is such a write.
 func (c *Coordinator) PendingFleet() (Fleet, bool) {
 	if c.pending == nil {
@@ -312,6 +319,7 @@
 func (c *Coordinator) startTerm(now clock.Instant, clean bool) {
 	c.revision++
 	c.leading = true
+	c.terms++
 	end := latestGrantEnd(now, FinalGrantTTL)
 	c.priorGrantsEnd = end
 	if clean {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -101,8 +101,10 @@
 	// quota is this VM's share of the organisations' quotas.
 	quota       *sharedrate.Holder
 	quotaEvents quotaEvents
-	placer      *placer
-	onSnapshot  func(*inventory.Snapshot)
+	// quotaTerm is the coordinator's term of this process in which it last started a ledger of the quotas.
+	quotaTerm  int
+	placer     *placer
+	onSnapshot func(*inventory.Snapshot)
 
 	events        chan func()
 	ctx           context.Context
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -40,8 +40,11 @@
 	// The own row names no predecessor.
 	replaced, newest := c.coordinator.Replaced()
 	o.Predecessor, o.Inherited.Broker = replaced.VM, replaced.Broker
-	if !newest {
-		o.Inherited.Broker = sharedrate.RecentBroker
+	resumed := c.coordinator.Terms() == c.quotaTerm
+	c.quotaTerm = c.coordinator.Terms()
+	if resumed || !newest {
+		// A process that resumes its term has used the quotas itself until its lease lapsed.
+		o.Predecessor, o.Inherited.Broker = c.settings.VM, sharedrate.RecentBroker
 	}
 	o.Own, o.OwnLentUntil = c.quota.Surrender(now)
 	c.placer.broker.StartQuotas(o, now)
--- a/pkg/entry/quotas_restore_test.go
+++ b/pkg/entry/quotas_restore_test.go
@@ -103,3 +103,25 @@
 		}
 	}
 }
+
+// Guards against a coordinator whose lease lapses and is then renewed, and that uses the quotas again as if only the former coordinator had
+// used them.
+func TestLapsedLeaseProvesNothingAboutOwnUse(t *testing.T) {
+	now := &manualClock{clock.Instant(time.Hour)}
+	c := quotaControl(t, "a", now, 40)
+	holders := coordinator.Fleet{VMs: 3, ShareHolders: packNames([]uint32{sharedrate.HashName("c")}), MaxShare: 0.25, Broker: 7}
+	takeOverInEra(t, c, now, 0, &coordinator.Leader{VM: "a", Incarnation: "0", Address: "b:1", Renewal: 7, Fleet: holders})
+	lapse := now.now.Add(coordinator.LeaseTTL)
+	now.now = now.now.Add(2 * time.Second)
+	c.coordinator.Tick(now.now, c.coordinatorView(now.now), true)
+	now.now = lapse
+	c.setLeading(c.coordinator.Leading(now.now))
+	if c.wasLeading {
+		t.Fatal("the lease hasn't lapsed")
+	}
+	c.coordinator.Committed(rowstore.Version(0, 11), nil, now.now)
+	c.setLeading(c.coordinator.Leading(now.now))
+	if s := c.placer.broker.QuotaState(0, now.now); s == nil || s.PredecessorEnded || s.Usable != 0 {
+		t.Errorf("after the lapse, the ledger is %+v, want nothing usable", s)
+	}
+}
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -161,8 +161,9 @@
 		return max(o.Allowance.initialTokens(), l.Burst*level)
 	}
 	initial := o.Allowance.initialTokens()
-	if o.Inherited.Broker == RecentBroker {
-		// The predecessor has had these tokens within the same window, and could overdraw its buckets too.
+	if o.Predecessor != "" && o.Inherited.Broker <= 0 {
+		// The predecessor may have had these tokens within the same window, and could overdraw its buckets too. A row of an earlier
+		// version doesn't tell since when it had its role.
 		initial = -o.Allowance.debt()
 	}
 	if g.predecessorEnded {
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -112,14 +112,18 @@
 	}
 }
 
-// Guards against coordinators that follow each other soon and that may each use the tokens that a new one begins with.
+// Guards against coordinators that follow each other soon and that may each use the tokens that a new one begins with. The row of an
+// earlier version doesn't tell when its writer began.
 func TestRecentPredecessorLeavesNoInitialTokens(t *testing.T) {
-	for broker, want := range map[int64]Verdict{0: Granted, 10: Granted, RecentBroker: OverLimit} {
+	for former, want := range map[struct {
+		vm     string
+		broker int64
+	}]Verdict{{"", 0}: Granted, {"p", 0}: OverLimit, {"p", 10}: Granted, {"p", RecentBroker}: OverLimit} {
 		l := &ledger{now: clock.Instant(time.Hour)}
-		l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: Holders{Broker: broker}, Process: 20}, l.now)
+		l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: Holders{Broker: former.broker}, Predecessor: former.vm, Process: 20}, l.now)
 		l.g.SetAuthority(l.now.Add(time.Hour), Holders{}, l.now)
 		if v, _ := l.g.Admit("o", Limit{1, 1}, true, l.now); v != want {
-			t.Errorf("predecessor %d: the first request gets %v, want %v", broker, v, want)
+			t.Errorf("predecessor %+v: the first request gets %v, want %v", former, v, want)
 		}
 		if h := l.g.Holders(l.now.Add(7 * time.Second)); h.Broker != RecentBroker {
 			t.Errorf("the coordinator names its process %d within a window of its takeover", h.Broker)
