Take a later process for the predecessor's end at the same address only

Cause: a machine that replaces another one under the same name may start while the other one still runs, for example after a partition. Its process has a later start time, which counted as a proof that the former coordinator had ended, although that one could use the quotas until the end of its lease.

Change: the proof also requires the address of the coordinator's row.

--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -40,6 +40,7 @@
 	// The own row names no predecessor.
 	replaced, newest := c.coordinator.Replaced()
 	o.Predecessor, o.Inherited.Broker = replaced.VM, replaced.Broker
+	o.Address, o.PredecessorAddress = c.relayAddress(), replaced.Address
 	resumed := c.coordinator.Terms() == c.quotaTerm
 	c.quotaTerm = c.coordinator.Terms()
 	if resumed || !newest {
@@ -142,7 +143,9 @@
 // the share at once.
 func (c *Control) recordQuotaAnswer(f *replica.Follower, r replica.Report) {
 	if r.Quota != nil && !f.TablesOnly {
-		c.placer.broker.QuotaAnswer(f.VM, *r.Quota, c.clock.Now())
+		a := *r.Quota
+		a.Address = f.Address
+		c.placer.broker.QuotaAnswer(f.VM, a, c.clock.Now())
 	}
 }
 
--- a/pkg/entry/quotas_restore_test.go
+++ b/pkg/entry/quotas_restore_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/coordinator"
+	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 	"github.com/bronzelever/bronzelever/pkg/sharedrate"
 )
@@ -82,19 +83,24 @@
 }
 
 // Guards against quotas that stay unused although a later process of the coordinator's VM takes over, against a row that names the
-// predecessor's process for the new coordinator's, and against a restored row that is trusted.
+// predecessor's process for the new coordinator's, against a restored row that is trusted, and against a machine that replaces another one
+// under the same name and takes it for ended while it still runs.
 func TestLaterProcessOfCoordinatorsVMUsesQuotasAtOnce(t *testing.T) {
 	holders := coordinator.Fleet{VMs: 3, ShareHolders: packNames([]uint32{sharedrate.HashName("c")}), MaxShare: 0.25, Broker: 7}
 	for name, step := range map[string]struct {
-		vm     string
-		era    uint64
-		usable float64
+		vm, address string
+		era         uint64
+		usable      float64
 	}{
-		"same VM": {"a", 0, 0.75}, "another VM": {"b", 0, 0}, "same VM, restored": {"a", 1, 0},
+		"same VM": {"a", "", 0, 0.75}, "another VM": {"b", "", 0, 0}, "same VM, restored": {"a", "", 1, 0},
+		"another machine of the same name": {"a", "192.0.2.9:1", 0, 0},
 	} {
 		now := &manualClock{clock.Instant(time.Hour)}
 		c := quotaControl(t, "a", now, 40)
-		written := takeOverInEra(t, c, now, step.era, &coordinator.Leader{VM: step.vm, Incarnation: "0", Address: "b:1", Renewal: 7, Fleet: holders})
+		if step.address == "" {
+			step.address = c.relayAddress()
+		}
+		written := takeOverInEra(t, c, now, step.era, &coordinator.Leader{VM: step.vm, Incarnation: "0", Address: step.address, Renewal: 7, Fleet: holders})
 		if s := c.placer.broker.QuotaState(0, now.now); s.Usable != step.usable {
 			t.Errorf("%s: %v of the quotas are usable at once, want %v", name, s.Usable, step.usable)
 		}
@@ -110,7 +116,7 @@
 	now := &manualClock{clock.Instant(time.Hour)}
 	c := quotaControl(t, "a", now, 40)
 	holders := coordinator.Fleet{VMs: 3, ShareHolders: packNames([]uint32{sharedrate.HashName("c")}), MaxShare: 0.25, Broker: 7}
-	takeOverInEra(t, c, now, 0, &coordinator.Leader{VM: "a", Incarnation: "0", Address: "b:1", Renewal: 7, Fleet: holders})
+	takeOverInEra(t, c, now, 0, &coordinator.Leader{VM: "a", Incarnation: "0", Address: c.relayAddress(), Renewal: 7, Fleet: holders})
 	lapse := now.now.Add(coordinator.LeaseTTL)
 	now.now = now.now.Add(2 * time.Second)
 	c.coordinator.Tick(now.now, c.coordinatorView(now.now), true)
@@ -125,3 +131,17 @@
 		t.Errorf("after the lapse, the ledger is %+v, want nothing usable", s)
 	}
 }
+
+// Guards against a machine that connects under the former coordinator's name and that is taken for a later process of the same machine.
+func TestConnectingVMProvesEndFromSameAddressOnly(t *testing.T) {
+	holders := coordinator.Fleet{VMs: 3, ShareHolders: packNames([]uint32{sharedrate.HashName("c")}), MaxShare: 0.25, Broker: 7}
+	for address, want := range map[string]bool{"b:1": true, "b:2": false} {
+		now := &manualClock{clock.Instant(time.Hour)}
+		c := quotaControl(t, "a", now, 40)
+		takeOverInEra(t, c, now, 0, &coordinator.Leader{VM: "b", Incarnation: "0", Address: "b:1", Renewal: 7, Fleet: holders})
+		c.recordQuotaAnswer(&replica.Follower{VM: "b", Address: address}, replica.Report{Quota: &sharedrate.Answer{Process: 8, Stamp: 1}})
+		if s := c.placer.broker.QuotaState(0, now.now); s.PredecessorEnded != want {
+			t.Errorf("a later process at %s proves the end of that at b:1: %v, want %v", address, s.PredecessorEnded, want)
+		}
+	}
+}
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -32,6 +32,8 @@
 	// process is Inherited.Broker.
 	Process     int64
 	Predecessor string
+	// Address is where other VMs reach the coordinator, PredecessorAddress where they reached the former one.
+	Address, PredecessorAddress string
 	// QuietSince is since when no process of the coordinator's VM has taken a token of its own share.
 	QuietSince clock.Instant
 }
@@ -152,7 +154,7 @@
 		g.missing[name] = true
 	}
 	g.maxShare, g.unknownEnd = o.Inherited.MaxShare, now.Add(clock.WithDrift(GrantTime)+overlapTime)
-	g.predecessorEnded, g.quietSince = o.provesEnd(o.VM, o.Process), o.QuietSince
+	g.predecessorEnded, g.quietSince = o.provesEnd(o.VM, o.Address, o.Process), o.QuietSince
 	g.inheritRest(now)
 	capacity := func(l Limit, level float64) float64 {
 		if level <= fractionError {
@@ -175,8 +177,9 @@
 }
 
 // provesEnd reports whether a process of a VM proves that the predecessor's process has ended, because it is a later one of the same VM.
-func (o GranterOptions) provesEnd(vm string, process int64) bool {
-	return o.Inherited.Broker > 0 && vm == o.Predecessor && process > o.Inherited.Broker
+// At another address, it may run on a machine that has replaced the predecessor's, which may still run.
+func (o GranterOptions) provesEnd(vm, address string, process int64) bool {
+	return o.Inherited.Broker > 0 && vm == o.Predecessor && address == o.PredecessorAddress && process > o.Inherited.Broker
 }
 
 // SetAuthority sets until when this VM is certainly the coordinator, and the holders that it has stored. It grants shares to these
@@ -234,8 +237,8 @@
 }
 
 // notePredecessor frees what the predecessor may have used, once a process proves that it has ended.
-func (g *Granter) notePredecessor(vm string, process int64) {
-	if g.predecessorEnded || !g.options.provesEnd(vm, process) {
+func (g *Granter) notePredecessor(vm string, a Answer) {
+	if g.predecessorEnded || !g.options.provesEnd(vm, a.Address, a.Process) {
 		return
 	}
 	g.predecessorEnded, g.dirty = true, true
@@ -340,13 +343,13 @@
 		delete(g.members, vm)
 		m = nil
 	}
-	inherited := g.missing[HashName(vm)] || !g.predecessorEnded && g.options.provesEnd(vm, a.Process)
+	inherited := g.missing[HashName(vm)] || !g.predecessorEnded && g.options.provesEnd(vm, a.Address, a.Process)
 	free := 0.0
 	if inherited {
 		free = g.free()
 		g.noteQuiet(a, now)
 	}
-	g.notePredecessor(vm, a.Process)
+	g.notePredecessor(vm, a)
 	if m == nil {
 		m = &member{process: a.Process}
 		g.members[vm], g.dirty = m, true
--- a/pkg/sharedrate/sharedrate.go
+++ b/pkg/sharedrate/sharedrate.go
@@ -139,6 +139,8 @@
 	LeftMs    int64   `msgpack:"l,omitempty"`
 	// QuietMs is how long no process of the VM has taken a token of its own share.
 	QuietMs int64 `msgpack:"q,omitempty"`
+	// Address is where other VMs reach the VM. The coordinator sets it from the VM's connection.
+	Address string `msgpack:"-"`
 }
 
 // lentOnVM is how long a VM uses nothing of a share that it has lent.
