--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -464,6 +464,16 @@
 	}
 }
 
+// yield makes the coordinator give its role up to another VM, and follow it.
+func (m *model) yield() {
+	c := m.coordinator
+	for l := range c.followers {
+		m.disconnect(l)
+	}
+	c.granter, m.leaseEnd, m.coordinator = nil, 0, nil
+	c.pausedUntil = m.now + 100*time.Millisecond
+}
+
 // fault causes one random fault at one VM, or at all.
 func (m *model) fault() {
 	id, d := m.rng.IntN(len(m.vms)), m.jitter(4*time.Second)
@@ -570,6 +580,27 @@
 	}
 }
 
+// TestLimitHoldsWhileFormerCoordinatorRestarts guards against a share that a former coordinator lends until its process is replaced, and that
+// then counts as idle although it was in use.
+func TestLimitHoldsWhileFormerCoordinatorRestarts(t *testing.T) {
+	for seed := range uint64(10) {
+		m := newModel(t, seed, 2, [][2]Limit{{{373, 373}, {373, 373}}}, modelFaults{})
+		m.load(4)
+		m.run(10 * time.Second)
+		former := m.coordinator
+		m.yield()
+		m.silentUntil = 16 * time.Second
+		m.run(m.silentUntil + 100*time.Millisecond)
+		m.kill(former.id, 50*time.Millisecond)
+		m.cut[former.id] = true
+		m.after(900*time.Millisecond, func() { delete(m.cut, former.id) })
+		m.run(25 * time.Second)
+		if m.coordinator == former || len(m.violations) > 0 {
+			t.Errorf("seed %d: %v", seed, m.violations)
+		}
+	}
+}
+
 // TestLimitIsUsedAfterRestartOfAll guards against quotas that stay unused after all processes were replaced at once, because the new
 // coordinator knows none of the shares.
 func TestLimitIsUsedAfterRestartOfAll(t *testing.T) {
