Check the share of an organisation of 20 a second without a coordinator

Only the organisation of 373 a second was checked, although each of 12 VMs has more than 2 tokens of a burst of 20. restart, which updates what a bucket began with, is named updateStart.

--- a/pkg/sharedrate/buckets.go
+++ b/pkg/sharedrate/buckets.go
@@ -63,8 +63,8 @@
 	return max(b.initial, b.supply.idleTokens(l))
 }
 
-// restart updates what a bucket began with, and returns the tokens that this adds. After a change of the limit it adds none.
-func (b *buckets) restart(e *bucket, l Limit) float64 {
+// updateStart updates what a bucket began with, and returns the tokens that this adds. After a change of the limit it adds none.
+func (b *buckets) updateStart(e *bucket, l Limit) float64 {
 	if e.idleChanges == b.supply.idleChanges && e.limit == l {
 		return 0
 	}
@@ -79,7 +79,7 @@
 // refill brings a bucket up to date. A limit that has changed counts from now on only where it is higher.
 func (b *buckets) refill(e *bucket, l Limit) {
 	rate := min(e.limit.Rate, l.Rate)
-	tokens := e.tokens + rate*(b.supply.gained-e.gained) + b.restart(e, l)
+	tokens := e.tokens + rate*(b.supply.gained-e.gained) + b.updateStart(e, l)
 	for i := len(b.supply.dips) - 1; i >= 0 && b.supply.dips[i].gained >= e.gained; i-- {
 		d := b.supply.dips[i]
 		tokens = min(tokens, b.atDip(e, l, d)+rate*(b.supply.gained-d.gained))
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -675,9 +675,9 @@
 				used := float64(o.total-before[i]) / o.limits[0].Rate / period.Seconds()
 				t.Logf("%d VMs, %v without a coordinator: %s with %v/s: %.2f", vms, period, o.name, o.limits[0].Rate, used)
 				// A quarter of the VMs is offered less than its share, half of it on average: 0.875 could be used. Shares are rounded
-				// down by up to an eighth.
-				if i == 0 && used < 0.875*0.875 {
-					t.Errorf("%d VMs use %.2f of a limit that each has a part of, want %.2f", vms, used, 0.875*0.875)
+				// down by up to an eighth. A burst of 20 and what is added to it give each of 12 VMs more than 2 tokens.
+				if (i == 0 || i == 1 && vms == 12) && used < 0.875*0.875 {
+					t.Errorf("%d VMs use %.2f of %v/s, of which each has a part, want %.2f", vms, used, o.limits[0].Rate, 0.875*0.875)
 				}
 			}
 		}
