Count a share as idle only once the broker can use it

Cause: when a VM's first answer that lends its share arrived 1.2 s after the stamp or later, as over a slow link, its idle time was counted although the broker couldn't use the share. The fraction in use didn't rise, so no later fall cut these tokens: the VM could use the share itself, and when it lent the share later, a bucket that isn't kept began with its whole burst.

Change: the idle time counts with the first answer that arrives in time, while the coordinator's lease is valid.

Test: TestLateAnswerLeavesShareUncounted (20 requests admitted before, 10 now).

--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -375,9 +375,10 @@
 	g.quietSince = max(g.quietSince, now.Add(-time.Duration(float64(quiet)*(1-clock.MaxDrift))))
 }
 
-// noteFirstLent gives the buckets what a share from before this term has gained while the VM waited until it could lend it.
+// noteFirstLent gives the buckets what a share from before this term has gained while the VM waited until it could lend it. After a late
+// answer the VM may use the share itself, together with what it has gained.
 func (g *Granter) noteFirstLent(m *member, a Answer, now clock.Instant) {
-	if !m.unlent {
+	if !m.unlent || now >= min(m.lentUntil, g.authority) {
 		return
 	}
 	m.unlent = false
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// Guards against a share that counts as idle because of a late answer, and that the VM uses itself until it lends the share later.
+func TestLateAnswerLeavesShareUncounted(t *testing.T) {
+	now, limit := clock.Instant(time.Hour), Limit{20, 20}
+	g := NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, VM: "p", Process: 20, Predecessor: "p",
+		Inherited: Holders{Names: []uint32{HashName("b")}, MaxShare: 0.5, Broker: 10}, QuietSince: now.Add(-2 * time.Second)}, now)
+	g.SetAuthority(now.Add(time.Hour), Holders{}, now)
+	a := Answer{Process: 1, Stamp: 1, Coordinator: 1, Echo: int64(now.Add(-LendTime)), Fraction: 0.5, GrantedBy: 9, Serial: 1, LeftMs: 1000, QuietMs: 2000}
+	g.Answer("b", a, now)
+	a.Stamp, a.Echo, a.QuietMs = 2, int64(now), 0
+	g.Answer("b", a, now)
+	if level := g.Level(now); level != 1 {
+		t.Fatalf("the broker may use %v, want 1", level)
+	}
+	n := 0
+	for v := Granted; v == Granted; n++ {
+		v, _ = g.Admit("o", limit, false, now)
+	}
+	if n-1 != 10 {
+		t.Errorf("%d requests are admitted at once, want 10 for the half that was idle", n-1)
+	}
+}
+
 // Guards against a VM that doesn't tell that it has just taken a token.
 func TestQuietTimeEndsWithEachToken(t *testing.T) {
 	now := clock.Instant(time.Hour)
