--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -115,7 +115,9 @@
 	// quota is this VM's share of the organisations' quotas.
 	quota       *sharedrate.Holder
 	quotaEvents quotaEvents
-	placer      *placer
+	// quotaTerm is the coordinator's term of this process in which it last started a ledger of the quotas.
+	quotaTerm int
+	placer    *placer
 	// interRegion counts the bytes sent to and received from other regions. It may be nil.
 	interRegion *interregion.Counter
 	onSnapshot  func(*inventory.Snapshot)
--- a/pkg/sharedrate/granter_test.go
+++ b/pkg/sharedrate/granter_test.go
@@ -112,14 +112,18 @@
 	}
 }
 
-// Guards against coordinators that follow each other soon and that may each use the tokens that a new one begins with.
+// Guards against coordinators that follow each other soon and that may each use the tokens that a new one begins with. The row of an
+// earlier version doesn't tell when its writer began.
 func TestRecentPredecessorLeavesNoInitialTokens(t *testing.T) {
-	for broker, want := range map[int64]Verdict{0: Granted, 10: Granted, RecentBroker: OverLimit} {
+	for former, want := range map[struct {
+		vm     string
+		broker int64
+	}]Verdict{{"", 0}: Granted, {"p", 0}: OverLimit, {"p", 10}: Granted, {"p", RecentBroker}: OverLimit} {
 		l := &ledger{now: clock.Instant(time.Hour)}
-		l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: Holders{Broker: broker}, Process: 20}, l.now)
+		l.g = NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, Inherited: Holders{Broker: former.broker}, Predecessor: former.vm, Process: 20}, l.now)
 		l.g.SetAuthority(l.now.Add(time.Hour), Holders{}, l.now)
 		if v, _ := l.g.Admit("o", Limit{1, 1}, true, l.now); v != want {
-			t.Errorf("predecessor %d: the first request gets %v, want %v", broker, v, want)
+			t.Errorf("predecessor %+v: the first request gets %v, want %v", former, v, want)
 		}
 		if h := l.g.Holders(l.now.Add(7 * time.Second)); h.Broker != RecentBroker {
 			t.Errorf("the coordinator names its process %d within a window of its takeover", h.Broker)
@@ -161,6 +165,49 @@
 	check("a later process of a VM that was counted", "kept", Limit{30, 30}, 0)
 }
 
+// Guards against a share that counts as idle although this coordinator has used it until the VM's process ended.
+func TestShareThatWasLentIsNotIdle(t *testing.T) {
+	now, limit := clock.Instant(time.Hour), Limit{20, 20}
+	inherited := Holders{Names: []uint32{HashName("p")}, MaxShare: 1, Broker: 10}
+	l := &ledger{now: now, g: NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, VM: "c", Process: 20, Predecessor: "p", Inherited: inherited}, now)}
+	l.g.SetAuthority(now.Add(time.Hour), inherited, now)
+	for range 30 {
+		l.exchange("p", 10)
+		l.now = l.now.Add(100 * time.Millisecond)
+	}
+	l.now = l.now.Add(900 * time.Millisecond)
+	l.checkLevel(t, "while the VM lends", 1)
+	for v := Granted; v == Granted; {
+		v, _ = l.g.Admit("o", limit, false, l.now)
+	}
+	l.g.Answer("p", Answer{Process: 11, Stamp: 1, QuietMs: 900}, l.now)
+	if v, _ := l.g.Admit("o", limit, false, l.now); v != OverLimit {
+		t.Error("the tokens of a share that was in use are available a second time")
+	}
+}
+
+// Guards against a share that counts as idle because of a late answer, and that the VM uses itself until it lends the share later.
+func TestLateAnswerLeavesShareUncounted(t *testing.T) {
+	now, limit := clock.Instant(time.Hour), Limit{20, 20}
+	g := NewGranter(GranterOptions{Coordinator: 1, Allowance: DefaultAllowance, VM: "p", Process: 20, Predecessor: "p",
+		Inherited: Holders{Names: []uint32{HashName("b")}, MaxShare: 0.5, Broker: 10}, QuietSince: now.Add(-2 * time.Second)}, now)
+	g.SetAuthority(now.Add(time.Hour), Holders{}, now)
+	a := Answer{Process: 1, Stamp: 1, Coordinator: 1, Echo: int64(now.Add(-LendTime)), Fraction: 0.5, GrantedBy: 9, Serial: 1, LeftMs: 1000, QuietMs: 2000}
+	g.Answer("b", a, now)
+	a.Stamp, a.Echo, a.QuietMs = 2, int64(now), 0
+	g.Answer("b", a, now)
+	if level := g.Level(now); level != 1 {
+		t.Fatalf("the broker may use %v, want 1", level)
+	}
+	n := 0
+	for v := Granted; v == Granted; n++ {
+		v, _ = g.Admit("o", limit, false, now)
+	}
+	if n-1 != 10 {
+		t.Errorf("%d requests are admitted at once, want 10 for the half that was idle", n-1)
+	}
+}
+
 // Guards against a VM that doesn't tell that it has just taken a token.
 func TestQuietTimeEndsWithEachToken(t *testing.T) {
 	now := clock.Instant(time.Hour)
--- a/pkg/sharedrate/model_test.go
+++ b/pkg/sharedrate/model_test.go
@@ -464,6 +464,16 @@
 	}
 }
 
+// yield makes the coordinator give its role up to another VM, and follow it.
+func (m *model) yield() {
+	c := m.coordinator
+	for l := range c.followers {
+		m.disconnect(l)
+	}
+	c.granter, m.leaseEnd, m.coordinator = nil, 0, nil
+	c.pausedUntil = m.now + 100*time.Millisecond
+}
+
 // fault causes one random fault at one VM, or at all.
 func (m *model) fault() {
 	id, d := m.rng.IntN(len(m.vms)), m.jitter(4*time.Second)
@@ -570,6 +580,27 @@
 	}
 }
 
+// TestLimitHoldsWhileFormerCoordinatorRestarts guards against a share that a former coordinator lends until its process is replaced, and that
+// then counts as idle although it was in use.
+func TestLimitHoldsWhileFormerCoordinatorRestarts(t *testing.T) {
+	for seed := range uint64(10) {
+		m := newModel(t, seed, 2, [][2]Limit{{{373, 373}, {373, 373}}}, modelFaults{})
+		m.load(4)
+		m.run(10 * time.Second)
+		former := m.coordinator
+		m.yield()
+		m.silentUntil = 16 * time.Second
+		m.run(m.silentUntil + 100*time.Millisecond)
+		m.kill(former.id, 50*time.Millisecond)
+		m.cut[former.id] = true
+		m.after(900*time.Millisecond, func() { delete(m.cut, former.id) })
+		m.run(25 * time.Second)
+		if m.coordinator == former || len(m.violations) > 0 {
+			t.Errorf("seed %d: %v", seed, m.violations)
+		}
+	}
+}
+
 // TestLimitIsUsedAfterRestartOfAll guards against quotas that stay unused after all processes were replaced at once, because the new
 // coordinator knows none of the shares.
 func TestLimitIsUsedAfterRestartOfAll(t *testing.T) {
@@ -644,9 +675,9 @@
 				used := float64(o.total-before[i]) / o.limits[0].Rate / period.Seconds()
 				t.Logf("%d VMs, %v without a coordinator: %s with %v/s: %.2f", vms, period, o.name, o.limits[0].Rate, used)
 				// A quarter of the VMs is offered less than its share, half of it on average: 0.875 could be used. Shares are rounded
-				// down by up to an eighth.
-				if i == 0 && used < 0.875*0.875 {
-					t.Errorf("%d VMs use %.2f of a limit that each has a part of, want %.2f", vms, used, 0.875*0.875)
+				// down by up to an eighth. A burst of 20 and what is added to it give each of 12 VMs more than 2 tokens.
+				if (i == 0 || i == 1 && vms == 12) && used < 0.875*0.875 {
+					t.Errorf("%d VMs use %.2f of %v/s, of which each has a part, want %.2f", vms, used, o.limits[0].Rate, 0.875*0.875)
 				}
 			}
 		}
