--- a/pkg/coordinator/coordinator_test.go
+++ b/pkg/coordinator/coordinator_test.go
@@ -310,3 +310,57 @@
 		t.Error("a VM with weak hardware never takes over")
 	}
 }
+
+// After a loss of power of all VMs, nobody but the former coordinator's VM may take over before its lease ends, so its next process must not
+// wait for stronger VMs. It must wait if the role was given up, if the row was restored, or if this process itself has lost the role.
+func TestNextProcessOfCoordinatorTakesOverAtOnce(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	for _, c := range []struct {
+		name     string
+		row      Leader
+		restored bool
+		atOnce   bool
+	}{
+		{"former process", Leader{VM: "a", Incarnation: "1"}, false, true},
+		{"this process", Leader{VM: "a", Incarnation: "2"}, false, false},
+		{"role given up", Leader{VM: "a", Incarnation: "1", Released: true}, false, false},
+		{"restored row", Leader{VM: "a", Incarnation: "1"}, true, false},
+		{"another VM", Leader{VM: "b", Incarnation: "1"}, false, false},
+	} {
+		l := leadership{self: Identity{VM: "a", Incarnation: "2"}, electionDelay: time.Second, storeLatency: 100 * time.Millisecond}
+		l.known, l.version, l.readVersion, l.row, l.restored, l.versionSeenAt = true, 1, 1, c.row, c.restored, now
+		if l.mayTakeOver(now) != c.atOnce {
+			t.Errorf("%s: takes over at once: %v", c.name, !c.atOnce)
+		}
+	}
+}
+
+// A process that was paused while a later process of its VM took over must not take the later one for a process that has ended: both would
+// then take the role from each other at once, again and again.
+func TestPausedProcessDoesNotTakeRoleFromLaterProcess(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	l := leadership{self: Identity{VM: "a", Incarnation: "1"}}
+	observe := func(incarnation string, version uint64) {
+		value, err := msgpack.Marshal(Leader{VM: "a", Incarnation: incarnation})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.observeRow(rowstore.TableSnapshot{Version: version, Rows: []rowstore.Row{{Key: KeyLeader, Value: value, Version: version}}}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	observe("0", 1)
+	if !l.mayTakeOver(now) {
+		t.Fatal("the row that this process has found at its start isn't vacant")
+	}
+	for version := uint64(2); version < 8; version++ {
+		now = now.Add(renewInterval)
+		observe("2", version)
+		if l.mayTakeOver(now) || l.mayTakeOver(now.Add(LeaseTTL)) {
+			t.Fatalf("the role is taken from a later process of the VM, which has written version %d", version)
+		}
+	}
+	if now = now.Add(2 * LeaseTTL); !l.mayTakeOver(now) && !l.mayTakeOver(now.Add(time.Second)) {
+		t.Error("the role isn't taken over after the lease of the later process has ended")
+	}
+}
--- a/pkg/entry/quotas.go
+++ b/pkg/entry/quotas.go
@@ -36,12 +36,23 @@
 // startQuotas starts the ledger of this VM as the coordinator. stored is what the predecessor stored about the VMs.
 func (c *Control) startQuotas(now clock.Instant, stored coordinator.Fleet) {
 	inherited := holdersOf(stored)
-	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM}
+	o := sharedrate.GranterOptions{Coordinator: max(1, c.coordinator.Version()), Allowance: c.settings.quotaAllowance(), Inherited: inherited, VM: c.settings.VM, Process: c.quota.Process(), QuietSince: c.quota.QuietSince()}
+	// The own row names no predecessor.
+	replaced, newest := c.coordinator.Replaced()
+	o.Predecessor, o.Inherited.Broker = replaced.VM, replaced.Broker
+	o.Address, o.PredecessorAddress = c.relayAddress(), replaced.Address
+	resumed := c.coordinator.Terms() == c.quotaTerm
+	c.quotaTerm = c.coordinator.Terms()
+	if resumed || !newest {
+		// A process that resumes its term has used the quotas itself until its lease lapsed.
+		o.Predecessor, o.Inherited.Broker = c.settings.VM, sharedrate.RecentBroker
+	}
 	o.Own, o.OwnLentUntil = c.quota.Surrender(now)
 	c.placer.broker.StartQuotas(o, now)
 	c.placer.broker.SetQuotaAuthority(c.coordinator.LeaseEnd(), inherited, now)
 	if len(inherited.Names) > 0 && c.quotasConfigured() {
-		c.log.Emit(event.QuotaPartUnknown, "for_ms", sharedrate.GrantTime.Milliseconds())
+		ended := c.placer.broker.QuotaState(0, now).PredecessorEnded
+		c.log.Emit(event.QuotaPartUnknown, "for_ms", sharedrate.GrantTime.Milliseconds(), "predecessor_ended", ended)
 	}
 }
 
@@ -84,15 +95,19 @@
 }
 
 // shareHolders returns what the coordinator stores about the VMs that may hold shares.
-func (c *Control) shareHolders(now clock.Instant) (names []byte, maxShare float64) {
+func (c *Control) shareHolders(now clock.Instant) (names []byte, maxShare float64, broker int64) {
 	h := c.placer.broker.QuotaHolders(c.quotasConfigured(), now)
-	return packNames(h.Names), h.MaxShare
+	return packNames(h.Names), h.MaxShare, h.Broker
 }
 
 // inheritedFleet returns what this VM stores about the VMs when it takes over. If the newest row of a coordinator was restored with the
 // store, shares may have been granted under rows that the store has lost. Without any row, the deployment is taken for a new one.
 func (c *Control) inheritedFleet(row coordinator.Leader) coordinator.Fleet {
 	fleet := row.Fleet
+	fleet.Broker = 0
+	if fleet.MaxShare > 0 || c.quotasConfigured() || c.snapshot == nil || c.snapshot.Configuration == nil {
+		fleet.Broker = sharedrate.RecentBroker
+	}
 	if c.coordinator.RowRestored() && row.VM != "" && (fleet.MaxShare > 0 || c.quotasConfigured()) {
 		unknown := sharedrate.UnknownHolders()
 		fleet.ShareHolders, fleet.MaxShare = packNames(unknown.Names), unknown.MaxShare
@@ -128,7 +143,9 @@
 // the share at once.
 func (c *Control) recordQuotaAnswer(f *replica.Follower, r replica.Report) {
 	if r.Quota != nil && !f.TablesOnly {
-		c.placer.broker.QuotaAnswer(f.VM, *r.Quota, c.clock.Now())
+		a := *r.Quota
+		a.Address = f.Address
+		c.placer.broker.QuotaAnswer(f.VM, a, c.clock.Now())
 	}
 }
 
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -12,6 +12,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
+	"github.com/bronzelever/bronzelever/pkg/replica"
 	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
@@ -114,9 +115,30 @@
 				c.applySuspectsRow(row)
 			}
 		}
+		c.noteQuarantineKnown()
 	})
 }
 
+// suspectsDue reports whether the next update to a VM must contain all records: the first one, and the first one after this VM
+// has learned the stored records.
+func (c *Control) suspectsDue(f *replica.Follower) bool {
+	return !f.SuspectsSent || c.quarantineKnown && !f.QuarantineStated
+}
+
+// addAllSuspects adds all records to an update.
+func (c *Control) addAllSuspects(f *replica.Follower, u *replica.Update, now clock.Instant) {
+	u.Suspects, u.QuarantineKnown = c.suspects.Records(now), c.quarantineKnown
+	f.SuspectsSent, f.QuarantineStated = true, c.quarantineKnown
+}
+
+// mergeSuspects takes over the records of an update.
+func (c *Control) mergeSuspects(u replica.Update, now clock.Instant) {
+	c.suspects.Merge(u.Suspects, now)
+	if u.QuarantineKnown {
+		c.noteQuarantineKnown()
+	}
+}
+
 func (c *Control) applySuspectsRow(row rowstore.Row) {
 	c.storedSuspects.version = row.Version
 	list, err := decodeSuspects(row.Value, time.Now())
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/placing"
 	"github.com/bronzelever/bronzelever/pkg/quarantine"
@@ -57,6 +58,9 @@
 	MaxConfigurationAge time.Duration
 	// RegionOf maps failure domains to regions.
 	RegionOf map[string]string
+	// Region is this VM's region. InterRegion counts the bytes of requests that are sent to others; it may be nil.
+	Region      string
+	InterRegion *interregion.Counter
 	// MaxBufferedBodyBytes bounds the total size of the request bodies that are buffered at the same time.
 	MaxBufferedBodyBytes int64
 	// MaxBufferedResponseBytes bounds the total size of the targets' responses that are buffered at the same time. Zero means
@@ -399,6 +403,8 @@
 			c.Metrics.recordLimitExceeded()
 		}
 		c.Log.Emit(event.ResponseTruncated, "request", c.meta.ID, "target", c.lastTarget, "error", err.Error())
+		// Released first, so that nothing is counted any more when the caller notices the end of the connection.
+		c.sender.discard(resp)
 		if c.conn != nil {
 			c.conn.abort()
 		}
--- a/pkg/placing/admission.go
+++ b/pkg/placing/admission.go
@@ -51,6 +51,40 @@
 	return false
 }
 
+// admissionForecast determines the place of a new request in its queue and returns the forecast for it.
+func (b *Broker) admissionForecast(w *waiter, ps *poolState, now clock.Instant) (time.Duration, Reason) {
+	if ps.limited {
+		w.inOrderOfArrival(now)
+		b.requeue(w)
+		return b.forecastWithMargin(w, ps)
+	}
+	if now.Add(ps.minUsefulTime(w)) > w.objectiveEnd {
+		w.late = true
+		b.requeue(w)
+	}
+	if latency := b.forecastBesideOthers(w, ps, now); latency < infinite {
+		return latency, ReasonOverload
+	}
+	latency, reason := b.forecastWithMargin(w, ps)
+	if !w.late && b.onTimeForecast(w, ps, latency) > w.Objective {
+		// The request queues behind those that can still meet their objective.
+		w.late = true
+		b.requeue(w)
+		latency, reason = b.forecastWithMargin(w, ps)
+	}
+	return latency, reason
+}
+
+// maxLatency returns the forecast above which a new request is refused.
+func (b *Broker) maxLatency(w *waiter, ps *poolState, now clock.Instant) time.Duration {
+	latency := time.Duration(b.maxWaitShare(w) * float64(w.TimeLeft))
+	if ps.limited && b.limitContended(w.queue, now) {
+		// What a late request takes of the limit, one that could meet its objective would be refused for.
+		return min(latency, w.Objective)
+	}
+	return latency
+}
+
 // onTimeForecast returns the latency that decides whether a new request with the given forecast can be answered on time. A forecast
 // counts with the service time of the fastest target. Of a hundred averages of few samples, the shortest is far below the mean, while a
 // request that has waited gets any target. With the forecast itself, most of the requests that are placed last under overload are late.
@@ -73,3 +107,34 @@
 		b.refuseAdmitted(last, ps.refusal(last, latency, reason), now)
 	}
 }
+
+// minTimeLeft returns the time before its deadline at which a waiting request is refused because no target is likely to answer it.
+func (b *Broker) minTimeLeft(w *waiter, ps *poolState) time.Duration {
+	needed := ps.minUsefulTime(w)
+	if b.admitsByValue() && ps.fastest < infinite {
+		needed = max(needed, w.scaled(ps.fastest))
+	}
+	return needed
+}
+
+// timelyCandidate returns the given candidate if its target is likely to answer the request by its deadline, else the fastest free target
+// that is, if there is one. A request that is sent although it is unlikely to be answered costs a target's time for nothing.
+func (b *Broker) timelyCandidate(c candidate, w *waiter, ps *poolState, now clock.Instant) candidate {
+	left := w.deadline.Sub(now)
+	if c.load == nil || !b.admitsByValue() || w.scaled(c.load.expectedLatency(now)) <= left {
+		return c
+	}
+	c.load = nil
+	fastest := infinite
+	for i := range ps.domains {
+		d := &ps.domains[i]
+		if d.freeTarget == nil {
+			continue
+		}
+		if latency := w.scaled(d.freeTarget.expectedLatency(now)); latency <= left && latency < fastest {
+			fastest = latency
+			c.load, c.score = d.freeTarget, w.scaled(d.freeLatency)+distancePenalty(b.regionOf, w.Domain, w.Region, d.name, w.BodyBytes)
+		}
+	}
+	return c
+}
--- a/pkg/replica/client.go
+++ b/pkg/replica/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -34,8 +35,19 @@
 	l.send(wire.TypePlaceRelease, d)
 }
 
+// Dialer opens a connection to the VM at an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Receiver handles the messages of the coordinator or a distributor. Connected is called first, once the connection is set up.
 type Receiver struct {
+	Traffic Traffic
+	// Dial opens the connection, or is nil for TCP.
+	Dial          Dialer
 	Connected     func(*Link)
 	Update        func(*Link, Update)
 	PlaceResponse func(PlaceResponse)
@@ -44,8 +56,7 @@
 // Announce sends a report that names the new coordinator to the VM at an address. It returns once that VM has closed the
 // connection, which it does after receiving the report.
 func Announce(ctx context.Context, address string, report Report) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialTCP(ctx, address)
 	if err != nil {
 		return err
 	}
@@ -65,15 +76,19 @@
 
 // Follow connects to the coordinator or a distributor and passes its messages to the receiver until the connection ends.
 func Follow(ctx context.Context, address string, first Report, receiver Receiver) (*Link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	dial := receiver.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{sendQueue: newSendQueue(conn)}
+	link := &Link{sendQueue: newSendQueue(conn, interregion.NewPeer(receiver.Traffic.Counter))}
 	defer link.Close()
 	stopClose := context.AfterFunc(ctx, link.Close)
 	defer stopClose()
+	first.Format = formatShort
 	link.SendReport(first)
 	receiver.Connected(link)
 	reader := bufio.NewReader(conn)
@@ -97,15 +112,38 @@
 		if err := frame.Decode(&u); err != nil {
 			return err
 		}
-		receiver.Update(l, u)
+		l.handleUpdate(frame, u, receiver)
 	case wire.TypePlaceResponse:
 		var v PlaceResponse
 		if err := frame.Decode(&v); err != nil {
 			return err
 		}
+		l.received(frame, v)
+		receiver.PlaceResponse(v)
+	case wire.TypeShortUpdate:
+		var u Update
+		if err := decodeShort(frame, &shortUpdate{Update: &u, state: &l.receivedUpdate, decoder: &l.receivedNames}); err != nil {
+			return err
+		}
+		l.handleUpdate(frame, u, receiver)
+	case wire.TypeShortPlaceResponse:
+		var v PlaceResponse
+		if err := decodeShort(frame, &shortPlaceResponse{PlaceResponse: &v, seq: &l.receivedSeq, decoder: &l.receivedNames}); err != nil {
+			return err
+		}
+		l.received(frame, v)
 		receiver.PlaceResponse(v)
 	default:
 		// Ignore unknown messages, which a newer version may send.
 	}
 	return nil
 }
+
+// handleUpdate passes an update to the receiver. The first one on the connection tells the region of the other VM and which messages it
+// understands.
+func (l *Link) handleUpdate(frame wire.Frame, u Update, receiver Receiver) {
+	l.traffic.SetRegions(receiver.Traffic.Region, u.Region)
+	l.allowShort(u.Format, receiver.Traffic.Region, u.Region)
+	l.received(frame, u)
+	receiver.Update(l, u)
+}
--- a/pkg/replica/messages.go
+++ b/pkg/replica/messages.go
@@ -26,6 +26,10 @@
 	// Distributor is the address of the VM from which the receiver gets the tables and routes. It is empty if they come with
 	// this update.
 	Distributor string `msgpack:"h,omitempty"`
+	// Region is the sender's region, and Format the short messages that it understands (formatShort). Both are sent in the first update
+	// on a connection.
+	Region string `msgpack:"rg,omitempty"`
+	Format int    `msgpack:"fm,omitempty"`
 	// MinElectionDelayMs is the lowest BaseElectionDelayMs of the connected VMs and the coordinator.
 	MinElectionDelayMs int64 `msgpack:"s,omitempty"`
 	// LeaseVersion is the version of the coordinator's row.
@@ -37,6 +41,9 @@
 	ConfigurationAgeMs int64 `msgpack:"c,omitempty"`
 	// Suspects are the changed records of requests that may crash targets.
 	Suspects []quarantine.Record `msgpack:"q,omitempty"`
+	// QuarantineKnown is set with Suspects if the sender knows the stored records of refused requests, directly or from other VMs. A
+	// VM of an earlier version doesn't set it.
+	QuarantineKnown bool `msgpack:"qk,omitempty"`
 	// Leaving are the targets that have announced in a response that they are shutting down.
 	Leaving []inventory.Incarnation `msgpack:"g,omitempty"`
 	// Limits are the changed rate limits of targets.
@@ -71,6 +78,8 @@
 	VM     string `msgpack:"vm,omitempty"`
 	Domain string `msgpack:"d,omitempty"`
 	Region string `msgpack:"r,omitempty"`
+	// Format tells which short messages the VM understands (formatShort). It is sent in the first report.
+	Format int `msgpack:"fm,omitempty"`
 	// Address is where other VMs reach this one. It is sent in the first report.
 	Address string `msgpack:"p,omitempty"`
 	// TablesOnly is set in the first report by a VM that only wants the tables and routes, from a distributor.
--- a/pkg/replica/send_queue.go
+++ b/pkg/replica/send_queue.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/bronzelever/bronzelever/pkg/interregion"
 	"github.com/bronzelever/bronzelever/pkg/wire"
 )
 
@@ -21,31 +23,64 @@
 // sendQueue sends messages over a connection without blocking the caller.
 type sendQueue struct {
 	conn   net.Conn
-	frames chan []byte
+	frames chan queuedFrame
 	done   chan struct{}
 	once   sync.Once
+	// traffic counts the bytes in both directions. It may be nil.
+	traffic *interregion.Peer
+	// short is set once short messages may be sent.
+	short atomic.Bool
+	// encoding is held while a short message is encoded and queued, since it depends on the short messages that are sent before it. Other
+	// messages don't need it, so that a large update doesn't delay place responses.
+	encoding   sync.Mutex
+	sentNames  nameEncoder
+	sentSeq    lastSeq
+	sentUpdate updateState
+	sentReport reportState
+	// receivedNames and the following fields are the same for the short messages from the peer. They are owned by the goroutine
+	// that reads them.
+	receivedNames  nameDecoder
+	receivedSeq    lastSeq
+	receivedUpdate updateState
+	receivedReport reportState
 }
 
-func newSendQueue(c net.Conn) *sendQueue {
-	q := &sendQueue{conn: c, frames: make(chan []byte, sendQueueSize), done: make(chan struct{})}
+// queuedFrame is an encoded message.
+type queuedFrame struct {
+	bytes []byte
+	kind  interregion.Kind
+}
+
+func newSendQueue(c net.Conn, traffic *interregion.Peer) *sendQueue {
+	q := &sendQueue{conn: c, frames: make(chan queuedFrame, sendQueueSize), done: make(chan struct{}), traffic: traffic}
 	go q.run()
 	return q
 }
 
-// send queues a message. It returns false if the connection has ended. If the queue is full, the connection is closed.
-func (q *sendQueue) send(messageType wire.Type, message any) bool {
-	frame, err := wire.AppendMessage(nil, wire.Version, messageType, message)
+// send queues a message. It returns false if the connection has ended. If the message can't be encoded or the queue is full, the connection
+// is closed, since the peer would misread later short messages without this one.
+func (q *sendQueue) send(messageType wire.Type, message any) (queued bool) {
+	messageType, form, short := q.form(messageType, message)
+	if short {
+		q.encoding.Lock()
+		defer q.encoding.Unlock()
+	}
+	// The connection is closed before the lock is released, so that no message that depends on a lost one is sent.
+	defer func() {
+		if !queued {
+			q.Close()
+		}
+	}()
+	frame, err := wire.AppendMessage(nil, wire.Version, messageType, form)
 	if err != nil {
-		q.Close()
 		return false
 	}
 	select {
 	case <-q.done:
 		return false
-	case q.frames <- frame:
+	case q.frames <- queuedFrame{frame, kindOf(message)}:
 		return true
 	default:
-		q.Close()
 		return false
 	}
 }
@@ -56,11 +91,14 @@
 		select {
 		case <-q.done:
 			return
-		case frame := <-q.frames:
+		case first := <-q.frames:
+			frame := first.bytes
+			q.traffic.AddSent(first.kind, len(first.bytes))
 			for pending := true; pending; {
 				select {
 				case next := <-q.frames:
-					frame = append(frame, next...)
+					frame = append(frame, next.bytes...)
+					q.traffic.AddSent(next.kind, len(next.bytes))
 				default:
 					pending = false
 				}
--- a/pkg/sharedrate/granter.go
+++ b/pkg/sharedrate/granter.go
@@ -28,6 +28,14 @@
 	VM           string
 	Own          float64
 	OwnLentUntil clock.Instant
+	// Process is when the coordinator's process was started, in nanoseconds. Predecessor is the VM of the former coordinator, whose
+	// process is Inherited.Broker.
+	Process     int64
+	Predecessor string
+	// Address is where other VMs reach the coordinator, PredecessorAddress where they reached the former one.
+	Address, PredecessorAddress string
+	// QuietSince is since when no process of the coordinator's VM has taken a token of its own share.
+	QuietSince clock.Instant
 }
 
 // Holders are the VMs that may hold shares, as a coordinator stores them before it grants any.
@@ -35,8 +43,14 @@
 	// Names are HashName of the VMs' names, in order. MaxShare is the largest fraction that one of them may hold.
 	Names    []uint32
 	MaxShare float64
+	// Broker is the process of the coordinator that stores this, once no earlier coordinator can have used any quota within the last
+	// window; before, it is RecentBroker. It is 0 in rows of versions that don't know it.
+	Broker int64
 }
 
+// RecentBroker is stored instead of the process of a coordinator that has taken over within the last window.
+const RecentBroker int64 = -1
+
 // unnamedHolder stands for holders whose names aren't known. No VM that runs is expected to have this hash.
 const unnamedHolder = 0
 
@@ -70,6 +84,11 @@
 // the leftovers and the charges of the members that don't lend.
 type Granter struct {
 	options GranterOptions
+	started clock.Instant
+	// predecessorEnded is set once the predecessor's process is known to have ended, and earlier coordinators with it.
+	predecessorEnded bool
+	// quietSince is since when neither the predecessor, once it has ended, nor the VMs seen of those that were missing have taken a token.
+	quietSince clock.Instant
 	// authority is until when this VM is certainly the coordinator; afterwards it uses nothing.
 	authority clock.Instant
 	// stored are the VMs that the store has as holders, and storedShare the share that they may hold at most.
@@ -109,6 +128,8 @@
 	heardAt, end clock.Instant
 	// lentUntil is until when the coordinator may use the share.
 	lentUntil clock.Instant
+	// unlent is set until the VM lends a share that it held before this coordinator's term.
+	unlent bool
 }
 
 // charge is the largest share that the VM may hold.
@@ -122,15 +143,18 @@
 type leftover struct {
 	fraction float64
 	until    clock.Instant
+	// inherited is set if only predecessors of this coordinator can use it.
+	inherited bool
 }
 
 // NewGranter returns the ledger of a new coordinator.
 func NewGranter(o GranterOptions, now clock.Instant) *Granter {
-	g := &Granter{options: o, members: map[string]*member{}, missing: map[uint32]bool{}, supply: newSupply(now), dirty: true}
+	g := &Granter{options: o, started: now, members: map[string]*member{}, missing: map[uint32]bool{}, supply: newSupply(now), dirty: true}
 	for _, name := range o.Inherited.Names {
 		g.missing[name] = true
 	}
 	g.maxShare, g.unknownEnd = o.Inherited.MaxShare, now.Add(clock.WithDrift(GrantTime)+overlapTime)
+	g.predecessorEnded, g.quietSince = o.provesEnd(o.VM, o.Address, o.Process), o.QuietSince
 	g.inheritRest(now)
 	capacity := func(l Limit, level float64) float64 {
 		if level <= fractionError {
@@ -138,11 +162,26 @@
 		}
 		return max(o.Allowance.initialTokens(), l.Burst*level)
 	}
-	g.admitted = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
-	g.sent = newBuckets(&g.supply, o.Allowance.initialTokens(), capacity)
+	initial := o.Allowance.initialTokens()
+	if o.Predecessor != "" && o.Inherited.Broker <= 0 {
+		// The predecessor may have had these tokens within the same window, and could overdraw its buckets too. A row of an earlier
+		// version doesn't tell since when it had its role.
+		initial = -o.Allowance.debt()
+	}
+	if g.predecessorEnded {
+		g.addIdle(g.free())
+	}
+	g.admitted = newBuckets(&g.supply, initial, capacity)
+	g.sent = newBuckets(&g.supply, initial, capacity)
 	return g
 }
 
+// provesEnd reports whether a process of a VM proves that the predecessor's process has ended, because it is a later one of the same VM.
+// At another address, it may run on a machine that has replaced the predecessor's, which may still run.
+func (o GranterOptions) provesEnd(vm, address string, process int64) bool {
+	return o.Inherited.Broker > 0 && vm == o.Predecessor && address == o.PredecessorAddress && process > o.Inherited.Broker
+}
+
 // SetAuthority sets until when this VM is certainly the coordinator, and the holders that it has stored. It grants shares to these
 // only.
 func (g *Granter) SetAuthority(until clock.Instant, stored Holders, now clock.Instant) {
@@ -162,7 +201,10 @@
 // Holders returns the VMs that hold shares or are about to get one, for the store.
 func (g *Granter) Holders(now clock.Instant) Holders {
 	g.advance(now)
-	h := Holders{MaxShare: g.target()}
+	h := Holders{MaxShare: g.target(), Broker: RecentBroker}
+	if now.Sub(g.started) >= g.options.Allowance.brokerInterval() {
+		h.Broker = g.options.Process
+	}
 	if len(g.missing) > 0 {
 		h.MaxShare = max(h.MaxShare, g.maxShare)
 	}
@@ -180,13 +222,29 @@
 func (g *Granter) inheritRest(now clock.Instant) {
 	o := g.options
 	g.noteSeen(o.VM, o.Own, now)
-	g.leftovers = append(g.leftovers, leftover{o.Own, o.OwnLentUntil})
+	g.keepInherited(o.Own, o.OwnLentUntil)
 	if o.Inherited.MaxShare > 0 {
 		rest := 1 - o.Own - float64(len(g.missing))*g.maxShare
-		g.leftovers = append(g.leftovers, leftover{max(0, rest), now.Add(clock.WithDrift(LendTime))})
+		g.keepInherited(max(0, rest), now.Add(clock.WithDrift(LendTime)))
+	}
+}
+
+// keepInherited leaves a share unused that a predecessor may use until the given time, unless its process has ended.
+func (g *Granter) keepInherited(fraction float64, until clock.Instant) {
+	if !g.predecessorEnded {
+		g.leftovers = append(g.leftovers, leftover{fraction: fraction, until: until, inherited: true})
 	}
 }
 
+// notePredecessor frees what the predecessor may have used, once a process proves that it has ended.
+func (g *Granter) notePredecessor(vm string, a Answer) {
+	if g.predecessorEnded || !g.options.provesEnd(vm, a.Address, a.Process) {
+		return
+	}
+	g.predecessorEnded, g.dirty = true, true
+	g.leftovers = slices.DeleteFunc(g.leftovers, func(l leftover) bool { return l.inherited })
+}
+
 // noteSeen records that a VM that was missing has been seen, with the share that it holds. The rest of what it may have held is free, but
 // a predecessor may still use what it has borrowed from an earlier process.
 func (g *Granter) noteSeen(vm string, held float64, now clock.Instant) {
@@ -197,7 +255,7 @@
 	delete(g.missing, name)
 	g.dirty = true
 	if rest := g.maxShare - held; rest > fractionError {
-		g.leftovers = append(g.leftovers, leftover{rest, now.Add(clock.WithDrift(LendTime))})
+		g.keepInherited(rest, now.Add(clock.WithDrift(LendTime)))
 	}
 }
 
@@ -280,9 +338,18 @@
 		return
 	}
 	if m != nil && a.Process > m.process {
+		// Released first, so that a share that this coordinator has used doesn't count as idle below.
 		g.release(m, now)
+		delete(g.members, vm)
 		m = nil
 	}
+	inherited := g.missing[HashName(vm)] || !g.predecessorEnded && g.options.provesEnd(vm, a.Address, a.Process)
+	free := 0.0
+	if inherited {
+		free = g.free()
+		g.noteQuiet(a, now)
+	}
+	g.notePredecessor(vm, a)
 	if m == nil {
 		m = &member{process: a.Process}
 		g.members[vm], g.dirty = m, true
@@ -290,11 +357,50 @@
 	g.noteShare(vm, m, a, now)
 	m.stamp = max(m.stamp, a.Stamp)
 	m.heardAt, m.end = now, now.Add(clock.WithDrift(GrantTime))
+	if inherited {
+		m.unlent = m.charge() > 0
+		if g.predecessorEnded {
+			g.addIdle(g.free() - free)
+		}
+	}
 	if a.Coordinator == g.options.Coordinator && a.Echo > 0 {
 		g.noteLent(m, clock.Instant(a.Echo).Add(LendTime), now)
+		g.noteFirstLent(m, a, now)
+	}
+}
+
+// noteQuiet records since when a VM has taken no token.
+func (g *Granter) noteQuiet(a Answer, now clock.Instant) {
+	quiet := time.Duration(a.QuietMs) * time.Millisecond
+	g.quietSince = max(g.quietSince, now.Add(-time.Duration(float64(quiet)*(1-clock.MaxDrift))))
+}
+
+// noteFirstLent gives the buckets what a share from before this term has gained while the VM waited until it could lend it. After a late
+// answer the VM may use the share itself, together with what it has gained.
+func (g *Granter) noteFirstLent(m *member, a Answer, now clock.Instant) {
+	if !m.unlent || now >= min(m.lentUntil, g.authority) {
+		return
+	}
+	m.unlent = false
+	if g.predecessorEnded {
+		g.noteQuiet(a, now)
+		g.addIdle(m.charge())
 	}
 }
 
+// free returns the fraction that nobody else holds or may hold. What is kept unused for a predecessor may add up to more than all.
+func (g *Granter) free() float64 {
+	if g.dirty {
+		g.recompute()
+	}
+	return max(0, 1-g.unknown-g.charged)
+}
+
+// addIdle records that the broker may use a further fraction that nobody has used since the predecessor's end.
+func (g *Granter) addIdle(fraction float64) {
+	g.supply.addIdle(fraction, g.supply.at.Sub(g.quietSince))
+}
+
 // noteLent records until when a VM lends its share. The end of an earlier time at which the level is computed again needn't change.
 func (g *Granter) noteLent(m *member, until, now clock.Instant) {
 	if until <= m.lentUntil {
@@ -332,7 +438,7 @@
 func (g *Granter) release(m *member, now clock.Instant) {
 	g.dirty = true
 	if now.Sub(m.heardAt) >= LendTime && m.charge() > 0 {
-		g.leftovers = append(g.leftovers, leftover{m.charge(), now.Add(clock.WithDrift(LendTime))})
+		g.leftovers = append(g.leftovers, leftover{fraction: m.charge(), until: now.Add(clock.WithDrift(LendTime))})
 	}
 }
 
@@ -466,6 +572,8 @@
 	Unknown float64 `json:"unknown"`
 	Charged float64 `json:"charged"`
 	VMs     int     `json:"vms"`
+	// PredecessorEnded tells that the former coordinator's process is known to have ended, so that nothing is left unused for it.
+	PredecessorEnded bool `json:"predecessor_ended"`
 	// Uses are the organisations with the least tokens left.
 	Uses []Use `json:"organisations"`
 }
@@ -473,7 +581,7 @@
 // State returns the state with at most count organisations.
 func (g *Granter) State(count int, now clock.Instant) GranterState {
 	g.advance(now)
-	return GranterState{Usable: g.supply.level, Unknown: g.unknown, Charged: g.charged, VMs: len(g.members), Uses: g.admitted.top(count)}
+	return GranterState{Usable: g.supply.level, Unknown: g.unknown, Charged: g.charged, VMs: len(g.members), PredecessorEnded: g.predecessorEnded, Uses: g.admitted.top(count)}
 }
 
 // Idle reports whether nobody can hold a share, so that the ledger can be dropped.
--- a/pkg/sharedrate/sharedrate.go
+++ b/pkg/sharedrate/sharedrate.go
@@ -82,6 +82,12 @@
 	return a.Slack * debtShare
 }
 
+// brokerInterval is how long a coordinator must have had its role until the buckets of its successor may begin with initialTokens: a window
+// and the delay after it contain the start of one such broker at most, and what an earlier one sends while it still acts.
+func (a Allowance) brokerInterval() time.Duration {
+	return clock.WithDrift(a.Window+a.MaxSendDelay()) + overlapTime
+}
+
 // localBurst is the burst that VMs divide that use their own shares. It is higher than the limit's, since a VM with less than one
 // token can send nothing.
 func (a Allowance) localBurst(l Limit) float64 {
@@ -131,6 +137,10 @@
 	GrantedBy uint64  `msgpack:"g,omitempty"`
 	Serial    uint32  `msgpack:"n,omitempty"`
 	LeftMs    int64   `msgpack:"l,omitempty"`
+	// QuietMs is how long no process of the VM has taken a token of its own share.
+	QuietMs int64 `msgpack:"q,omitempty"`
+	// Address is where other VMs reach the VM. The coordinator sets it from the VM's connection.
+	Address string `msgpack:"-"`
 }
 
 // lentOnVM is how long a VM uses nothing of a share that it has lent.
