Refuse no waiting request for a new one that is refused itself

Cause: with a full queue, its last request was refused to make room for a new one before it was decided that later requests would overtake the new one.

Change: that is decided first. Found by reading.

--- a/pkg/placing/broker.go
+++ b/pkg/placing/broker.go
@@ -240,10 +240,11 @@
 	ps := b.stateFor(w, now)
 	b.reserve(w, ps, now)
 	latency, reason := b.admissionForecast(w, ps, now)
-	if latency <= b.maxLatency(w, ps, now) {
+	inTime := latency <= b.maxLatency(w, ps, now) && !b.willBeOvertaken(w, ps, now)
+	if inTime {
 		b.makeRoom(w, ps, now)
 	}
-	if latency > b.maxLatency(w, ps, now) || b.willBeOvertaken(w, ps, now) || len(b.queues[w.queue]) > maxQueueLength {
+	if !inTime || len(b.queues[w.queue]) > maxQueueLength {
 		b.returnStep(w)
 		b.dequeue(w)
 		b.returnQuota(a, now)
--- a/pkg/placing/overtaking.go
+++ b/pkg/placing/overtaking.go
@@ -11,7 +11,8 @@
 // The load pattern is demand near or above the capacity of a pool for longer than requests can wait. Requests that arrive later and are
 // placed first then use all the capacity, and the back of the queue is never reached. A forecast that counts only what is ahead in the
 // queue admits requests there, which wait until their deadline and are refused. In deployments that admit by value, the broker therefore
-// measures the work that is admitted with each rank, and a forecast counts only with the capacity that the ranks ahead leave.
+// measures the work that is admitted with each rank. With the capacity that the ranks ahead leave, a new request must be expected to be
+// answered by its deadline, and waiting ones are judged by it again on each tick.
 
 const (
 	// arrivalWindow is the time constant of the rates of admitted work. With 1 s, bursts of a more urgent kind were noticed so late that
