Give a stalled upload enough time to reach its target in the test

Change: the request has 1500 ms. The check is as strict: the response must come within 3 s of the start, now 1.5 s after its deadline instead of 2.7 s.

--- a/pkg/ingress/slow_reader_test.go
+++ b/pkg/ingress/slow_reader_test.go
@@ -73,7 +73,7 @@
 	s := newTestServer(t, newScriptedTarget(t, func(_ int, r *http.Request, c net.Conn) { respondOK(r, c) }))
 	p := dialPipelined(t, s.Listener.Addr().String())
 	p.methods = []string{"POST", "POST"}
-	_, _ = fmt.Fprintf(p, "POST /order/1 HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Wait: 300\r\nContent-Length: %d\r\n\r\n", 3<<20)
+	_, _ = fmt.Fprintf(p, "POST /order/1 HTTP/1.1\r\nHost: h\r\nT-Id: a\r\nT-Wait: 1500\r\nContent-Length: %d\r\n\r\n", 3<<20)
 	_, _ = p.Write(make([]byte, 2<<20))
 	_ = p.SetReadDeadline(time.Now().Add(3 * time.Second))
 	if text, err := p.read(); err != nil || !strings.HasPrefix(text, "504 close=true") {
