--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"owner":  runOwner,
 	"poison": runPoison,
+	"stop":   runStop,
 }
 
 func main() {
--- a/review/_standin2/poison.go
+++ b/review/_standin2/poison.go
@@ -16,7 +16,7 @@
 	backAfter = 3 * time.Second
 	// poisonInterval is the time between two sends of the request that crashes upstreams.
 	poisonInterval = 700 * time.Millisecond
-	poisonTime     = 45 * time.Second
+	poisonTime     = 30 * time.Second
 	poisonPath     = "/read/poison"
 	// maxLateRetries is the number of retries that the rule permits.
 	maxLateRetries = 3
@@ -28,7 +28,7 @@
 	arrivals, crashes []time.Time
 }
 
-// crashLateArrivals returns the number of arrivals later than contact after the third crash.
+// lateArrivals returns the number of arrivals later than contact after the third crash.
 func (p *poisonLog) lateArrivals() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -45,7 +45,7 @@
 }
 
 // runPoison sends a request that crashes each upstream that runs it again and again. The upstream crashes while it sends its answer: head and
-// half of the body are out when its process ends. With trouble off, the request is harmless.
+// half of the body are out when its process ends, unless EARLY=1 makes it end before. With trouble off, the request is harmless.
 func runPoison(w *world, trouble bool) (bool, error) {
 	w.services = []service{{name: "stato"}}
 	w.routes = []route{{name: "letture", prefix: "/read/", kind: "idempotent", service: "stato", timeout: 1.5, objective: 0.6, attempts: 2}}
@@ -56,7 +56,6 @@
 	var started atomic.Int64
 	var add func(zone string) error
 	add = func(zone string) error {
-		var u *upstream
 		id := fmt.Sprintf("i-%d", started.Add(1))
 		u, err := w.addUpstream(id, "stato", zone, 2, fixed(60*time.Millisecond))
 		if err != nil {
@@ -82,7 +81,7 @@
 			if err != nil {
 				return true
 			}
-			if os.Getenv("MODE") != "before" {
+			if os.Getenv("EARLY") != "1" {
 				body := strings.Repeat("x", 400)
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
 					r.Header.Get("Request-Id"), u.signature(""), len(body), body[:len(body)/2])
--- a/review/_standin2/upstream.go
+++ b/review/_standin2/upstream.go
@@ -29,6 +29,8 @@
 	// warmup is how long the upstream is cold after its start, at started.
 	warmup  time.Duration
 	started time.Time
+	// latency is the one-way delay between the machines and the upstream.
+	latency time.Duration
 	// special, if not nil, answers a request in another way than usual and then returns true.
 	special func(w http.ResponseWriter, r *http.Request) bool
 	// calls, if not nil, answers grants and releases.
@@ -102,6 +104,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(u.latency)
+	defer time.Sleep(u.latency)
 	body, err := io.ReadAll(r.Body)
 	if err != nil || u.special != nil && u.special(w, r) {
 		return
@@ -115,6 +119,7 @@
 		return
 	}
 	defer func() { <-u.slots }()
+	u.world.noteRun(id)
 	u.world.note("%s runs %s %s %s, %d bytes, deadline %s ms", u.id, id, r.Method, r.URL.Path, len(body), r.Header.Get("Request-Deadline"))
 	deadline, _ := strconv.ParseFloat(r.Header.Get("Request-Deadline"), 64)
 	select {
--- a/review/_standin2/world.go
+++ b/review/_standin2/world.go
@@ -28,6 +28,20 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// noteRun notes that a request began to run.
+func (w *world) noteRun(id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran[id]++
+}
+
+// runs returns how often a request began to run.
+func (w *world) runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ran[id]
+}
+
 // route is one route of the operator's configuration.
 type route struct {
 	name, prefix, kind, service string
@@ -60,8 +74,10 @@
 	port      int
 	machines  []*machine
 	version   int
-	services  []service
-	routes    []route
+	// ran counts how often requests began to run, by ID. It is guarded by mu.
+	ran      map[string]int
+	services []service
+	routes   []route
 }
 
 const (
@@ -86,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: &record{file: file, start: time.Now()}, dir: dir, store: standin.NewStore(), version: 3}
+	w := &world{record: &record{file: file, start: time.Now()}, dir: dir, store: standin.NewStore(), version: 3, ran: map[string]int{}}
 	w.store.SetSlow(storeAnswer)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
