--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -11,6 +11,7 @@
 
 // cases maps the names of the cases to their functions. A case returns whether its rule was broken. trouble is false with TROUBLE=0.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
+	"dark":   runDark,
 	"owner":  runOwner,
 	"poison": runPoison,
 	"stop":   runStop,
--- a/review/_standin2/poison.go
+++ b/review/_standin2/poison.go
@@ -44,9 +44,31 @@
 	return n
 }
 
-// runPoison sends a request that crashes each upstream that runs it again and again. The upstream crashes while it sends its answer: head and
-// half of the body are out when its process ends, unless EARLY=1 makes it end before. With trouble off, the request is harmless.
+// runPoison has the upstreams crash while they send their answers: head and half of the body are out when the process ends, unless EARLY=1
+// makes it end before.
 func runPoison(w *world, trouble bool) (bool, error) {
+	return runCrashing(w, trouble, func(u *upstream, rw http.ResponseWriter, id string) {
+		conn, _, err := http.NewResponseController(rw).Hijack()
+		if err != nil {
+			return
+		}
+		if os.Getenv("EARLY") != "1" {
+			body := strings.Repeat("x", 400)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
+				id, u.signature(id), len(body), body[:len(body)/2])
+		}
+		_ = conn.Close()
+		u.crash()
+	})
+}
+
+// runDark has the machines of the upstreams lose power: nothing more comes from them, on connections that are open or new, until they are back.
+func runDark(w *world, trouble bool) (bool, error) {
+	return runCrashing(w, trouble, func(u *upstream, _ http.ResponseWriter, _ string) { u.goDark() })
+}
+
+// runCrashing sends a request that crashes each upstream that runs it again and again. With trouble off, the request is harmless.
+func runCrashing(w *world, trouble bool, crash func(u *upstream, rw http.ResponseWriter, id string)) (bool, error) {
 	w.services = []service{{name: "stato"}}
 	w.routes = []route{{name: "letture", prefix: "/read/", kind: "idempotent", service: "stato", timeout: 1.5, objective: 0.6, attempts: 2}}
 	if err := w.configure(); err != nil {
@@ -77,17 +99,7 @@
 			}
 			w.note("%s runs the crashing request %s", u.id, r.Header.Get("Request-Id"))
 			time.Sleep(40 * time.Millisecond)
-			conn, _, err := http.NewResponseController(rw).Hijack()
-			if err != nil {
-				return true
-			}
-			if os.Getenv("EARLY") != "1" {
-				body := strings.Repeat("x", 400)
-				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Signature: %s\r\nContent-Length: %d\r\n\r\n%s",
-					r.Header.Get("Request-Id"), u.signature(""), len(body), body[:len(body)/2])
-			}
-			_ = conn.Close()
-			u.crash()
+			crash(u, rw, r.Header.Get("Request-Id"))
 			log.mu.Lock()
 			log.crashes = append(log.crashes, time.Now())
 			w.note("%s has crashed, crash %d", u.id, len(log.crashes))
--- a/review/_standin2/upstream.go
+++ b/review/_standin2/upstream.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -31,6 +34,9 @@
 	started time.Time
 	// latency is the one-way delay between the machines and the upstream.
 	latency time.Duration
+	// dark is set once the upstream's machine has lost power; socket then keeps its port.
+	dark   atomic.Bool
+	socket *os.File
 	// special, if not nil, answers a request in another way than usual and then returns true.
 	special func(w http.ResponseWriter, r *http.Request) bool
 	// calls, if not nil, answers grants and releases.
@@ -81,8 +87,40 @@
 	}
 }
 
+// goDark makes the upstream silent, as if its machine had lost power: nothing is answered or closed, and new connections hang.
+func (u *upstream) goDark() {
+	u.stopOnce.Do(func() {
+		u.dark.Store(true)
+		close(u.stop)
+		time.AfterFunc(3*heartbeat, func() { u.world.store.Remove("servers", u.id) })
+		// The duplicate keeps the socket open when the listener is closed. With a full queue, the kernel drops further connection attempts.
+		if u.socket, _ = u.listener.(*net.TCPListener).File(); u.socket == nil {
+			return
+		}
+		_ = u.listener.Close()
+		_ = syscall.Listen(int(u.socket.Fd()), 0)
+		for range 3 {
+			go func() { _, _ = net.DialTimeout("tcp", u.address, time.Minute) }()
+		}
+	})
+}
+
+// blockedByDark reports whether the upstream is dark, which it stays for good. It returns once the machine has given the request up.
+func (u *upstream) blockedByDark(r *http.Request) bool {
+	if !u.dark.Load() {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
+
 // ServeHTTP implements http.Handler.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if u.blockedByDark(r) {
+		return
+	}
+	// What is still running when the upstream goes dark isn't answered either.
+	defer u.blockedByDark(r)
 	id := r.Header.Get("Request-Id")
 	h := w.Header()
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != u.id {
