--- a/review/_standin2/poison.go
+++ b/review/_standin2/poison.go
@@ -18,6 +18,9 @@
 	poisonInterval = 700 * time.Millisecond
 	poisonTime     = 30 * time.Second
 	poisonPath     = "/read/poison"
+	// readers is the number of clients that send other requests, and readInterval the pause of each between two of them.
+	readers      = 2
+	readInterval = 300 * time.Millisecond
 	// maxLateRetries is the number of retries that the rule permits.
 	maxLateRetries = 3
 )
@@ -125,13 +128,13 @@
 	stop := make(chan struct{})
 	var group sync.WaitGroup
 	var asked, served atomic.Int64
-	for k := range 6 {
+	for k := range readers {
 		group.Go(func() {
 			for i := 0; ; i++ {
 				select {
 				case <-stop:
 					return
-				case <-time.After(150 * time.Millisecond):
+				case <-time.After(readInterval):
 				}
 				id := fmt.Sprintf("read-%d-%d", k, i)
 				asked.Add(1)
