--- a/review/_standin2/keyed.go
+++ b/review/_standin2/keyed.go
@@ -24,6 +24,8 @@
 	// highest is the highest fence with which any upstream has had a key, and by whom.
 	highest [keyCount]int64
 	by      [keyCount]*keys
+	// orders counts the grants and releases that came, and unanswered those that were left without an answer.
+	orders, unanswered int
 	// lowFences counts the times that an upstream took keys with a fence that wasn't above all with which others had had them.
 	lowFences int
 	// longest is the longest time for which two upstreams have held a key at once.
@@ -54,6 +56,10 @@
 	u := k.upstream
 	k.table.mu.Lock()
 	lateGrants, lateReleases, onLate := k.lateGrants, k.lateReleases, k.onLate
+	k.table.orders++
+	if r.URL.Path == "/-/release" && lateReleases > 0 || r.URL.Path == "/-/grant" && lateGrants > 0 {
+		k.table.unanswered++
+	}
 	k.table.mu.Unlock()
 	if r.URL.Path == "/-/release" {
 		if lateReleases > 0 {
@@ -151,6 +157,13 @@
 	k.lateGrants, k.lateReleases, k.onLate = grants, releases, onLate
 }
 
+// counts returns the number of orders that came, and of those that were left without an answer.
+func (t *keyTable) counts() (orders, unanswered int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.orders, t.unanswered
+}
+
 // addKeyed starts an upstream of a service that is divided by key.
 func (w *world) addKeyed(t *keyTable, id, service, zone string, slots int, work time.Duration) (*keys, error) {
 	u, err := w.addUpstream(id, service, zone, slots, fixed(work))
--- a/review/_standin2/owner.go
+++ b/review/_standin2/owner.go
@@ -27,8 +27,8 @@
 	}
 	var table keyTable
 	var all []*keys
-	for i := range 4 {
-		k, err := w.addKeyed(&table, fmt.Sprintf("i-%d", i), "stato", zones[i], 2, 50*time.Millisecond)
+	for i := range 8 {
+		k, err := w.addKeyed(&table, fmt.Sprintf("i-%d", i), "stato", zones[i%len(zones)], 2, 50*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
@@ -57,6 +57,7 @@
 }
 
 func (w *world) disturbOwner(leader *machine, late *keys) error {
+	before, _ := late.table.counts()
 	second := make(chan struct{})
 	var once sync.Once
 	calls := 0
@@ -73,14 +74,16 @@
 	// The coordinator notices that the second grant has no answer, and moves the keys.
 	time.Sleep(1000 * time.Millisecond)
 	late.setLate(0, 0, nil)
-	before := w.store.OwnRow("control", "coordinator")
+	all, unanswered := late.table.counts()
+	w.note("%d of %d orders to upstreams got no answer", unanswered, all-before)
+	row := w.store.OwnRow("control", "coordinator")
 	w.signal(leader, syscall.SIGKILL)
 	<-leader.done
 	time.Sleep(restartAfter)
 	if err := w.start(leader); err != nil {
 		return err
 	}
-	for end := time.Now().Add(8 * time.Second); bytes.Equal(before, w.store.OwnRow("control", "coordinator")); time.Sleep(10 * time.Millisecond) {
+	for end := time.Now().Add(8 * time.Second); bytes.Equal(row, w.store.OwnRow("control", "coordinator")); time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
 			return fmt.Errorf("no successor")
 		}
--- a/review/_standin2/stop.go
+++ b/review/_standin2/stop.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -21,7 +23,7 @@
 )
 
 // runStop sends two reads on one connection before the machine that takes them gets SIGTERM, the second of which takes 3.7 s, and an order on
-// another connection that was in use before.
+// another connection that was in use before. With PLAIN=1, the two reads are sent on connections of their own.
 func runStop(w *world, trouble bool) (bool, error) {
 	w.services = []service{{name: "casco"}, {name: "pedido"}}
 	w.routes = []route{
@@ -73,8 +75,15 @@
 		return false, err
 	}
 	defer func() { _ = reader.Close() }()
-	text := head("GET", "/hull/1?ms=500", "read-1", 8*time.Second) + head("GET", "/hull/2?ms=3700", "read-2", 8*time.Second)
-	if err := reader.send(text, "read-1 and read-2"); err != nil {
+	first, second := head("GET", "/hull/1?ms=500", "read-1", 8*time.Second), head("GET", "/hull/2?ms=3700", "read-2", 8*time.Second)
+	other := reader
+	if os.Getenv("PLAIN") == "1" {
+		if other, err = w.connect(m); err != nil {
+			return false, err
+		}
+		defer func() { _ = other.Close() }()
+	}
+	if err := errors.Join(reader.send(first, "read-1"), other.send(second, "read-2")); err != nil {
 		return false, err
 	}
 	time.Sleep(200 * time.Millisecond)
@@ -86,7 +95,7 @@
 	go func() {
 		defer close(reads)
 		reader.receive("read-1", "GET", 8*time.Second)
-		reader.receive("read-2", "GET", 8*time.Second)
+		other.receive("read-2", "GET", 8*time.Second)
 	}()
 	time.Sleep(time.Until(stopped.Add(sentAfter)))
 	sent := time.Now()
