Release the coordinator's role as clean only after earlier grants have ended

Cause: a coordinator that takes over uncleanly waits until priorGrantsEnd for unanswered grants of its predecessor. releaseIsClean looked only at the calls of the process itself, so a coordinator that was stopped during this wait released the role as clean, and its successor didn't wait. The check existed for restored stores only.

Change: the role is released as clean only once priorGrantsEnd has passed. The successor then waits as after any unclean end. The wait concerns only keys that move from a target that hasn't confirmed a fence of this term; owners are renewed meanwhile.

Ruled out: an expired lease, a release that was answered too early. Other ways to end a term (abandoned, lost, taken again by the same process) don't release the role.

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -315,7 +315,7 @@
 }
 
 // startTerm starts a term of this process as coordinator. Grants of the previous coordinator may take effect and be held until
-// priorGrantsEnd, unless it released its role with no outstanding call.
+// priorGrantsEnd, unless it released its role as clean.
 func (c *Coordinator) startTerm(now clock.Instant, clean bool) {
 	c.revision++
 	c.leading = true
--- /dev/null
+++ b/pkg/coordinator/handover_test.go
@@ -0,0 +1,71 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+)
+
+// leader returns the node that leads, or nil if there is none.
+func (s *simulation) leader() *node {
+	for _, n := range s.nodes {
+		if n.alive && n.c.Leading(s.now) {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against two holders of a key after two changes of the role in a row: a coordinator that has taken over from a lost one released
+// the role as clean, so its successor didn't wait for the unanswered grants of the lost one, which took effect late.
+func TestNoKeyHasTwoHoldersAfterSuccessiveHandovers(t *testing.T) {
+	for seed := range *seeds {
+		sim := newSimulation(t, seed, 3, 6)
+		sim.runFor(5 * time.Second)
+		lost := sim.leader()
+		if lost == nil {
+			t.Fatalf("seed %d: no coordinator after 5 s", seed)
+		}
+		// Long enough for the target to be taken for lost and its keys to be moved.
+		sim.lateRate, sim.lossTarget = 1, "t2"
+		sim.runFor(time.Duration(2000+sim.rng.IntN(1000)) * time.Millisecond)
+		lost.alive = false
+		sim.lossTarget = ""
+		sim.runFor(200 * time.Millisecond)
+		sim.startNode(lost)
+		for range 2 {
+			for sim.leader() == nil {
+				sim.runFor(10 * time.Millisecond)
+			}
+			sim.runFor(time.Duration(sim.rng.IntN(400)) * time.Millisecond)
+			if n := sim.leader(); n != nil {
+				sim.stopNode(n, n.incarnation)
+			}
+			sim.runFor(200 * time.Millisecond)
+		}
+		sim.runFor(20 * time.Second)
+		if !sim.allServedSoon() {
+			t.Errorf("seed %d: only %.2f of the keys are served 20 s after the last change of the role", seed, sim.servedShare())
+		}
+	}
+}
+
+// Guards against two holders of a key, and against keys that stay unserved, when coordinators are stopped one after the other amid all
+// other faults.
+func TestNoKeyHasTwoHoldersWithPlannedStops(t *testing.T) {
+	for seed := range *seeds {
+		sim := newSimulation(t, seed, 3, 6)
+		sim.runFor(5 * time.Second)
+		for range 15 {
+			if n := sim.leader(); n != nil && sim.rng.IntN(2) == 0 {
+				sim.stopNode(n, n.incarnation)
+			} else {
+				sim.injectFault()
+			}
+			sim.runFor(time.Duration(sim.rng.IntN(2000)) * time.Millisecond)
+		}
+		sim.runFor(25 * time.Second)
+		if !sim.allServedSoon() {
+			t.Errorf("seed %d: only %.2f of the keys are served 25 s after the last fault", seed, sim.servedShare())
+		}
+	}
+}
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -52,7 +52,8 @@
 	Renewal uint64 `msgpack:"n"`
 	// Released is set if the coordinator has given up its role.
 	Released bool `msgpack:"rel"`
-	// Clean is set if it gave up its role with no outstanding call.
+	// Clean is set if it gave up its role when no grant whose outcome it doesn't know could take effect any more, neither one of its own
+	// nor one of an earlier coordinator.
 	Clean bool `msgpack:"clean"`
 	// Era is the era of the store in which the writer knew the row. A row whose version is of a later era was restored with the store.
 	Era uint64 `msgpack:"era,omitempty"`
@@ -96,7 +97,7 @@
 	ambiguous bool
 	takeover  bool
 	release   bool
-	// clean is set if the previous coordinator left no outstanding call.
+	// clean is set if the previous coordinator released the role as clean.
 	clean bool
 	// onApplied is called once the transaction is known to have taken effect.
 	onApplied func(now clock.Instant)
--- a/pkg/coordinator/restore.go
+++ b/pkg/coordinator/restore.go
@@ -83,13 +83,10 @@
 	return c.restored
 }
 
-// releaseIsClean reports whether a successor may take the stored tables for the whole state of the grants.
+// releaseIsClean reports whether a successor may take the stored tables for the whole state of the grants. As long as grants of earlier
+// coordinators may take effect, it may not: it knows nothing of them and wouldn't wait.
 func (c *Coordinator) releaseIsClean(now clock.Instant) bool {
-	if len(c.calls) > 0 || len(c.lostTables) > 0 {
-		return false
-	}
-	// In a later era, the tables of the grants that have yet to expire may have been lost.
-	return rowstore.Era(c.version) == 0 || now >= c.priorGrantsEnd
+	return len(c.calls) == 0 && len(c.lostTables) == 0 && now >= c.priorGrantsEnd
 }
 
 // writeLostTables writes the coordinator's row and the tables that the store has lost. The row's condition is the version that was read in
--- a/pkg/coordinator/simulation_test.go
+++ b/pkg/coordinator/simulation_test.go
@@ -39,6 +39,8 @@
 	// lossRate is the probability that a response is lost. lateRate is the probability that a call without a response is
 	// applied seconds later.
 	lossRate, lateRate float64
+	// lossTarget is a target whose responses to grants are all lost, "" for none.
+	lossTarget string
 	// highestFence holds the highest fence of each key and its holder.
 	highestFence map[int]fenceHolder
 	grantCount   int
@@ -312,7 +314,7 @@
 		respond(0, ErrLeaseEnded)
 		return
 	}
-	lost := s.rng.Float64() < s.lossRate
+	lost := s.rng.Float64() < s.lossRate || e.To.ID == s.lossTarget
 	s.schedule(s.randomDelay(), func() {
 		t := s.targets[e.To.ID]
 		conn, err := s.connect(connKey{n.name, inc, t.id}, t, e.Connection)
