Stop taking requests when a stopping VM awaits requests handled ahead

Cause: shutDown accepts requests for 3 s, then awaited the requests that are handled ahead, and only then called http.Server.Shutdown. As long as one pipelined read was in progress, the listener and all connections stayed open and every request was taken, though all end at 5.1 s. Shutdown can't come first, since net/http then closes a connection after its next response.

Change: at the end of the acceptance the VM closes the listener and all connections without a request in progress, also those that have carried none yet, and the handler refuses later requests with 503, as not run. The acceptance lasts half of the grace period at most. A request whose connection was closed as idle while its head was read isn't sent any more; the periodic search for idle connections had that gap, too.

Ruled out: without pipelined requests none of the late orders was passed on before (VM 0 of the test): Shutdown closes idle connections, and net/http closes a connection whose first request it reads during a shutdown.

--- a/internal/soak/crash_test.go
+++ b/internal/soak/crash_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -49,6 +50,12 @@
 // startCrashRun starts entry processes and targets. The targets have no proxies in front of them, because a crashed target must refuse
 // connections.
 func startCrashRun(t *testing.T, targets int, arguments ...string) *run {
+	t.Helper()
+	return startGracefulRun(t, targets, 0, arguments...)
+}
+
+// startGracefulRun is like startCrashRun, with another grace period of the entry processes if it isn't 0.
+func startGracefulRun(t *testing.T, targets int, grace time.Duration, arguments ...string) *run {
 	t.Helper()
 	dir := t.ArtifactDir()
 	r := &run{Options: Options{
@@ -59,6 +66,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(r.deployment.Close)
+	r.deployment.ShutdownGrace = cmp.Or(grace, r.deployment.ShutdownGrace)
 	r.checker = newCallerChecker(r.deployment.Checker)
 	r.supervisor = &child.Supervisor{LogDir: dir}
 	t.Cleanup(r.closeLinks)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -39,8 +39,8 @@
 	HeaderTimeout = 5 * time.Second
 	// MaxHeaderBytes limits the size of request headers before a configuration is known.
 	MaxHeaderBytes = 64 << 10
-	// drainAcceptTime is how long new connections are accepted after the request to stop. The load balancer polls
-	// readiness once per second and removes a VM after two failed polls.
+	// drainAcceptTime is how long connections and requests are accepted after the request to stop, at most half of the grace period. The
+	// load balancer polls readiness once per second and removes a VM after two failed polls.
 	drainAcceptTime = 3 * time.Second
 	// shutdownReserve is the part of the grace period that is kept in reserve, so that the process exits before it is
 	// killed.
@@ -91,6 +91,9 @@
 	interRegion       *interregion.Metrics
 	interRegionLogged time.Time
 	stopping          chan struct{}
+	// callerListener accepts the connections of callers. served receives the error that ended serving them.
+	callerListener net.Listener
+	served         chan error
 }
 
 // Run serves until the context is done, then shuts down gracefully.
@@ -113,12 +116,12 @@
 	p.control.ctx = runCtx
 	wg.Go(func() { p.control.Run(runCtx, listeners.relay) })
 	p.serveInternal(listeners, registry)
-	failed := make(chan error, 1)
-	go func() { failed <- p.callers.Serve(p.handler.WrapListener(listeners.callers)) }()
+	p.callerListener, p.served = listeners.callers, make(chan error, 1)
+	go func() { p.served <- p.callers.Serve(p.handler.WrapListener(p.callerListener)) }()
 	go p.watch(runCtx)
 	select {
 	case <-ctx.Done():
-	case err := <-failed:
+	case err := <-p.served:
 		return err
 	}
 	p.shutDown()
@@ -283,16 +286,18 @@
 }
 
 // shutDown ends the process without interrupting requests. The VM first reports that it isn't ready, so that the load
-// balancer sends it no new connections. Then connections are closed as they become idle, and requests in progress are
-// awaited until the reserve of the grace period begins.
+// balancer sends it no new connections. Then it takes no more requests, and those in progress are awaited until the reserve of the
+// grace period begins.
 func (p *process) shutDown() {
 	started := time.Now()
 	p.Log.Emit(event.EntryStopping, "grace_ms", p.Settings.ShutdownGrace.Milliseconds())
 	close(p.stopping)
 	deadline := started.Add(p.Settings.ShutdownGrace - shutdownReserve)
+	acceptTime := min(drainAcceptTime, p.Settings.ShutdownGrace/2)
 	p.handler.BeginShutdown(deadline.Add(-responseFlushTime))
-	p.control.Stop(drainAcceptTime)
-	time.Sleep(time.Until(started.Add(drainAcceptTime)))
+	p.control.Stop(acceptTime)
+	time.Sleep(time.Until(started.Add(acceptTime)))
+	p.stopAccepting()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	// http.Server closes connections after their next response, even if requests behind it are being handled ahead.
@@ -303,7 +308,18 @@
 	p.handler.AwaitCallers(ctx)
 }
 
-// idleConns tracks the connections of callers that have no request in progress.
+// stopAccepting ends the acceptance of connections and requests. A request that came later might not be answered before the process
+// ends. http.Server.Shutdown does the same, but only after AwaitAhead.
+func (p *process) stopAccepting() {
+	p.handler.StopAccepting()
+	if err := p.callerListener.Close(); err != nil {
+		p.Log.Emit(event.RouterDrainFailed, "error", err.Error())
+	}
+	<-p.served
+	p.idle.sweep(0)
+}
+
+// idleConns tracks the connections of callers that have no request in progress, including those that have carried none yet.
 type idleConns struct {
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
@@ -312,19 +328,19 @@
 func (i *idleConns) track(c net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if state == http.StateIdle {
+	if state == http.StateIdle || state == http.StateNew {
 		i.since[c] = time.Now()
 		return
 	}
 	delete(i.since, c)
 }
 
-// sweep closes the connections that have been idle for longer than the limit.
+// sweep closes the connections that have been idle for the limit or longer.
 func (i *idleConns) sweep(limit time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, since := range i.since {
-		if time.Since(since) > limit {
+		if time.Since(since) >= limit {
 			_ = c.Close()
 			delete(i.since, c)
 		}
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -32,6 +32,8 @@
 	// unconfiguredRetryAfter is the Retry-After of error responses if the VM has no configuration yet, doesn't know the route's
 	// pool or has no memory left for the request body.
 	unconfiguredRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of requests that are refused because the process stops. Other VMs can serve them at once.
+	stoppingRetryAfter = 10 * time.Millisecond
 )
 
 // Options configure a Handler.
@@ -82,6 +84,8 @@
 	// localRuns numbers the attempts that were placed by this VM without the broker.
 	localRuns atomic.Uint64
 	stopping  atomic.Bool
+	// refusing is set once no more requests are accepted.
+	refusing atomic.Bool
 	// stopDeadline is when the process must have responded to all requests. It is nil until shutdown begins.
 	stopDeadline atomic.Pointer[time.Time]
 	// stopCtx is cancelled at stopDeadline.
@@ -120,6 +124,12 @@
 	time.AfterFunc(time.Until(deadline), h.cancelStopCtx)
 }
 
+// StopAccepting makes the handler refuse the requests that it gets from now on. The time until the end of the process may not suffice for
+// them, and another VM can serve them.
+func (h *Handler) StopAccepting() {
+	h.refusing.Store(true)
+}
+
 // call is the handling of one request of a caller.
 type call struct {
 	*Handler
@@ -175,6 +185,10 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{Handler: h, w: w, r: r, start: time.Now()}
 	if c.conn, _ = r.Context().Value(connKey{}).(*callerConn); c.conn != nil {
+		if c.conn.isClosed() {
+			// The connection was closed as idle while the request was being read. Nobody would get its response.
+			panic(http.ErrAbortHandler)
+		}
 		defer c.conn.finish()
 		if ahead := c.conn.take(r); ahead != nil {
 			if ahead.call != nil {
@@ -247,6 +261,9 @@
 	view := c.State.Current()
 	meta, err := c.Dialect.ReadRequest(c.r.Header)
 	c.meta = meta
+	if c.refusing.Load() && c.ahead == nil {
+		return &statusError{http.StatusServiceUnavailable, "stopping", stoppingRetryAfter}
+	}
 	if view.Snapshot == nil || view.Snapshot.Configuration == nil {
 		return &statusError{http.StatusServiceUnavailable, "unconfigured", unconfiguredRetryAfter}
 	}
--- a/pkg/ingress/pipeline_conn.go
+++ b/pkg/ingress/pipeline_conn.go
@@ -419,6 +419,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// isClosed reports whether this side has closed the connection.
+func (c *callerConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return errors.Is(c.readErr, net.ErrClosed)
+}
+
 // endReading cancels what is handled ahead when the connection is closed.
 func (c *callerConn) endReading() {
 	c.mu.Lock()
