Count crashes of targets that fall silent against their requests

Cause: the quarantine knew one sign of a crash, a connection that ends before its response. An attempt that ends at its deadline was reported as abandoned and dropped, and the removal of the target's registration didn't reach the tracker.

Change: attempts that were sent and given up without a complete response end as unanswered. The tracker keeps them for 10 s, until their target answers anything. When the registration goes or names another start, and the target hadn't announced that it leaves, the crash counts against them, and against requests in flight if the target has answered nothing for 1.5 s. The rest is as for lost connections.

Ruled out: lost reports of attempts, a change of the coordinator.

TestSilentCrashesQuarantine, TestRunsAtSilentTargetsAreSuspectedOnRemoval and, against false suspicions, TestUnansweredRequestsOfLiveTargetsAreNotSuspected.

--- a/pkg/entry/snapshot.go
+++ b/pkg/entry/snapshot.go
@@ -360,7 +360,7 @@
 			if err != nil && (!ok || cached.target != nil) {
 				c.log.Emit(event.RegistrationInvalid, "error", err.Error())
 			}
-			changed = c.logTargetChange(cached.target, t) || changed
+			changed = c.noteTargetChange(cached.target, t) || changed
 			if cached.target != nil && t != nil && cached.target.EquivalentTo(t) && t.WarmupLeft <= 0 {
 				t = cached.target
 			}
@@ -373,15 +373,19 @@
 	}
 	for key, cached := range c.targets {
 		if _, ok := rows[key]; !ok {
-			changed = c.logTargetChange(cached.target, nil) || changed
+			changed = c.noteTargetChange(cached.target, nil) || changed
 			delete(c.targets, key)
 		}
 	}
 	return list, changed
 }
 
-// logTargetChange logs a change of a registration and reports whether it requires a new snapshot.
-func (c *Control) logTargetChange(old, current *inventory.Target) bool {
+// noteTargetChange notes and logs a change of a registration, and reports whether it requires a new snapshot.
+func (c *Control) noteTargetChange(old, current *inventory.Target) bool {
+	if old != nil && (current == nil || current.Incarnation() != old.Incarnation()) {
+		announced := old.Draining || c.leavingTargets.incarnations[old.Incarnation()]
+		c.suspects.TargetRemoved(old.Incarnation(), announced, c.clock.Now())
+	}
 	switch {
 	case old == nil && current == nil:
 		return false
--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -176,6 +176,8 @@
 		switch e.Kind {
 		case quarantine.EventCrash:
 			c.log.Emit(event.TargetConnectionsLost, "target", e.Incarnation.Target, "started", e.Incarnation.Started, "in_flight", e.InFlight, "suspected", e.Suspects)
+		case quarantine.EventSilentCrash:
+			c.log.Emit(event.SilentTargetGone, "target", e.Incarnation.Target, "started", e.Incarnation.Started, "suspected", e.Suspects)
 		case quarantine.EventAlive:
 			c.log.Emit(event.TargetRespondsAgain, "target", e.Incarnation.Target, "started", e.Incarnation.Started)
 		case quarantine.EventQuarantined:
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -383,7 +383,9 @@
 		elapsed = 0
 	case r.outcome == notRun:
 		ending = placing.Refused
-	case r.outcome == expired || errors.Is(r.cause, context.Canceled) || errors.Is(r.cause, context.DeadlineExceeded):
+	case r.outcome == expired:
+		ending = placing.Unanswered
+	case errors.Is(r.cause, context.Canceled) || errors.Is(r.cause, context.DeadlineExceeded):
 		ending = placing.Abandoned
 	case errors.Is(r.cause, errTokenExpired):
 		// This says nothing about the target.
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -351,13 +351,15 @@
 	Refused
 	// Failed means that the connection failed or the answer was unusable.
 	Failed
-	// Abandoned means that this VM ended the request, which says little about the target.
+	// Abandoned means that this VM ended the request, or couldn't use its answer, which says little about the target.
 	Abandoned
 	// TargetError means that the target answered with an error of its own.
 	TargetError
 	// ConnectionLost means that the connection was lost after the request was sent and before an answer arrived: the target may
 	// have crashed.
 	ConnectionLost
+	// Unanswered means that this VM ended the request after it was sent and before a complete answer arrived.
+	Unanswered
 )
 
 // QuarantineOutcome maps the result to what it says about whether the request crashes targets.
@@ -369,6 +371,8 @@
 		return quarantine.Refused
 	case ConnectionLost:
 		return quarantine.ConnectionLost
+	case Unanswered:
+		return quarantine.Unanswered
 	default:
 		return quarantine.Unknown
 	}
@@ -445,7 +449,7 @@
 		l.connectionFailures++
 		l.recordFailure()
 		l.notBefore = max(l.notBefore, now.Add(pause))
-	case Abandoned:
+	case Abandoned, Unanswered:
 		if elapsed > l.serviceTime {
 			// Taking longer than the average without an answer shows that the target is slow.
 			l.updateServiceTime(elapsed, now)
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -49,6 +49,8 @@
 	ConnectionLost
 	// Unknown means that the end of the run says nothing about the target.
 	Unknown
+	// Unanswered means that the run was ended before a complete answer arrived, while its connection was open.
+	Unanswered
 )
 
 // EventKind is the kind of an Event.
@@ -61,13 +63,15 @@
 	EventAlive
 	// EventQuarantined means that a request is refused from now on.
 	EventQuarantined
+	// EventSilentCrash means that a target is gone without notice after it had left requests unanswered.
+	EventSilentCrash
 )
 
 // Event is a change that is reported to the operator.
 type Event struct {
 	Kind EventKind
-	// Incarnation is set for EventCrash and EventAlive. InFlight and Suspects are the number of requests in flight at an
-	// EventCrash and the number of those suspected.
+	// Incarnation is set for EventCrash, EventSilentCrash and EventAlive. InFlight and Suspects are the number of requests in
+	// flight at an EventCrash and the number of those suspected.
 	Incarnation        inventory.Incarnation
 	InFlight, Suspects int
 	// Content, Crashes and RefusedFor are set for EventQuarantined. Content is the hash of the content and the caller if only
@@ -84,7 +88,8 @@
 // at a time and isn't placed beside another suspect, so that the next crash shows which one caused it; a request that merely ran
 // at the same time is cleared by its next success. After the third crash the request is refused for a time, and its crashes are
 // no longer counted against the other requests. A target that answers after its connections were lost hasn't crashed, so lost
-// answers don't count.
+// answers don't count. A target that crashes without closing its connections is recognised by its removed registration: see
+// TargetRemoved.
 //
 // Invariants: an incarnation of a target counts at most once against a request. A request is refused only if it crashed
 // crashLimit incarnations without a success in between, or was refused before. Tracker does no I/O and is safe for concurrent
@@ -99,8 +104,13 @@
 	// copies counts the runs in flight of each ID.
 	copies map[uint64]int
 	// crashes holds the incarnations that appear to have crashed.
-	crashes  map[inventory.Incarnation]*crash
-	harmless *expiringSet
+	crashes map[inventory.Incarnation]*crash
+	// silent holds the runs that each incarnation has left unanswered since its last answer, answeredAt when that was, and removed when
+	// the registrations of incarnations were removed without notice.
+	silent     map[inventory.Incarnation][]silentRun
+	answeredAt map[inventory.Incarnation]clock.Instant
+	removed    map[inventory.Incarnation]clock.Instant
+	harmless   *expiringSet
 	// withdrawn holds IDs combined with the incarnations that were counted against them by mistake.
 	withdrawn *expiringSet
 	changed   map[uint64]bool
@@ -126,6 +136,7 @@
 func NewTracker() *Tracker {
 	return &Tracker{
 		records: map[uint64]*record{}, runs: map[RunID]*activeRun{}, runsAt: map[inventory.Incarnation]map[*activeRun]bool{}, copies: map[uint64]int{}, crashes: map[inventory.Incarnation]*crash{},
+		silent: map[inventory.Incarnation][]silentRun{}, answeredAt: map[inventory.Incarnation]clock.Instant{}, removed: map[inventory.Incarnation]clock.Instant{},
 		harmless: newExpiringSet(harmlessLimit), withdrawn: newExpiringSet(MaxEntries), changed: map[uint64]bool{},
 	}
 }
@@ -220,6 +231,8 @@
 		t.answered(r, now)
 	case Refused:
 		t.answered(r, now)
+	case Unanswered:
+		t.unanswered(r, now)
 	case ConnectionLost, Unknown:
 	}
 }
@@ -238,6 +251,8 @@
 	clear(t.runs)
 	clear(t.runsAt)
 	clear(t.copies)
+	clear(t.silent)
+	clear(t.answeredAt)
 }
 
 // CopyInFlight reports whether another copy of a request is in flight.
@@ -341,6 +356,8 @@
 
 // answered withdraws a crash if the target answers after it: the connection was lost for another reason.
 func (t *Tracker) answered(r *activeRun, now clock.Instant) {
+	delete(t.silent, r.incarnation)
+	t.answeredAt[r.incarnation] = now
 	c := t.crashes[r.incarnation]
 	if c == nil {
 		return
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -202,3 +202,78 @@
 		}
 	}
 }
+
+// Guards against a request that crashes one target after another when they fall silent instead of closing their connections. The
+// registration may be removed before the request is given up.
+func TestSilentCrashesQuarantine(t *testing.T) {
+	for _, removedFirst := range []bool{false, true} {
+		h, bad := newTrackerHarness(), fingerprintOf("bad")
+		for i := range crashLimit {
+			if v := h.verdict(bad); v == Quarantined {
+				t.Fatalf("refused after %d crashes", i)
+			}
+			incarnation := inventory.Incarnation{Target: fmt.Sprint("t", i)}
+			id := h.begin(bad, incarnation)
+			steps := []func(){func() { h.End(id, Unanswered, h.now) }, func() { h.TargetRemoved(incarnation, false, h.now) }}
+			if removedFirst {
+				steps[0], steps[1] = steps[1], steps[0]
+			}
+			for _, step := range steps {
+				h.now = h.now.Add(1500 * time.Millisecond)
+				step()
+			}
+		}
+		if v := h.verdict(bad); v != Quarantined {
+			t.Errorf("removed first: %v: %v after %d crashes", removedFirst, v, crashLimit)
+		}
+	}
+}
+
+// Guards against a request that isn't refused before the end of its long deadline, although its target was silent for long when its
+// registration went, and against suspecting a request that runs at a target which leaves without notice and answers others.
+func TestRunsAtSilentTargetsAreSuspectedOnRemoval(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		h, bad := newTrackerHarness(), fingerprintOf("bad")
+		for i := range crashLimit {
+			incarnation := inventory.Incarnation{Target: fmt.Sprint("t", i)}
+			h.begin(bad, incarnation)
+			h.now = h.now.Add(2 * time.Second)
+			if answers {
+				h.End(h.begin(fingerprintOf("other"), incarnation), Served, h.now)
+			}
+			h.TargetRemoved(incarnation, false, h.now)
+		}
+		if v := h.verdict(bad); (v == Clear) != answers || (v == Quarantined) == answers {
+			t.Errorf("answers others: %v: %v", answers, v)
+		}
+	}
+}
+
+// Guards against a request that is suspected although its target hasn't crashed: the target answered other requests afterwards, had
+// announced that it leaves, or went long after.
+func TestUnansweredRequestsOfLiveTargetsAreNotSuspected(t *testing.T) {
+	for name, end := range map[string]func(h *trackerHarness, incarnation inventory.Incarnation){
+		"answered": func(h *trackerHarness, incarnation inventory.Incarnation) {
+			h.End(h.begin(fingerprintOf("other"), incarnation), Served, h.now)
+			h.TargetRemoved(incarnation, false, h.now)
+		},
+		"announced": func(h *trackerHarness, incarnation inventory.Incarnation) {
+			h.TargetRemoved(incarnation, true, h.now)
+		},
+		"long after": func(h *trackerHarness, incarnation inventory.Incarnation) {
+			h.now = h.now.Add(silenceTTL + time.Second)
+			h.TargetRemoved(incarnation, false, h.now)
+		},
+	} {
+		h, slow := newTrackerHarness(), fingerprintOf("slow")
+		for range 2 * crashLimit {
+			incarnation := inventory.Incarnation{Target: fmt.Sprint("t", h.seq)}
+			h.End(h.begin(slow, incarnation), Unanswered, h.now)
+			h.now = h.now.Add(time.Second)
+			end(h, incarnation)
+		}
+		if v := h.verdict(slow); v != Clear {
+			t.Errorf("%s: %v", name, v)
+		}
+	}
+}
