Count crashes amid responses against their requests

Cause: an attempt whose response broke off didn't count as a lost connection, which was meant for connections that end before the response. It was dropped as saying nothing about the target. A response too large to be buffered even counted as a success from its head on, and cleared the request with each crash.

Change: a connection that ends before the response is complete counts as lost. A target that truncates responses and goes on answering withdraws the crash, as with lost answers. A response that is passed on in parts ends the attempt as partly answered: it frees the slot and shows that the target was alive, but isn't a success. Its complete body clears the request; one that breaks off counts once the registration of the target is gone.

Ruled out: withdrawal of the crashes by later answers (none came). The gateways count responses that break off already.

New with the change: TestBrokenBodiesQuarantine.

--- a/pkg/event/entry.go
+++ b/pkg/event/entry.go
@@ -54,7 +54,7 @@
 
 	TargetLimitExceeded    = define(845, log.WarnLevel, "target broke a bound of what is read from it")
 	MessageRejected        = define(847, log.WarnLevel, "failed to handle a message of another VM; connection closed")
-	TargetConnectionsLost  = define(848, log.WarnLevel, "connections to the target closed before a response")
+	TargetConnectionsLost  = define(848, log.WarnLevel, "connections to the target closed before a complete response")
 	TargetRespondsAgain    = define(849, log.InfoLevel, "target responds after its connections had closed; it has not crashed")
 	SilentTargetGone       = define(858, log.WarnLevel, "target is gone without notice and has left requests unanswered")
 	CrashingRequestRefused = define(850, log.ErrorLevel, "request has crashed several targets and is refused")
--- a/pkg/ingress/attempt.go
+++ b/pkg/ingress/attempt.go
@@ -375,6 +375,8 @@
 		ending = placing.ConnectionLost
 	case r.outcome == answered && r.response.status >= http.StatusInternalServerError:
 		ending = placing.TargetError
+	case r.outcome == answered && r.response.rest != nil:
+		ending = placing.PartlyAnswered
 	case r.outcome == answered:
 		ending = placing.Answered
 	case r.outcome == notRun && r.response.status == http.StatusMisdirectedRequest:
--- a/pkg/ingress/handler.go
+++ b/pkg/ingress/handler.go
@@ -415,7 +415,11 @@
 	if resp.rest == nil {
 		return
 	}
-	if err := streamBody(c.w, resp.rest); err != nil {
+	err := streamBody(c.w, resp.rest)
+	if err == nil || errors.Is(err, errTruncated) && !isLimitError(err) {
+		c.Suspects.BodyEnded(c.fingerprint, resp.incarnation, err == nil, c.Clock.Now())
+	}
+	if err != nil {
 		if isLimitError(err) {
 			c.Metrics.recordLimitExceeded()
 		}
--- a/pkg/ingress/headers.go
+++ b/pkg/ingress/headers.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 
@@ -17,7 +18,7 @@
 	}
 }
 
-// streamBody copies src to the caller and flushes after each read.
+// streamBody copies src to the caller and flushes after each read. If src fails, the error is errTruncated with its cause.
 func streamBody(w http.ResponseWriter, src io.Reader) error {
 	control := http.NewResponseController(w)
 	buffer := make([]byte, 32<<10)
@@ -34,7 +35,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
 	}
 }
--- a/pkg/ingress/send.go
+++ b/pkg/ingress/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/interregion"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/targetconn"
 )
 
@@ -63,6 +64,8 @@
 	// body is the part that has been read; rest is nil if that is the whole body.
 	body []byte
 	rest io.ReadCloser
+	// incarnation is the target that sent the response.
+	incarnation inventory.Incarnation
 }
 
 // result describes how an attempt ended.
@@ -72,10 +75,10 @@
 	cause    error
 }
 
-// connectionLost reports whether the connection ended after the request was sent and before a response arrived, as happens when
+// connectionLost reports whether the connection ended after the request was sent and before the response was complete, as happens when
 // a target crashes.
 func (r result) connectionLost() bool {
-	return r.outcome == unknown && r.response == nil && !errors.Is(r.cause, errTruncated) &&
+	return r.outcome == unknown && r.response == nil &&
 		(errors.Is(r.cause, io.EOF) || errors.Is(r.cause, io.ErrUnexpectedEOF) || errors.Is(r.cause, syscall.ECONNRESET) || errors.Is(r.cause, syscall.EPIPE))
 }
 
--- a/pkg/ingress/target_attempt.go
+++ b/pkg/ingress/target_attempt.go
@@ -92,6 +92,9 @@
 	if r.outcome != unsent {
 		c.attempts++
 	}
+	if r.response != nil {
+		r.response.incarnation = s.target.Incarnation()
+	}
 	c.mayHaveRun = c.mayHaveRun || r.outcome != unsent && r.outcome != notRun
 	c.recordRateLimit(s.target, r, s.sentInstant)
 	c.finishAttempt(s)
--- a/pkg/placing/forecasterror.go
+++ b/pkg/placing/forecasterror.go
@@ -52,7 +52,7 @@
 
 // recordForecastError records the error of the forecast for a request that was answered.
 func (b *Broker) recordForecastError(p permit, result Result, now clock.Instant) {
-	if b.forecastErrors == nil || result != Answered {
+	if b.forecastErrors == nil || !result.hasAnswer() {
 		return
 	}
 	took := now.Sub(p.start) - time.Duration(p.forecastLeftMs)*time.Millisecond
--- a/pkg/placing/kind.go
+++ b/pkg/placing/kind.go
@@ -194,7 +194,7 @@
 	}
 	before, measured := l.serviceTime, l.measured
 	l.recordResult(time.Duration(float64(elapsed)/pool.factor(p.rank)), result, report, now)
-	if result == Answered && measured {
+	if result.hasAnswer() && measured {
 		pool.record(p.rank, l.serviceSample(elapsed, now)/float64(before))
 	}
 }
--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -360,8 +360,15 @@
 	ConnectionLost
 	// Unanswered means that this VM ended the request after it was sent and before a complete answer arrived.
 	Unanswered
+	// PartlyAnswered means that the head of an answer and a part of its body arrived, and the rest is passed on as it comes.
+	PartlyAnswered
 )
 
+// hasAnswer reports whether the target has answered the request, at least in part and not with an error.
+func (r Result) hasAnswer() bool {
+	return r == Answered || r == PartlyAnswered
+}
+
 // QuarantineOutcome maps the result to what it says about whether the request crashes targets.
 func (r Result) QuarantineOutcome() quarantine.Outcome {
 	switch r {
@@ -373,6 +380,8 @@
 		return quarantine.ConnectionLost
 	case Unanswered:
 		return quarantine.Unanswered
+	case PartlyAnswered:
+		return quarantine.PartlyServed
 	default:
 		return quarantine.Unknown
 	}
@@ -425,7 +434,7 @@
 		l.recordReport(report, now)
 	}
 	switch result {
-	case Answered:
+	case Answered, PartlyAnswered:
 		l.connectionFailures = 0
 		l.failureRate -= failureRateWeight * l.failureRate
 		l.refusalRate -= failureRateWeight * l.refusalRate
--- a/pkg/placing/ratelimit.go
+++ b/pkg/placing/ratelimit.go
@@ -143,7 +143,7 @@
 
 // recordRateLimit records what the response to a request of another VM says about the target's rate limit.
 func (b *Broker) recordRateLimit(p permit, result Result, report *Report, now clock.Instant) {
-	if result != Answered && result != TargetError && result != Refused {
+	if !result.hasAnswer() && result != TargetError && result != Refused {
 		return
 	}
 	notice := ratelimit.Notice{}
--- a/pkg/quarantine/silence.go
+++ b/pkg/quarantine/silence.go
@@ -20,7 +20,7 @@
 	maxSilentIncarnations = 1024
 )
 
-// silentRun is a run that ended without an answer.
+// silentRun is a run that ended without a complete answer.
 type silentRun struct {
 	fingerprint Fingerprint
 	endedAt     clock.Instant
@@ -51,6 +51,22 @@
 	t.attributeSilent(incarnation, silent, now)
 }
 
+// BodyEnded records the end of an answer that was passed on in parts. VMs that know the run only as partly served learn of it through the
+// records. An answer that breaks off counts as a crash if the target is gone afterwards.
+func (t *Tracker) BodyEnded(f Fingerprint, incarnation inventory.Incarnation, complete bool, now clock.Instant) {
+	if f.ByCaller == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer t.updateRecordCount()
+	if complete {
+		t.succeeded(f, now)
+		return
+	}
+	t.addSilent(silentRun{fingerprint: f, endedAt: now}, incarnation, now)
+}
+
 // unanswered records that a run ended without an answer. If its target is gone, it counts as a crash; otherwise it does once the target
 // is gone without having answered meanwhile.
 func (t *Tracker) unanswered(r *activeRun, now clock.Instant) {
@@ -59,7 +75,12 @@
 		t.attributeSilent(r.incarnation, []silentRun{run}, now)
 		return
 	}
-	list := t.silent[r.incarnation]
+	t.addSilent(run, r.incarnation, now)
+}
+
+// addSilent remembers a run until its target answers or its registration is removed.
+func (t *Tracker) addSilent(run silentRun, incarnation inventory.Incarnation, now clock.Instant) {
+	list := t.silent[incarnation]
 	if list == nil && len(t.silent) >= maxSilentIncarnations {
 		t.pruneSilent(now)
 		if len(t.silent) >= maxSilentIncarnations {
@@ -69,7 +90,7 @@
 	if len(list) >= maxSilentRuns {
 		list = list[1:]
 	}
-	t.silent[r.incarnation] = append(list, run)
+	t.silent[incarnation] = append(list, run)
 }
 
 // attributeSilent attributes the crash of an incarnation to its unanswered runs.
--- a/pkg/quarantine/tracker.go
+++ b/pkg/quarantine/tracker.go
@@ -45,12 +45,14 @@
 	Served Outcome = iota
 	// Refused means that the target stated that it didn't run the request.
 	Refused
-	// ConnectionLost means that the connection was lost before an answer arrived.
+	// ConnectionLost means that the connection was lost before a complete answer arrived.
 	ConnectionLost
 	// Unknown means that the end of the run says nothing about the target.
 	Unknown
 	// Unanswered means that the run was ended before a complete answer arrived, while its connection was open.
 	Unanswered
+	// PartlyServed means that a part of the answer arrived. BodyEnded records how the rest ends.
+	PartlyServed
 )
 
 // EventKind is the kind of an Event.
@@ -84,7 +86,7 @@
 // Tracker finds the requests that crash their targets, among all that are in flight there. Otherwise a request that callers send
 // again and again through all VMs would crash one target after another.
 //
-// When connections to a target are lost before an answer, the requests in flight there are suspected. A suspect runs in one copy
+// When connections to a target are lost before a complete answer, the requests in flight there are suspected. A suspect runs in one copy
 // at a time and isn't placed beside another suspect, so that the next crash shows which one caused it; a request that merely ran
 // at the same time is cleared by its next success. After the third crash the request is refused for a time, and its crashes are
 // no longer counted against the other requests. A target that answers after its connections were lost hasn't crashed, so lost
@@ -229,7 +231,7 @@
 	case Served:
 		t.succeeded(r.fingerprint, now)
 		t.answered(r, now)
-	case Refused:
+	case Refused, PartlyServed:
 		t.answered(r, now)
 	case Unanswered:
 		t.unanswered(r, now)
--- a/pkg/quarantine/tracker_test.go
+++ b/pkg/quarantine/tracker_test.go
@@ -249,6 +249,33 @@
 	}
 }
 
+// Guards against a request that crashes its targets amid long answers and isn't refused, because the beginning of an answer counts as a
+// success. A complete answer clears it.
+func TestBrokenBodiesQuarantine(t *testing.T) {
+	h, bad := newTrackerHarness(), fingerprintOf("bad")
+	answer := func(complete bool) {
+		incarnation := inventory.Incarnation{Target: fmt.Sprint("t", h.seq)}
+		h.End(h.begin(bad, incarnation), PartlyServed, h.now)
+		h.BodyEnded(bad, incarnation, complete, h.now)
+		h.now = h.now.Add(3 * time.Second)
+		h.TargetRemoved(incarnation, false, h.now)
+	}
+	answer(false)
+	if v := h.verdict(bad); v != Suspected {
+		t.Errorf("%v after a broken answer", v)
+	}
+	answer(true)
+	if v := h.verdict(bad); v != Clear {
+		t.Errorf("%v after a complete answer", v)
+	}
+	for range crashLimit {
+		answer(false)
+	}
+	if v := h.verdict(bad); v != Quarantined {
+		t.Errorf("%v after %d broken answers", v, crashLimit)
+	}
+}
+
 // Guards against a request that is suspected although its target hasn't crashed: the target answered other requests afterwards, had
 // announced that it leaves, or went long after.
 func TestUnansweredRequestsOfLiveTargetsAreNotSuspected(t *testing.T) {
