--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -121,13 +121,17 @@
 		return func() { t.Shedding.Store(0) }, nil
 	}},
 	{"request crashes targets", func(r *run, ctx context.Context, d time.Duration) (func(), error) {
-		path := []string{standin.PathRead, standin.PathOrder}[r.targetFaultRand.IntN(2)] + standin.PathCrash + fmt.Sprint(r.targetFaultRand.IntN(1000))
+		prefix, number := []string{standin.PathRead, standin.PathOrder}[r.targetFaultRand.IntN(2)], r.targetFaultRand.IntN(1000)
+		path := prefix + crashPaths[number%len(crashPaths)] + fmt.Sprint(number)
 		random := rand.New(rand.NewPCG(r.Seed, uint64(r.targetFaultRand.IntN(1000))))
 		r.group.Go(func() { r.sendCrashingRequest(ctx, path, d, random) })
 		return nil, nil
 	}},
 }
 
+// crashPaths are the ways in which a request crashes its targets.
+var crashPaths = []string{standin.PathCrash, standin.PathSilentCrash, standin.PathPartialCrash, standin.PathStreamCrash}
+
 // rateLimits are the values that targets name as their rate limit in the soak.
 var rateLimits = []string{"0", "0.5", "2", "3.5", "20", "1000000", "several", "-1"}
 
