Release inherited moves with the highest fence of the previous owner

Cause: a stored fence stands for 256 fences on the wire, of which a coordinator uses one more for each lost connection. A successor knows the stored fence only. newGrantState assumes the highest one then; startTerm left the epoch of moves that were already stored at 0.

Change: startTerm assumes the highest epoch, too. The next stored fence stays above it.

Test: TestInheritedMoveIsReleasedWithHighestFence, before: "the release has fence 256, want 511".

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -334,7 +334,8 @@
 		}
 		for i := range t.Slices {
 			s := &t.Slices[i]
-			p.grants[s.Fence] = &grantState{ready: s.Previous == "", inherited: true, stale: true, end: end, previousEnd: end, nextSend: now, movedAt: now}
+			p.grants[s.Fence] = &grantState{ready: s.Previous == "", inherited: true, stale: true, end: end, previousEnd: end,
+				previousEpoch: epochsPerFence - 1, nextSend: now, movedAt: now}
 		}
 		c.pools[pool] = p
 	}
--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -3,6 +3,10 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/bronzelever/bronzelever/pkg/clock"
+	"github.com/bronzelever/bronzelever/pkg/inventory"
+	"github.com/bronzelever/bronzelever/pkg/keyrange"
 )
 
 // leader returns the node that leads, or nil if there is none.
@@ -69,3 +73,29 @@
 		}
 	}
 }
+
+// Guards against a release of a move of an earlier coordinator with a fence below those that the previous owner may have got from it in
+// later epochs: such a grant that takes effect late would undo the release.
+func TestInheritedMoveIsReleasedWithHighestFence(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	cfg := inventory.NewConfiguration(1, inventory.Limits{}, []*inventory.Pool{{Name: "p", Keyed: true}}, nil)
+	c := New(Identity{VM: "a", Incarnation: "1"})
+	c.storedTables["p"] = &keyrange.Table{Pool: "p", NextFence: 3, Slices: []keyrange.Slice{
+		{From: 0, To: keyrange.MaxKey, Fence: 2, Owner: "t1", OwnerStarted: 1, Previous: "t0", PreviousStarted: 1, PreviousFence: 1},
+	}}
+	c.startTerm(now, true)
+	c.leaseEnd = now.Add(LeaseTTL)
+	c.view.Snapshot = inventory.NewSnapshot(cfg, []*inventory.Target{
+		{ID: "t0", Pool: "p", Address: "a0", Started: 1}, {ID: "t1", Pool: "p", Address: "a1", Started: 1},
+	}, nil)
+	c.recordAddresses()
+	for _, e := range c.Advance(now) {
+		if r, ok := e.(SendRelease); ok {
+			if want := wireFence(2, 0) - 1; r.Grant.Fence != want {
+				t.Errorf("the release has fence %d, want %d", r.Grant.Fence, want)
+			}
+			return
+		}
+	}
+	t.Error("the keys aren't released")
+}
