Tell the successor how long earlier grants may take effect

Keys that move from a target that doesn't answer would stay unserved for longer with each change of the coordinator, as in a restart of all VMs in turn.

Change: the row of a role that isn't released as clean holds the rest of the wait in milliseconds: that for earlier coordinators and that for own grants without an outcome. It holds none while a call is in flight or lost tables are to be written, and the successor waits as before. Measured times are extended by the drift of clocks. Rows without such grants have the same bytes as before; earlier versions ignore the field and wait longer.

Ruled out: keeping the role until the wait has ended. A stopping coordinator sends no grants, and the grace period may be shorter.

Tests: TestSuccessorWaitsForRestOfPriorGrants (four cases; before, every successor of a release that isn't clean waited for the whole time).

--- a/pkg/coordinator/coordinator.go
+++ b/pkg/coordinator/coordinator.go
@@ -160,7 +160,7 @@
 	if c.pending == nil {
 		return Fleet{}, false
 	}
-	return c.pending.fleet, true
+	return c.pending.row.Fleet, true
 }
 
 func (c *Coordinator) emit(e Effect) {
@@ -271,7 +271,9 @@
 	case err == nil:
 		c.pending = nil
 		c.version, c.readVersion, c.versionSeenAt = version, version, now
-		c.setRow(Leader{VM: c.self.VM, Incarnation: c.self.Incarnation, Address: c.self.Address, Renewal: p.renewal, Released: p.release, Clean: p.release && c.releaseIsClean(now), Era: rowstore.Era(version), Fleet: p.fleet}, version)
+		row := p.row
+		row.Era = rowstore.Era(version)
+		c.setRow(row, version)
 		c.commitSucceeded(p, now)
 	case errors.Is(err, rowstore.ErrRefused) && !p.ambiguous:
 		c.pending = nil
@@ -297,14 +299,14 @@
 
 // commitSucceeded updates the state after a write that is known to have taken effect.
 func (c *Coordinator) commitSucceeded(p *pendingCommit, now clock.Instant) {
-	c.ownRenewal = p.renewal
-	if p.release {
+	c.ownRenewal = p.row.Renewal
+	if p.release != nil {
 		c.leading, c.stopping = false, false
 		c.log(event.LeadershipReleased)
 		return
 	}
 	if p.takeover {
-		c.startTerm(now, p.clean)
+		c.startTerm(now, p.maxPriorGrants)
 	}
 	c.leaseEnd = p.sent.Add(LeaseTTL)
 	c.nextTry = p.sent.Add(renewInterval)
@@ -314,17 +316,14 @@
 	c.clearReplacing()
 }
 
-// startTerm starts a term of this process as coordinator. Grants of the previous coordinator may take effect and be held until
-// priorGrantsEnd, unless it released its role as clean.
-func (c *Coordinator) startTerm(now clock.Instant, clean bool) {
+// startTerm starts a term of this process as coordinator. Grants of earlier coordinators that the stored tables don't show may take effect
+// and be held for priorGrants from now on.
+func (c *Coordinator) startTerm(now clock.Instant, priorGrants time.Duration) {
 	c.revision++
 	c.leading = true
 	c.terms++
 	end := latestGrantEnd(now, FinalGrantTTL)
-	c.priorGrantsEnd = end
-	if clean {
-		c.priorGrantsEnd = now
-	}
+	c.priorGrantsEnd = min(end, now.Add(priorGrants))
 	c.pools = map[string]*poolState{}
 	c.calls, c.lostTables = nil, nil
 	for pool, t := range c.storedTables {
@@ -366,7 +365,7 @@
 	if c.settleRestored(now) {
 		return c.takeEffects()
 	}
-	p, err := c.newCommit(nil, true, c.releaseIsClean(now))
+	p, err := c.newCommit(nil, c.newRelease(now))
 	if err != nil {
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return c.takeEffects()
@@ -424,17 +423,29 @@
 }
 
 func (c *Coordinator) takeOver(now clock.Instant) {
-	p, err := c.newCommit(nil, false, false)
+	p, err := c.newCommit(nil, nil)
 	if err != nil {
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return
 	}
-	p.takeover, p.clean = true, !c.restored && (rowstore.Number(c.version) == 0 || c.row.Released && c.row.Clean)
+	p.takeover, p.maxPriorGrants = true, c.maxPriorGrants()
 	c.previousLeader = c.leader
 	c.replaced, c.replacedRestored = c.row, c.restored
 	c.sendCommit(p, now)
 }
 
+// maxPriorGrants returns for how long after a takeover grants of earlier coordinators that the stored tables don't show may take effect.
+func (c *Coordinator) maxPriorGrants() time.Duration {
+	limit := latestGrantEnd(0, FinalGrantTTL).Sub(0)
+	if !c.restored && rowstore.Number(c.version) == 0 {
+		return 0
+	}
+	if c.restored || !c.row.Released {
+		return limit
+	}
+	return c.row.priorGrants(limit)
+}
+
 // recordAddresses records the addresses of the registered targets. A target may still hold keys after its registration is gone.
 func (c *Coordinator) recordAddresses() {
 	if c.view.Snapshot == nil {
@@ -472,7 +483,7 @@
 	if len(puts) == 0 && now >= c.noTablesUntil {
 		puts = c.cleanUpTables()
 	}
-	p, err := c.newCommit(puts, false, false)
+	p, err := c.newCommit(puts, nil)
 	if err != nil {
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return
--- a/pkg/coordinator/handover_test.go
+++ b/pkg/coordinator/handover_test.go
@@ -7,6 +7,7 @@
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/inventory"
 	"github.com/bronzelever/bronzelever/pkg/keyrange"
+	"github.com/bronzelever/bronzelever/pkg/rowstore"
 )
 
 // leader returns the node that leads, or nil if there is none.
@@ -83,7 +84,7 @@
 	c.storedTables["p"] = &keyrange.Table{Pool: "p", NextFence: 3, Slices: []keyrange.Slice{
 		{From: 0, To: keyrange.MaxKey, Fence: 2, Owner: "t1", OwnerStarted: 1, Previous: "t0", PreviousStarted: 1, PreviousFence: 1},
 	}}
-	c.startTerm(now, true)
+	c.startTerm(now, 0)
 	c.leaseEnd = now.Add(LeaseTTL)
 	c.view.Snapshot = inventory.NewSnapshot(cfg, []*inventory.Target{
 		{ID: "t0", Pool: "p", Address: "a0", Started: 1}, {ID: "t1", Pool: "p", Address: "a1", Started: 1},
@@ -99,3 +100,37 @@
 	}
 	t.Error("the keys aren't released")
 }
+
+// Guards against a successor that waits for the grants of earlier coordinators for longer than its predecessor would have: keys that move
+// from a target that doesn't answer would stay unserved for longer with each change of the coordinator. It also guards against one that
+// waits too short.
+func TestSuccessorWaitsForRestOfPriorGrants(t *testing.T) {
+	now := clock.Instant(time.Minute)
+	whole := latestGrantEnd(now, FinalGrantTTL).Sub(now)
+	for name, tc := range map[string]struct {
+		prior    time.Duration
+		calls    []*grantCall
+		min, max time.Duration
+	}{
+		"nothing outstanding":          {-time.Second, nil, 0, 0},
+		"earlier grants":               {3 * time.Second, nil, 3 * time.Second, 3100 * time.Millisecond},
+		"own call with unknown effect": {time.Second, []*grantCall{{end: now.Add(4 * time.Second)}}, 4 * time.Second, 4100 * time.Millisecond},
+		"own call in flight":           {-time.Second, []*grantCall{{end: now.Add(time.Second), inFlight: true}}, whole, whole},
+	} {
+		c := New(Identity{VM: "a", Incarnation: "1"})
+		c.leading, c.priorGrantsEnd, c.calls = true, now.Add(tc.prior), tc.calls
+		p, err := c.newCommit(nil, c.newRelease(now))
+		if err != nil {
+			t.Fatal(err)
+		}
+		row := p.tx.Puts[0]
+		row.Version = rowstore.Version(0, 8)
+		next := New(Identity{VM: "b", Incarnation: "1"})
+		if err := next.observeRow(rowstore.TableSnapshot{Version: row.Version, Rows: []rowstore.Row{row}}, now); err != nil {
+			t.Fatal(err)
+		}
+		if wait := next.maxPriorGrants(); wait < tc.min || wait > tc.max {
+			t.Errorf("%s: the successor waits %v, want %v to %v", name, wait, tc.min, tc.max)
+		}
+	}
+}
--- a/pkg/coordinator/leadership.go
+++ b/pkg/coordinator/leadership.go
@@ -55,6 +55,9 @@
 	// Clean is set if it gave up its role when no grant whose outcome it doesn't know could take effect any more, neither one of its own
 	// nor one of an earlier coordinator.
 	Clean bool `msgpack:"clean"`
+	// GrantsMs is, if the role was released and isn't clean, for how many milliseconds such grants may still take effect. It is 0 if that
+	// isn't known, and in rows of earlier versions.
+	GrantsMs int64 `msgpack:"grants,omitempty"`
 	// Era is the era of the store in which the writer knew the row. A row whose version is of a later era was restored with the store.
 	Era uint64 `msgpack:"era,omitempty"`
 	Fleet
@@ -86,23 +89,45 @@
 
 // pendingCommit is a transaction whose outcome is not known yet.
 type pendingCommit struct {
-	tx      rowstore.Transaction
-	renewal uint64
-	// fleet is what the transaction writes about the VMs.
-	fleet Fleet
-	sent  clock.Instant
+	tx rowstore.Transaction
+	// row is the coordinator's row that the transaction writes.
+	row  Leader
+	sent clock.Instant
 	// inFlight is set until the call has ended.
 	inFlight bool
 	// ambiguous is set if an attempt without a response may have taken effect or may still do so.
 	ambiguous bool
 	takeover  bool
-	release   bool
-	// clean is set if the previous coordinator released the role as clean.
-	clean bool
+	// release is what the transaction tells the successor, nil unless it releases the role.
+	release *release
+	// maxPriorGrants is, for a takeover, how long grants of earlier coordinators may take effect, as far as their last one has told.
+	maxPriorGrants time.Duration
 	// onApplied is called once the transaction is known to have taken effect.
 	onApplied func(now clock.Instant)
 }
 
+// release is what a coordinator that releases its role knows of the grants that may still take effect without the stored tables showing it:
+// those of earlier coordinators, and its own whose outcome it doesn't know.
+type release struct {
+	// clean is set if there are none.
+	clean bool
+	// grants is for how long there may be some, 0 if that isn't known.
+	grants time.Duration
+}
+
+// priorGrants returns for how long after the release of the role grants of earlier coordinators may take effect that the stored tables
+// don't show, at most limit.
+func (l *Leader) priorGrants(limit time.Duration) time.Duration {
+	switch {
+	case l.Clean:
+		return 0
+	case l.GrantsMs > 0:
+		return min(limit, clock.WithDrift(time.Duration(l.GrantsMs)*time.Millisecond))
+	default:
+		return limit
+	}
+}
+
 // leadership is the lease on the coordinator's role.
 //
 // Invariant: the leader counts the lease from before it sent the renewal, and an observer counts it from after it saw the row.
@@ -244,15 +269,18 @@
 }
 
 // newCommit returns a transaction that writes the given rows together with the coordinator's row. It takes effect only if
-// nobody else has written the coordinator's row since it was last seen.
-func (l *leadership) newCommit(puts []rowstore.Row, release, clean bool) (*pendingCommit, error) {
+// nobody else has written the coordinator's row since it was last seen. If r isn't nil, it releases the role.
+func (l *leadership) newCommit(puts []rowstore.Row, r *release) (*pendingCommit, error) {
 	era, renewal := rowstore.Era(l.version), l.row.Renewal+1
 	if era > 0 {
 		// The store may have lost rows with higher numbers, and a number identifies a write.
 		renewal = l.renewal + 1
 	}
 	l.renewal = max(l.renewal, renewal)
-	next := Leader{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Renewal: renewal, Released: release, Clean: clean, Era: era, Fleet: l.fleet}
+	next := Leader{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Renewal: renewal, Era: era, Fleet: l.fleet}
+	if r != nil {
+		next.Released, next.Clean, next.GrantsMs = true, r.clean, r.grants.Milliseconds()
+	}
 	value, err := msgpack.Marshal(next)
 	if err != nil {
 		return nil, err
@@ -261,13 +289,13 @@
 		Expected: []rowstore.Expectation{{Table: Table, Key: KeyLeader, Version: l.version}},
 		Puts:     append([]rowstore.Row{{Table: Table, Key: KeyLeader, Value: value}}, puts...),
 	}
-	return &pendingCommit{tx: tx, renewal: next.Renewal, fleet: next.Fleet, release: release}, nil
+	return &pendingCommit{tx: tx, row: next, release: r}, nil
 }
 
 // pendingOutcome returns whether the pending write took effect according to the newest row, and whether that is certain.
 func (l *leadership) pendingOutcome() (applied, certain bool) {
 	switch {
-	case l.rowIsOwn() && l.row.Renewal >= l.pending.renewal:
+	case l.rowIsOwn() && l.row.Renewal >= l.pending.row.Renewal:
 		return true, true
 	case l.version == l.pending.tx.Expected[0].Version:
 		return false, false
--- a/pkg/coordinator/restore.go
+++ b/pkg/coordinator/restore.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/clock"
 	"github.com/bronzelever/bronzelever/pkg/event"
@@ -83,10 +84,25 @@
 	return c.restored
 }
 
-// releaseIsClean reports whether a successor may take the stored tables for the whole state of the grants. As long as grants of earlier
-// coordinators may take effect, it may not: it knows nothing of them and wouldn't wait.
-func (c *Coordinator) releaseIsClean(now clock.Instant) bool {
-	return len(c.calls) == 0 && len(c.lostTables) == 0 && now >= c.priorGrantsEnd
+// newRelease returns what a successor has to know of the grants that may still take effect. A clean release lets it take the stored tables
+// for the whole state of the grants, so grants of earlier coordinators must have ended by then: the successor knows nothing of them and
+// wouldn't wait.
+func (c *Coordinator) newRelease(now clock.Instant) *release {
+	if len(c.lostTables) > 0 {
+		return &release{}
+	}
+	end := c.priorGrantsEnd
+	for _, call := range c.calls {
+		if call.inFlight {
+			// Until its outcome is known, the call may arrive at any time.
+			return &release{}
+		}
+		end = max(end, call.end)
+	}
+	if now >= end {
+		return &release{clean: true}
+	}
+	return &release{grants: end.Sub(now) + time.Millisecond}
 }
 
 // writeLostTables writes the coordinator's row and the tables that the store has lost. The row's condition is the version that was read in
@@ -114,7 +130,7 @@
 		}
 		puts = append(puts, rowstore.Row{Table: Table, Key: KeySlicesPrefix + name, Value: value})
 	}
-	p, err := c.newCommit(puts, false, false)
+	p, err := c.newCommit(puts, nil)
 	if err != nil {
 		c.log(event.ControlRowInvalid, "key", KeyLeader, "error", err.Error())
 		return
--- a/pkg/coordinator/restore_test.go
+++ b/pkg/coordinator/restore_test.go
@@ -325,7 +325,7 @@
 	if !c.Leading(now) || stored[KeyLeader] == 0 || stored[KeySlicesPrefix+"p"] == 0 || !c.lostTables["q"] || c.lostTables["p"] {
 		t.Errorf("leading: %v, stored %v, lost tables %v", c.Leading(now), stored, c.lostTables)
 	}
-	if c.releaseIsClean(now) {
+	if r := c.newRelease(now); r.clean || r.grants != 0 {
 		t.Error("the role would be released as clean")
 	}
 }
@@ -343,7 +343,7 @@
 		c := New(Identity{VM: "a", Incarnation: "1"})
 		now := clock.Instant(time.Minute)
 		c.known, c.version, c.leading, c.leaseEnd = true, 5, tc.leading, now.Add(tc.leaseEnd)
-		p, err := c.newCommit(nil, false, false)
+		p, err := c.newCommit(nil, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -383,7 +383,7 @@
 func TestRowsWithoutRestoreAreUnchanged(t *testing.T) {
 	c := New(Identity{VM: "a", Incarnation: "1", Address: "a:1"})
 	c.known, c.version, c.row.Renewal = true, 5, 7
-	p, err := c.newCommit(nil, true, true)
+	p, err := c.newCommit(nil, &release{clean: true})
 	if err != nil {
 		t.Fatal(err)
 	}
