Say in comments what a lost connection and the end of a body mean

Read again as a newcomer: ConnectionLost covers responses that break off now, and two comments of the quarantine were hard to follow. No code is changed.

--- a/pkg/placing/placing.go
+++ b/pkg/placing/placing.go
@@ -355,8 +355,8 @@
 	Abandoned
 	// TargetError means that the target answered with an error of its own.
 	TargetError
-	// ConnectionLost means that the connection was lost after the request was sent and before an answer arrived: the target may
-	// have crashed.
+	// ConnectionLost means that the connection was lost after the request was sent and before a complete answer arrived: the target
+	// may have crashed.
 	ConnectionLost
 	// Unanswered means that this VM ended the request after it was sent and before a complete answer arrived.
 	Unanswered
--- a/pkg/quarantine/silence.go
+++ b/pkg/quarantine/silence.go
@@ -27,8 +27,8 @@
 }
 
 // TargetRemoved records that the registration of an incarnation is gone or belongs to its next incarnation. announced tells that the
-// incarnation had said that it leaves. A target that loses power or is cut off closes no connection: that it has answered nothing since, and
-// that its registration is gone, is all that shows its crash.
+// incarnation had said that it leaves. A target that loses power closes no connection: only its silence and the end of its registration show
+// the crash.
 func (t *Tracker) TargetRemoved(incarnation inventory.Incarnation, announced bool, now clock.Instant) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -51,8 +51,8 @@
 	t.attributeSilent(incarnation, silent, now)
 }
 
-// BodyEnded records the end of an answer that was passed on in parts. VMs that know the run only as partly served learn of it through the
-// records. An answer that breaks off counts as a crash if the target is gone afterwards.
+// BodyEnded records the end of an answer that was passed on in parts, at the VM that does so. Other VMs learn of it through the records. An
+// answer that breaks off counts as a crash once the target is gone.
 func (t *Tracker) BodyEnded(f Fingerprint, incarnation inventory.Incarnation, complete bool, now clock.Instant) {
 	if f.ByCaller == 0 {
 		return
