Run the test of silent routers under a virtual clock

Cause: the test gives a change 30 ms of real time, of which 10 ms are the wait for silent routers. If the test isn't scheduled for the other 20 ms, the change isn't accepted in time. Six copies beside 24 busy loops logged this 37 times in 600 runs, at the two changes that must be accepted.

Change: the test runs in a synctest bubble, with the same times and checks.

--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bronzelever/bronzelever/pkg/config"
@@ -182,24 +183,26 @@
 // Guards against a lost router that holds up every change, and against "accepted" while more than half of the roster could
 // still confirm an older version to each other.
 func TestSilentRoutersAreWaitedForOnlyWhileTheyMayServe(t *testing.T) {
-	f := newFixture(t)
-	f.apply(t, Accepted, unchanged, ApplyOptions{})
-	f.cells.behind["serra"] = 1
-	f.apply(t, Stored, slots(5), ApplyOptions{})
-	f.cells.silent["serra"] = true
-	f.apply(t, Accepted, slots(6), ApplyOptions{})
-	f.recordRoster(t, "serra-gaucha", 1, "serra-vm-0", "serra-vm-1", "serra-vm-2")
-	r := f.apply(t, Stored, slots(7), ApplyOptions{})
-	if !strings.Contains(r.Cells[1].Reason, "only 1 of 3 routers of the roster have it") {
-		t.Error(r.Cells)
-	}
-	delete(f.cells.behind, "serra")
-	f.apply(t, Accepted, slots(8), ApplyOptions{})
-	f.operator.o.SilentWait = time.Hour
-	r = f.apply(t, Stored, slots(9), ApplyOptions{})
-	if !strings.Contains(r.Cells[1].Reason, "waiting until the authority of silent routers has ended: serra-vm-2") {
-		t.Error(r.Cells)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.apply(t, Accepted, unchanged, ApplyOptions{})
+		f.cells.behind["serra"] = 1
+		f.apply(t, Stored, slots(5), ApplyOptions{})
+		f.cells.silent["serra"] = true
+		f.apply(t, Accepted, slots(6), ApplyOptions{})
+		f.recordRoster(t, "serra-gaucha", 1, "serra-vm-0", "serra-vm-1", "serra-vm-2")
+		r := f.apply(t, Stored, slots(7), ApplyOptions{})
+		if !strings.Contains(r.Cells[1].Reason, "only 1 of 3 routers of the roster have it") {
+			t.Error(r.Cells)
+		}
+		delete(f.cells.behind, "serra")
+		f.apply(t, Accepted, slots(8), ApplyOptions{})
+		f.operator.o.SilentWait = time.Hour
+		r = f.apply(t, Stored, slots(9), ApplyOptions{})
+		if !strings.Contains(r.Cells[1].Reason, "waiting until the authority of silent routers has ended: serra-vm-2") {
+			t.Error(r.Cells)
+		}
+	})
 }
 
 // Guards against a change that overwrites one which its operator has not seen.
