--- a/internal/soak/silent_crash_test.go
+++ b/internal/soak/silent_crash_test.go
@@ -24,12 +24,14 @@
 // Guards against a request that crashes one target after another without being refused, because its crashes look different from a
 // connection that closes before the response: the target falls silent, or the response breaks off. The check of late arrivals is that of the stand-in's checker.
 func TestUnusualCrashesAreCounted(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ name, path string }{
 		{"orders, silence", standin.PathOrder + standin.PathSilentCrash},
 		{"orders, amid the response", standin.PathOrder + standin.PathPartialCrash},
 		{"orders, amid a long response", standin.PathOrder + standin.PathStreamCrash},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			r := startCrashRun(t, 8)
 			var others outcomeCounts
 			var group sync.WaitGroup
--- a/internal/soak/stop_test.go
+++ b/internal/soak/stop_test.go
@@ -83,6 +83,7 @@
 // Guards against orders that a stopping VM takes too late to wait for their answers, and breaks off when it ends. It took them on
 // connections that had carried no request yet and, as long as a pipelined read was being handled ahead, on all others, too.
 func TestStoppingVMTakesNoLateOrders(t *testing.T) {
+	t.Parallel()
 	r := startGracefulRun(t, 6, stopGrace)
 	const calmVM, pipeliningVM = 0, 1
 	stopping := []int{calmVM, pipeliningVM}
