--- a/review/standin3/standin3.go
+++ b/review/standin3/standin3.go
@@ -295,3 +295,6 @@
 		}
 	}()
 }
+
+// PID returns the process ID.
+func (m *Machine) PID() int { return m.cmd.Process.Pid }
