--- a/review/standin3/standin3.go
+++ b/review/standin3/standin3.go
@@ -127,9 +127,14 @@
 	return d
 }
 
+// Ports are taken from below the range from which the kernel takes those of clients.
+const firstPort, lastPort = 12000, 32000
+
 // freePorts returns the first of n consecutive free ports.
 func freePorts(n int) int {
-	for first := 21000 + os.Getpid()%20000; first < 60000; first += n {
+	blocks := (lastPort - firstPort) / n
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*n
 		var open []net.Listener
 		for i := range n {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
